--- /dev/null
+++ b/postvalve/__init__.py
@@ -0,0 +1,3 @@
+"""postvalve: online and batch inference for many tenants on one fleet of model engines."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/postvalve/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: relay cost, slopes, load."""
--- /dev/null
+++ b/postvalve/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of postvalve: one module a command."""
--- /dev/null
+++ b/postvalve/cli/connection.py
@@ -0,0 +1,45 @@
+"""What commands share to reach the log."""
+
+from __future__ import annotations
+
+import argparse
+import os
+from dataclasses import dataclass
+
+from postvalve.clock import SystemClock
+from postvalve.node.batch.job_store import JobStore
+from postvalve.node.configuration_store import ConfigurationStore
+from postvalve.node.log_writer import LogWriter
+from postvalve.platform.log import HttpLog
+
+LOG_URL_VARIABLE = "POSTVALVE_LOG_URL"
+OPERATOR_KEY_VARIABLE = "POSTVALVE_OPERATOR_KEY"
+DEFAULT_SHARDS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class LogAccess:
+    """Stores on the log, for one command."""
+
+    configuration: ConfigurationStore
+    jobs: JobStore
+
+
+def add_log_flags(parser: argparse.ArgumentParser) -> None:
+    """Add the flags that name the log."""
+    parser.add_argument(
+        "--log-url",
+        default=os.environ.get(LOG_URL_VARIABLE),
+        help=f"the platform's log, http://IP:PORT (default: ${LOG_URL_VARIABLE})",
+    )
+    parser.add_argument("--zone", default="operator", help="zone told to the log")
+
+
+def connect_log(arguments: argparse.Namespace, shards: int = DEFAULT_SHARDS) -> LogAccess:
+    """Build the stores for a command."""
+    if not arguments.log_url:
+        raise SystemExit(f"error: give --log-url or set {LOG_URL_VARIABLE}")
+    clock = SystemClock()
+    log = HttpLog(arguments.log_url, arguments.zone)
+    writer = LogWriter(log, clock)
+    return LogAccess(ConfigurationStore(log, writer, clock), JobStore(log, writer, clock, shards))
--- /dev/null
+++ b/postvalve/cli/emulate.py
@@ -0,0 +1,94 @@
+"""`postvalve emulate`: our stand-ins for the platform, as programs."""
+
+from __future__ import annotations
+
+import argparse
+from typing import Any
+
+from postvalve.cli.output import ExitCode
+from postvalve.emulator.engine_model import EngineParameters
+from postvalve.emulator.engine_service import EngineEmulation, EngineServiceShell
+from postvalve.emulator.log_service import LogServiceShell
+from postvalve.emulator.machine_service import MachineServiceShell
+from postvalve.emulator.service import serve
+from postvalve.exceptions import SettingsError
+
+EXAMPLES = """examples:
+  postvalve emulate log --listen 127.0.0.1:7000
+  postvalve emulate machines --listen 127.0.0.1:7001 --lag 2
+  postvalve emulate engine --listen 127.0.0.1:7100 --model price-analysis=1 --slots 16
+"""
+
+
+def add_parser(commands: Any) -> None:
+    """Add the command."""
+    parser = commands.add_parser(
+        "emulate",
+        help="run a stand-in for the log, the machine list or an engine",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    kinds = parser.add_subparsers(dest="kind", required=True, metavar="KIND")
+    log = kinds.add_parser("log", help="append-only log service")
+    log.set_defaults(run=run_log)
+    machines = kinds.add_parser("machines", help="lagging list of machines")
+    machines.add_argument("--lag", type=float, default=2.0, help="seconds until a change shows")
+    machines.set_defaults(run=run_machines)
+    engine = kinds.add_parser("engine", help="model engine")
+    _add_engine_flags(engine)
+    engine.set_defaults(run=run_engine)
+    for kind in (log, machines, engine):
+        kind.add_argument("--listen", required=True, help="IP:PORT")
+
+
+def _add_engine_flags(parser: argparse.ArgumentParser) -> None:
+    defaults = EngineParameters()
+    parser.add_argument(
+        "--model", action="append", required=True, help="NAME=VERSION, held from the start"
+    )
+    parser.add_argument("--slots", type=int, default=defaults.slots)
+    parser.add_argument("--step-base", type=float, default=defaults.step_base, help="seconds")
+    parser.add_argument(
+        "--step-per-sequence", type=float, default=defaults.step_per_sequence, help="seconds"
+    )
+    parser.add_argument(
+        "--prefill-per-token", type=float, default=defaults.prefill_per_token, help="seconds"
+    )
+    parser.add_argument("--cache-blocks", type=int, default=defaults.cache_blocks)
+    parser.add_argument("--load-lag", type=float, default=0.5, help="seconds")
+
+
+def run_log(arguments: argparse.Namespace) -> int:
+    """Run the log."""
+    serve(arguments.listen, LogServiceShell().application())
+    return ExitCode.OK
+
+
+def run_machines(arguments: argparse.Namespace) -> int:
+    """Run the machine list."""
+    serve(arguments.listen, MachineServiceShell(arguments.lag).application())
+    return ExitCode.OK
+
+
+def run_engine(arguments: argparse.Namespace) -> int:
+    """Run an engine."""
+    parameters = EngineParameters(
+        slots=arguments.slots,
+        step_base=arguments.step_base,
+        step_per_sequence=arguments.step_per_sequence,
+        prefill_per_token=arguments.prefill_per_token,
+        cache_blocks=arguments.cache_blocks,
+    )
+    models = dict(_parse_model(text) for text in arguments.model)
+    emulation = EngineEmulation(parameters=parameters, load_lag=arguments.load_lag)
+    shell = EngineServiceShell(models, emulation)
+    shell.start()
+    serve(arguments.listen, shell.application())
+    return ExitCode.OK
+
+
+def _parse_model(text: str) -> tuple[str, str]:
+    name, separator, version = text.partition("=")
+    if not name or not separator or not version:
+        raise SettingsError("--model", f"{text!r} is not NAME=VERSION")
+    return name, version
--- /dev/null
+++ b/postvalve/cli/output.py
@@ -0,0 +1,65 @@
+"""What commands print: tables or JSON on standard output, errors on standard error."""
+
+from __future__ import annotations
+
+import argparse
+import enum
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from postvalve.exceptions import PostvalveError, SettingsError
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of every command."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    """The command line, a settings file or a configuration is wrong."""
+    CONFLICT = 3
+    """Another change came first; read it and try again."""
+    UNAVAILABLE = 4
+    """A service did not answer; what was asked may have taken effect if the text says so."""
+    NOT_FOUND = 5
+
+
+def add_output_flag(parser: argparse.ArgumentParser) -> None:
+    """Add `--output`."""
+    parser.add_argument(
+        "--output", choices=("table", "json"), default="table", help="form of the answer"
+    )
+
+
+def print_rows(rows: Sequence[dict[str, Any]], columns: Sequence[str], output: str) -> None:
+    """Print rows as a table or as a JSON array."""
+    if output == "json":
+        print(json.dumps(list(rows), indent=2))
+        return
+    cells = [[str(row.get(column, "")) for column in columns] for row in rows]
+    widths = [
+        max(len(column), *(len(line[index]) for line in cells)) if cells else len(column)
+        for index, column in enumerate(columns)
+    ]
+    for line in [[column.upper() for column in columns], *cells]:
+        padded = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        print("  ".join(padded).rstrip())
+
+
+def print_document(document: dict[str, Any], output: str) -> None:
+    """Print one object as lines of `name: value` or as JSON."""
+    if output == "json":
+        print(json.dumps(document, indent=2))
+        return
+    for name, value in document.items():
+        print(f"{name}: {value}")
+
+
+def print_error(error: PostvalveError) -> None:
+    """Print a user's or a service's error, with its verdict where it matters."""
+    if isinstance(error, SettingsError):
+        print(f"error: {error.message}", file=sys.stderr)
+        return
+    print(f"error: {error.message} ({error.code}, {error.verdict.value})", file=sys.stderr)
--- /dev/null
+++ b/postvalve/cli/request.py
@@ -0,0 +1,170 @@
+"""`postvalve request`: act as a caller, for tries and demonstrations."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import time
+import uuid
+from pathlib import Path
+from typing import Any
+
+from geventhttpclient import HTTPClient
+from geventhttpclient.url import URL
+
+from postvalve.cli.output import ExitCode
+from postvalve.exceptions import PlatformError, PostvalveError, Verdict
+
+API_KEY_VARIABLE = "POSTVALVE_API_KEY"
+POLL_INTERVAL = 0.2
+"""Seconds between looks at a batch."""
+ANSWER_TIMEOUT = 60.0
+"""Seconds of silence until an answer is given up."""
+EVENT_PREFIX = b"data: "
+
+EXAMPLES = """examples:
+  postvalve request chat 'Is 101.27 plausible?' --node http://127.0.0.1:8080 --model m
+  postvalve request batch items.jsonl --node http://127.0.0.1:8080 --idempotency-key close-31
+"""
+
+
+class CallError(PostvalveError):
+    """The node answered with an error."""
+
+
+def add_parser(commands: Any) -> None:
+    """Add the command."""
+    parser = commands.add_parser(
+        "request",
+        help="send a request as a caller",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    kinds = parser.add_subparsers(dest="kind", required=True, metavar="KIND")
+    chat = kinds.add_parser("chat", help="one chat completion, streamed to standard output")
+    chat.add_argument("text")
+    chat.add_argument("--model", required=True)
+    chat.add_argument("--max-tokens", type=int, default=16)
+    chat.set_defaults(run=run_chat)
+    batch = kinds.add_parser("batch", help="a batch: upload, wait, print the output file")
+    batch.add_argument("file", type=Path)
+    batch.add_argument("--window", default="24h", help="completion window")
+    batch.add_argument("--idempotency-key")
+    batch.set_defaults(run=run_batch)
+    for kind in (chat, batch):
+        kind.add_argument("--node", required=True, help="any node, http://IP:PORT")
+        kind.add_argument("--key", default=os.environ.get(API_KEY_VARIABLE, ""))
+        kind.add_argument("--workload")
+
+
+class Caller:
+    """A caller of one node."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        url = URL(arguments.node)
+        self._client = HTTPClient(url.host, port=url.port, network_timeout=ANSWER_TIMEOUT)
+        self._headers = {"Authorization": f"Bearer {arguments.key}"}
+        if arguments.workload:
+            self._headers["X-Postvalve-Workload"] = arguments.workload
+
+    def call(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> Any:
+        """Send a request and return the response object, checked for errors.
+
+        Raises:
+            CallError: the node refused or failed.
+            PlatformError: the node did not answer.
+        """
+        merged = {**self._headers, **(headers or {})}
+        try:
+            response = self._client.request(method, path, body=body, headers=merged)
+        except Exception as error:  # sockets, parser and pool raise unrelated types
+            raise PlatformError(f"node: {error!r}") from error
+        if response.status_code != 200:
+            raise _call_error(response.read())
+        return response
+
+    def call_json(self, method: str, path: str, document: Any, **headers: str) -> Any:
+        """Send JSON and read JSON."""
+        merged = {"Content-Type": "application/json", **headers}
+        body = json.dumps(document).encode("utf-8") if document is not None else b""
+        return json.loads(self.call(method, path, body, merged).read())
+
+
+def _call_error(content: bytes) -> CallError:
+    try:
+        document = json.loads(content)["error"]
+        error = CallError(document["message"], code=document["code"])
+        error.verdict = Verdict(document["verdict"])
+    except (ValueError, KeyError, TypeError):
+        error = CallError(content.decode("utf-8", "replace"))
+    return error
+
+
+def run_chat(arguments: argparse.Namespace) -> int:
+    """Send one chat completion and print its tokens as they come."""
+    document = {
+        "model": arguments.model,
+        "messages": [{"role": "user", "content": arguments.text}],
+        "max_tokens": arguments.max_tokens,
+        "stream": True,
+    }
+    body = json.dumps(document).encode("utf-8")
+    headers = {"Content-Type": "application/json"}
+    response = Caller(arguments).call("POST", "/v1/chat/completions", body, headers)
+    while event := response.readline(b"\n\n"):
+        data = event.removeprefix(EVENT_PREFIX).strip()
+        if data == b"[DONE]":
+            break
+        chunk = json.loads(data)
+        if "error" in chunk:
+            raise _call_error(data)
+        sys.stdout.write(chunk["choices"][0]["delta"].get("content") or "")
+        sys.stdout.flush()
+    print()
+    return ExitCode.OK
+
+
+def run_batch(arguments: argparse.Namespace) -> int:
+    """Run a batch to its end and print its output file."""
+    caller = Caller(arguments)
+    file = _upload(caller, arguments.file)
+    headers = {}
+    if arguments.idempotency_key:
+        headers["Idempotency-Key"] = arguments.idempotency_key
+    request = {
+        "input_file_id": file["id"],
+        "endpoint": "/v1/chat/completions",
+        "completion_window": arguments.window,
+    }
+    batch = caller.call_json("POST", "/v1/batches", request, **headers)
+    print(f"accepted: {batch['id']}", file=sys.stderr)
+    while batch["status"] == "in_progress":
+        time.sleep(POLL_INTERVAL)
+        batch = caller.call_json("GET", f"/v1/batches/{batch['id']}", None)
+    for file_id in filter(None, (batch["output_file_id"], batch["error_file_id"])):
+        content = caller.call("GET", f"/v1/files/{file_id}/content").read()
+        sys.stdout.write(content.decode("utf-8"))
+    return ExitCode.OK if batch["status"] == "completed" else ExitCode.FAILED
+
+
+def _upload(caller: Caller, path: Path) -> Any:
+    boundary = uuid.uuid4().hex
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        raise CallError(f"{path}: {error.strerror}") from error
+    body = (
+        (
+            f'--{boundary}\r\nContent-Disposition: form-data; name="purpose"\r\n\r\nbatch\r\n'
+            f'--{boundary}\r\nContent-Disposition: form-data; name="file"; '
+            f'filename="{path.name}"\r\n\r\n'
+        ).encode()
+        + content
+        + f"\r\n--{boundary}--\r\n".encode()
+    )
+    headers = {"Content-Type": f"multipart/form-data; boundary={boundary}"}
+    return json.loads(caller.call("POST", "/v1/files", body, headers).read())
--- /dev/null
+++ b/postvalve/core/admission/tenant_limits.py
@@ -0,0 +1,87 @@
+"""Limits of tenants: a token bucket and a bound on concurrency for each tenant and rule."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from postvalve.exceptions import RateLimitedError
+from postvalve.settings.fleet import LimitSpec
+
+CONCURRENCY_RETRY_AFTER = 1.0
+"""Seconds told to a tenant that has too many requests in progress."""
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Refills at `rate` tokens a second up to `burst`."""
+
+    rate: float
+    burst: float
+    tokens: float
+    refilled_at: float
+
+    def take(self, now: float) -> float:
+        """Take one token; returns 0, or the seconds until there will be one."""
+        elapsed = max(0.0, now - self.refilled_at)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        self.refilled_at = now
+        if self.tokens < 1.0:
+            return (1.0 - self.tokens) / self.rate
+        self.tokens -= 1.0
+        return 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitKey:
+    """One tenant under one rule."""
+
+    tenant: str
+    rule: str
+
+
+class TenantLimiter:
+    """Counts of this node. Rates are divided by the number of live nodes."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[LimitKey, TokenBucket] = {}
+        self._in_progress: dict[LimitKey, int] = {}
+
+    def enter(self, tenant: str, limit: LimitSpec, live_nodes: int, now: float) -> LimitKey:
+        """Count a request in.
+
+        Returns:
+            A key to give to `leave`.
+
+        Raises:
+            RateLimitedError: the request is over a limit and was not counted.
+        """
+        key = LimitKey(tenant, limit.name)
+        if self._in_progress.get(key, 0) >= limit.concurrency:
+            raise RateLimitedError(
+                f"{limit.concurrency} requests are in progress under the limit {limit.name}",
+                retry_after=CONCURRENCY_RETRY_AFTER,
+            )
+        wait = self._bucket(key, limit, live_nodes, now).take(now)
+        if wait > 0:
+            raise RateLimitedError(f"over the rate of the limit {limit.name}", retry_after=wait)
+        self._in_progress[key] = self._in_progress.get(key, 0) + 1
+        return key
+
+    def leave(self, key: LimitKey) -> None:
+        """Count a request out."""
+        remaining = self._in_progress[key] - 1
+        if remaining:
+            self._in_progress[key] = remaining
+        else:
+            del self._in_progress[key]
+
+    def _bucket(self, key: LimitKey, limit: LimitSpec, live_nodes: int, now: float) -> TokenBucket:
+        rate = limit.requests_per_second / max(1, live_nodes)
+        # A share below one request would refuse everything.
+        burst = max(1.0, limit.burst / max(1, live_nodes))
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = TokenBucket(rate, burst, burst, now)
+        bucket.rate = rate
+        bucket.burst = burst
+        return bucket
--- /dev/null
+++ b/postvalve/core/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: identity, replayed state, shard leases, item scheduling."""
--- /dev/null
+++ b/postvalve/core/batch/job_ledger.py
@@ -0,0 +1,134 @@
+"""Replay of one job's stream. Every reader decides alike, in offset order.
+
+- The first submission is the job; later ones with the same digest are resends.
+- The first start of an item is the only one that may be dispatched at most once.
+- The first result of an item counts, unless a cancel stands before it.
+- The first cancel ends the job, unless its last result stands before it.
+- A job past its deadline goes on: an accepted item is late rather than lost.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+import betterproto
+
+from postvalve.messages.generated import records
+from postvalve.states import JobState
+
+
+class SubmissionOutcome(enum.StrEnum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    RESENT = "resent"
+    CONFLICT = "conflict"
+
+
+class JobLedger:
+    """Compact state of a job: one byte for each item, counts, no result bodies."""
+
+    def __init__(self, job_id: str) -> None:
+        self.job_id = job_id
+        self.submission: records.JobSubmitted | None = None
+        self.next_offset = 0
+        self.completed = 0
+        self.failed = 0
+        self.state = JobState.IN_PROGRESS
+        self.ended_at_ms = 0
+        self._finished = bytearray()
+        self._starts: dict[int, str] = {}
+
+    @property
+    def exists(self) -> bool:
+        """Whether a submission was read."""
+        return self.submission is not None
+
+    @property
+    def accepted(self) -> records.JobSubmitted:
+        """The submission, of a job that exists."""
+        if self.submission is None:
+            raise LookupError(f"job {self.job_id} was not submitted")
+        return self.submission
+
+    @property
+    def remaining(self) -> int:
+        """Items without a result."""
+        return len(self._finished) - self.completed - self.failed
+
+    def observe(self, offset: int, record: records.Record) -> list[records.ItemResult]:
+        """Take the record at `offset` in; returns the results in it that count."""
+        if offset != self.next_offset:
+            raise ValueError(f"offset {offset} follows {self.next_offset - 1}")
+        self.next_offset = offset + 1
+        kind, body = betterproto.which_one_of(record, "body")
+        if kind == "job_submitted":
+            self._submit(body)
+        elif kind == "item_started":
+            self._starts.setdefault(body.item_index, body.attempt_id)
+        elif kind == "items_finished":
+            return self._finish_items(body)
+        elif kind == "job_cancelled":
+            self._end(JobState.CANCELLED, body.cancelled_at_ms)
+        elif kind == "job_finished":
+            self._note_finish(body)
+        return []
+
+    def submission_outcome(self, request_digest: str) -> SubmissionOutcome | None:
+        """How a submission with this digest fares against the one that was accepted."""
+        if self.submission is None:
+            return None
+        same = self.submission.request_digest == request_digest
+        return SubmissionOutcome.RESENT if same else SubmissionOutcome.CONFLICT
+
+    def is_finished(self, item_index: int) -> bool:
+        """Whether the item has a result that counts."""
+        return bool(self._finished[item_index])
+
+    def start_of(self, item_index: int) -> str | None:
+        """The attempt that alone may run an at-most-once item."""
+        return self._starts.get(item_index)
+
+    def unfinished_starts(self) -> Iterator[int]:
+        """Items that were started and have no result."""
+        return (index for index in self._starts if not self._finished[index])
+
+    def _submit(self, body: records.JobSubmitted) -> None:
+        if self.submission is not None:
+            return
+        self.submission = body
+        self._finished = bytearray(body.items)
+
+    def _finish_items(self, body: records.ItemsFinished) -> list[records.ItemResult]:
+        counted = [result for result in body.results if self._count(result)]
+        if self.exists and self.remaining == 0:
+            self._end(JobState.COMPLETED, 0)
+        return counted
+
+    def _count(self, result: records.ItemResult) -> bool:
+        if self.state.is_terminal or result.item_index >= len(self._finished):
+            return False
+        if self._finished[result.item_index]:
+            return False
+        self._finished[result.item_index] = 1
+        if is_success(result):
+            self.completed += 1
+        else:
+            self.failed += 1
+        return True
+
+    def _note_finish(self, body: records.JobFinished) -> None:
+        if self.state is JobState.COMPLETED and not self.ended_at_ms:
+            self.ended_at_ms = body.finished_at_ms
+
+    def _end(self, state: JobState, at_ms: int) -> None:
+        if not self.exists or self.state.is_terminal:
+            return
+        self.state = state
+        self.ended_at_ms = at_ms
+
+
+def is_success(result: records.ItemResult) -> bool:
+    """Whether a result is an answer, and not an error."""
+    return 200 <= result.status_code < 300 and not result.may_have_run
--- /dev/null
+++ b/postvalve/core/batch/lease.py
@@ -0,0 +1,100 @@
+"""Lease of one shard, replayed from the shard's stream.
+
+A claim of epoch n+1 that comes first in offset order holds the shard. Expiry is each
+reader's own guess from the last renewal it read. A wrong guess costs work, never
+correctness: what counts of an item is decided in the job's stream.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import betterproto
+
+from postvalve.messages.generated import records
+from postvalve.states import LeaseState
+
+
+class LeaseStep(enum.StrEnum):
+    """What a node should append now."""
+
+    NONE = "none"
+    CLAIM = "claim"
+    RENEW = "renew"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTiming:
+    """Seconds that a lease lasts, and between renewals."""
+
+    duration: float
+    renewal: float
+
+
+class ShardLease:
+    """The lease as one node sees it."""
+
+    def __init__(self, node_id: str, incarnation: int, timing: LeaseTiming) -> None:
+        self._node_id = node_id
+        self._incarnation = incarnation
+        self._timing = timing
+        self.epoch = 0
+        self.holder = ""
+        self.holder_incarnation = 0
+        self._heard_at = float("-inf")
+        self._asked_at = float("-inf")
+
+    def observe(self, record: records.Record, now: float) -> None:
+        """Take a record of the shard's stream in."""
+        kind, body = betterproto.which_one_of(record, "body")
+        if kind == "lease_claimed" and body.epoch == self.epoch + 1:
+            self.epoch = body.epoch
+            self.holder = body.node_id
+            self.holder_incarnation = body.incarnation
+            self._heard_at = now
+        elif kind == "lease_renewed" and body.epoch == self.epoch:
+            self._heard_at = now
+        elif kind == "lease_released" and body.epoch == self.epoch:
+            self.holder = ""
+        elif kind == "shard_checkpoint" and body.epoch > self.epoch:
+            self.epoch = body.epoch
+            self.holder = body.node_id
+            self.holder_incarnation = body.incarnation
+            self._heard_at = now
+
+    def state(self, now: float) -> LeaseState:
+        """Who holds the shard, by this node's guess."""
+        if not self.holder or now - self._heard_at >= self._timing.duration:
+            return LeaseState.FREE
+        if self.holder == self._node_id and self.holder_incarnation == self._incarnation:
+            return LeaseState.HELD_HERE
+        return LeaseState.HELD_ELSEWHERE
+
+    def next_step(self, now: float, *, preferred: bool, holder_gone: bool) -> LeaseStep:
+        """What to append now.
+
+        Args:
+            now: Monotonic seconds.
+            preferred: Whether this node is the first choice among the live nodes.
+            holder_gone: Whether the holder is known to be dead.
+        """
+        state = self.state(now)
+        if state is LeaseState.HELD_HERE:
+            if not preferred:
+                return self._ask(LeaseStep.RELEASE, now)
+            if now - self._heard_at >= self._timing.renewal:
+                return self._ask(LeaseStep.RENEW, now)
+            return LeaseStep.NONE
+        free = state is LeaseState.FREE or holder_gone
+        if free and preferred:
+            return self._ask(LeaseStep.CLAIM, now)
+        return LeaseStep.NONE
+
+    def _ask(self, step: LeaseStep, now: float) -> LeaseStep:
+        # One append at a time: wait until it can have been read back.
+        if now - self._asked_at < self._timing.renewal / 2:
+            return LeaseStep.NONE
+        self._asked_at = now
+        return step
--- /dev/null
+++ b/postvalve/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted revisions of the fleet configuration."""
--- /dev/null
+++ b/postvalve/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live nodes of the fleet, and who owns which engine."""
--- /dev/null
+++ b/postvalve/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine holds which model."""
--- /dev/null
+++ b/postvalve/core/routing/router.py
@@ -0,0 +1,76 @@
+"""Choice of an engine for one online request.
+
+Power of two choices on load, with affinity to the engine that likely holds the prompt's
+prefix, as long as that engine is not loaded more than the others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from postvalve.core.membership.ownership import preferred_owner
+from postvalve.core.randomness import RandomSource
+
+AFFINITY_LOAD_BOUND = 1.25
+"""The affine engine is taken while its load is at most this many times the mean."""
+AFFINITY_LOAD_SLACK = 2.0
+"""Requests above the bound that are still tolerated."""
+LOCAL_LOAD_LIMIT = 0.8
+"""Engines of other zones are considered when all local ones are loaded above this."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCandidate:
+    """An engine as the gateway sees it, by the owner's last summary."""
+
+    engine_id: str
+    owner_id: str
+    zone: str
+    online_in_flight: int
+    slots: int
+
+    @property
+    def load(self) -> float:
+        """Share of the slots that runs online work."""
+        return self.online_in_flight / max(1, self.slots)
+
+
+class Router:
+    """Orders candidates; the first is tried first."""
+
+    def __init__(self, zone: str, generator: RandomSource) -> None:
+        self._zone = zone
+        self._random = generator
+
+    def order(
+        self, candidates: Sequence[EngineCandidate], prefix_key: str
+    ) -> list[EngineCandidate]:
+        """All candidates, the best first, then by zone and load."""
+        if not candidates:
+            return []
+        near = self._near(candidates)
+        first = self._affine(near, prefix_key) or self._less_loaded(near)
+        others = [one for one in candidates if one is not first]
+        others.sort(key=lambda one: (one.load >= 1.0, one.zone != self._zone, one.load))
+        return [first, *others]
+
+    def _near(self, candidates: Sequence[EngineCandidate]) -> Sequence[EngineCandidate]:
+        local = [
+            one for one in candidates if one.zone == self._zone and one.load < LOCAL_LOAD_LIMIT
+        ]
+        return local or candidates
+
+    def _affine(
+        self, candidates: Sequence[EngineCandidate], prefix_key: str
+    ) -> EngineCandidate | None:
+        chosen_id = preferred_owner(prefix_key, [one.engine_id for one in candidates])
+        chosen = next(one for one in candidates if one.engine_id == chosen_id)
+        mean = sum(one.online_in_flight for one in candidates) / len(candidates)
+        if chosen.online_in_flight > AFFINITY_LOAD_BOUND * mean + AFFINITY_LOAD_SLACK:
+            return None
+        return chosen if chosen.load < 1.0 else None
+
+    def _less_loaded(self, candidates: Sequence[EngineCandidate]) -> EngineCandidate:
+        pair = self._random.sample(list(candidates), min(2, len(candidates)))
+        return min(pair, key=lambda one: one.load)
--- /dev/null
+++ b/postvalve/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Our stand-ins for the platform and its engines."""
--- /dev/null
+++ b/postvalve/emulator/engine_service.py
@@ -0,0 +1,251 @@
+"""The emulated engine as a program: `EngineModel` behind HTTP.
+
+Requests are chat completions. Headers carry what the platform's engines honour:
+attempt id, priority (0 first), cache salt, resume offset.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+
+import gevent
+from gevent.event import Event
+from gevent.queue import Queue
+from pydantic import ValidationError
+from werkzeug.wrappers import Request, Response
+
+from postvalve.emulator.engine_model import EngineModel, EngineParameters, LoadReport
+from postvalve.emulator.service import EmulatorApplication, json_response
+from postvalve.emulator.tokens import (
+    DONE_EVENT,
+    ChatRequest,
+    TokenSequence,
+    chunk_event,
+    completion_document,
+    prompt_token_count,
+)
+from postvalve.platform.engine import (
+    ATTEMPT_HEADER,
+    MODEL_VERSION_HEADER,
+    PRIORITY_HEADER,
+    REQUEST_HEADER,
+    RESUME_HEADER,
+    SALT_HEADER,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEmulation:
+    """How this engine differs from an ideal one."""
+
+    parameters: EngineParameters = field(default_factory=EngineParameters)
+    load_lag: float = 0.5
+    """Seconds by which load reports are old."""
+    cache_event_lag: float = 1.0
+    """Seconds by which cache events are late."""
+    cache_event_gap: int = 50
+    """Every so many cache events, one is missing."""
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Faults on order, each used up by one request."""
+
+    cut_after_tokens: int | None = None
+    crossed_answers: int = 0
+    refuse: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _LaggedReport:
+    taken_at: float
+    report: LoadReport
+    cache_events: int
+
+
+class EngineServiceShell:
+    """Steps the model in real time and carries its tokens to HTTP streams."""
+
+    def __init__(self, models: dict[str, str], emulation: EngineEmulation) -> None:
+        self._models = models
+        self._emulation = emulation
+        self._model = EngineModel(emulation.parameters)
+        self._queues: dict[str, Queue] = {}
+        self._work = Event()
+        self._faults = EngineFaults()
+        self._reports: list[_LaggedReport] = []
+        self._served = 0
+        self._fencing_token = 0
+
+    def application(self) -> EmulatorApplication:
+        """The WSGI application."""
+        return EmulatorApplication(
+            {
+                "POST /v1/chat/completions": self._complete,
+                "DELETE /v1/attempts/<attempt_id>": self._cancel,
+                "GET /v1/load": self._load,
+                "GET /v1/cache-events": self._cache_events,
+                "POST /v1/orders": self._order,
+                "PUT /faults": self._set_faults,
+                "GET /statistics": self._statistics,
+            }
+        )
+
+    def start(self) -> None:
+        """Start stepping."""
+        gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self._take_report()
+            if self._model.idle:
+                self._work.clear()
+                self._work.wait(self._emulation.load_lag)
+                continue
+            result = self._model.step()
+            gevent.sleep(result.duration)
+            for emission in result.emissions:
+                queue = self._queues.get(emission.attempt_id)
+                if queue is not None:
+                    queue.put(emission)
+
+    def _take_report(self) -> None:
+        now = time.monotonic()
+        report = _LaggedReport(now, self._model.load(), len(self._model.cache.events))
+        self._reports.append(report)
+        horizon = max(self._emulation.load_lag, self._emulation.cache_event_lag)
+        while len(self._reports) > 2 and self._reports[1].taken_at < now - horizon:
+            self._reports.pop(0)
+
+    def _lagged(self, lag: float) -> _LaggedReport | None:
+        limit = time.monotonic() - lag
+        old = [report for report in self._reports if report.taken_at <= limit]
+        return old[-1] if old else None
+
+    def _complete(self, request: Request) -> Response:
+        try:
+            chat = ChatRequest.model_validate_json(request.get_data())
+        except ValidationError as error:
+            return json_response({"error": str(error)}, 400)
+        if chat.model not in self._models:
+            return json_response({"error": f"model {chat.model} is not loaded"}, 409)
+        if self._faults.refuse > 0:
+            self._faults.refuse -= 1
+            return json_response({"error": "refused on order"}, 503)
+        attempt_id = request.headers[ATTEMPT_HEADER]
+        offset = int(request.headers.get(RESUME_HEADER, "0"))
+        version = self._models[chat.model]
+        self._model.submit(
+            attempt_id,
+            chat,
+            version=version,
+            priority=int(request.headers.get(PRIORITY_HEADER, "0")),
+            cache_salt=request.headers.get(SALT_HEADER, ""),
+            resume_offset=offset,
+        )
+        self._served += 1
+        self._queues[attempt_id] = Queue()
+        self._work.set()
+        return self._answer(request, chat, attempt_id, version)
+
+    def _answer(
+        self, request: Request, chat: ChatRequest, attempt_id: str, version: str
+    ) -> Response:
+        answered_id = attempt_id
+        if self._faults.crossed_answers > 0:
+            self._faults.crossed_answers -= 1
+            answered_id = f"crossed-{attempt_id}"
+        headers = {ATTEMPT_HEADER: answered_id, MODEL_VERSION_HEADER: version}
+        request_id = request.headers.get(REQUEST_HEADER, attempt_id)
+        if chat.stream:
+            events = self._events(chat, attempt_id, request_id)
+            return Response(events, headers=headers, content_type="text/event-stream")
+        whole = self._whole(chat, attempt_id, request_id, version)
+        return Response(whole, headers=headers, content_type="application/json")
+
+    def _events(self, chat: ChatRequest, attempt_id: str, request_id: str) -> Iterator[bytes]:
+        queue = self._queues[attempt_id]
+        cut_after, self._faults.cut_after_tokens = self._faults.cut_after_tokens, None
+        sent = 0
+        try:
+            while True:
+                emission = queue.get()
+                yield chunk_event(request_id, chat.model, [emission.text], emission.finished)
+                sent += 1
+                if emission.finished:
+                    break
+                if cut_after is not None and sent >= cut_after:
+                    raise ConnectionAbortedError("cut on order")
+            yield DONE_EVENT
+        finally:
+            self._forget(attempt_id)
+
+    def _whole(
+        self, chat: ChatRequest, attempt_id: str, request_id: str, version: str
+    ) -> Iterator[bytes]:
+        queue = self._queues[attempt_id]
+        try:
+            while not queue.get().finished:
+                pass
+            text = TokenSequence(chat, version).text()
+            prompt_tokens = prompt_token_count(chat.prompt_text)
+            yield completion_document(request_id, chat, text, prompt_tokens, chat.token_count)
+        finally:
+            self._forget(attempt_id)
+
+    def _forget(self, attempt_id: str) -> None:
+        self._queues.pop(attempt_id, None)
+        self._model.cancel(attempt_id)
+
+    def _cancel(self, request: Request, attempt_id: str) -> Response:
+        self._forget(attempt_id)
+        return json_response({})
+
+    def _load(self, request: Request) -> Response:
+        lagged = self._lagged(self._emulation.load_lag)
+        load = asdict(lagged.report) if lagged else asdict(LoadReport(0, 0, self._slots, 0))
+        return json_response({**load, "models": self._models})
+
+    @property
+    def _slots(self) -> int:
+        return self._emulation.parameters.slots
+
+    def _cache_events(self, request: Request) -> Response:
+        start = request.args.get("from", 0, int)
+        lagged = self._lagged(self._emulation.cache_event_lag)
+        end = lagged.cache_events if lagged else 0
+        gap = self._emulation.cache_event_gap
+        events = [
+            asdict(event)
+            for event in self._model.cache.events[start:end]
+            if event.sequence % gap != gap - 1
+        ]
+        return json_response({"events": events, "next": max(start, end)})
+
+    def _order(self, request: Request) -> Response:
+        order = request.get_json()
+        fencing_token = int(order["fencing_token"])
+        if fencing_token < self._fencing_token:
+            return json_response({"error": "older fencing token"}, 409)
+        self._fencing_token = fencing_token
+        if order["action"] == "load":
+            self._models[str(order["model"])] = str(order["version"])
+        elif order["action"] == "unload":
+            self._models.pop(str(order["model"]), None)
+        else:
+            return json_response({"error": f"unknown action {order['action']!r}"}, 400)
+        return json_response({"models": self._models})
+
+    def _set_faults(self, request: Request) -> Response:
+        document = request.get_json()
+        self._faults = EngineFaults(
+            cut_after_tokens=document.get("cut_after_tokens"),
+            crossed_answers=int(document.get("crossed_answers", 0)),
+            refuse=int(document.get("refuse", 0)),
+        )
+        return json_response({})
+
+    def _statistics(self, request: Request) -> Response:
+        return json_response({"served": self._served})
--- /dev/null
+++ b/postvalve/messages/framing.py
@@ -0,0 +1,101 @@
+"""Frames between nodes: a fixed header, then one encoded message.
+
+Header, big endian: length of the message (u32), kind (u8), correlation id (u64).
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+
+import betterproto
+
+from postvalve.messages.generated import peer
+
+HEADER = struct.Struct("!IBQ")
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+_MESSAGE_KINDS: tuple[type[betterproto.Message], ...] = (
+    peer.Acknowledgement,
+    peer.AdmissionRequest,
+    peer.AdmissionReply,
+    peer.AdmissionRelease,
+    peer.ItemPull,
+    peer.ItemPullReply,
+    peer.ItemReport,
+    peer.ItemReportReply,
+    peer.JobCancelNotice,
+    peer.ConfigurationFetch,
+    peer.ConfigurationReply,
+    peer.Heartbeat,
+    peer.ZoneDigest,
+)
+_KIND_OF_TYPE = {message_type: kind for kind, message_type in enumerate(_MESSAGE_KINDS)}
+
+
+class FrameError(ValueError):
+    """Bytes from a peer that are no frame."""
+
+
+@dataclass(frozen=True, slots=True)
+class FrameHeader:
+    """The fixed part of a frame."""
+
+    length: int
+    kind: int
+    correlation_id: int
+
+
+def encode_frame(message: betterproto.Message, correlation_id: int) -> bytes:
+    """Encode one message with its header."""
+    body = bytes(message)
+    return HEADER.pack(len(body), _KIND_OF_TYPE[type(message)], correlation_id) + body
+
+
+def decode_header(data: bytes) -> FrameHeader:
+    """Read a header.
+
+    Raises:
+        FrameError: when it is short, too long a frame, or of an unknown kind.
+    """
+    if len(data) != HEADER.size:
+        raise FrameError("frame header is short")
+    header = FrameHeader(*HEADER.unpack(data))
+    if header.length > MAX_FRAME_BYTES:
+        raise FrameError(f"frame of {header.length} bytes is over {MAX_FRAME_BYTES}")
+    if header.kind >= len(_MESSAGE_KINDS):
+        raise FrameError(f"frame of unknown kind {header.kind}")
+    return header
+
+
+def decode_body(header: FrameHeader, body: bytes) -> betterproto.Message:
+    """Decode the message that follows a header.
+
+    Raises:
+        FrameError: when the bytes are no such message.
+    """
+    if len(body) != header.length:
+        raise FrameError("frame is cut")
+    return parse_message(_MESSAGE_KINDS[header.kind], body)
+
+
+def decode_datagram(data: bytes) -> betterproto.Message:
+    """Decode a datagram, which is one whole frame.
+
+    Raises:
+        FrameError: when it is not.
+    """
+    header = decode_header(data[: HEADER.size])
+    return decode_body(header, data[HEADER.size :])
+
+
+def parse_message(message_type: type[betterproto.Message], data: bytes) -> betterproto.Message:
+    """Parse one message from untrusted bytes.
+
+    Raises:
+        FrameError: when the bytes are no such message.
+    """
+    try:
+        return message_type().parse(data)
+    except Exception as error:  # the codec raises whatever its inner calls raise
+        raise FrameError(f"no valid {message_type.__name__}: {error!r}") from error
--- /dev/null
+++ b/postvalve/node/batch/file_store.py
@@ -0,0 +1,234 @@
+"""Uploaded files on the log, each in a stream of its own, in chunks of whole lines."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.identity import file_stream, tenant_stream
+from postvalve.exceptions import InvalidRequestError, NotFoundError, RequestTooLargeError
+from postvalve.messages.generated import records
+from postvalve.messages.records_codec import parse_record
+from postvalve.node.batch.input_lines import CHAT_ENDPOINT, MAX_LINE_BYTES, InputChecker
+from postvalve.node.log_writer import LogWriter
+from postvalve.platform.log import LogService, read_all
+
+CHUNK_BYTES = 1024 * 1024
+"""Bytes after which a chunk of whole lines is appended."""
+CACHED_DESCRIPTIONS = 1024
+"""Descriptions of files that a node keeps."""
+BATCH_PURPOSE = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class FileDescription:
+    """What is known of a file without its content."""
+
+    file_id: str
+    tenant: str
+    filename: str
+    purpose: str
+    created_at_ms: int
+    size: int
+    lines: int
+    model: str
+    sha256: str
+
+
+class FileUpload:
+    """Takes a file's bytes as they come, checks each line and appends chunks.
+
+    It is a writable stream for the form parser, so that no file is held whole.
+    """
+
+    def __init__(self, writer: LogWriter, file_id: str, max_bytes: int, max_items: int) -> None:
+        self._writer = writer
+        self._stream = file_stream(file_id)
+        self._max_bytes = max_bytes
+        self._checker = InputChecker(max_items)
+        self._digest = hashlib.sha256()
+        self._size = 0
+        self._partial = bytearray()
+        self._chunk = bytearray()
+        self._chunks = 0
+        self._chunk_first_line = 0
+
+    def write(self, data: bytes) -> int:
+        """Take the next bytes.
+
+        Raises:
+            InvalidRequestError: a line is malformed, or the file is too large.
+            LogUnavailableError: a chunk could not be appended; the file does not exist.
+        """
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            raise RequestTooLargeError(f"file over {self._max_bytes} bytes", parameter="file")
+        self._digest.update(data)
+        self._partial += data
+        *lines, rest = self._partial.split(b"\n")
+        for line in lines:
+            self._take_line(bytes(line))
+        self._partial = bytearray(rest)
+        if len(rest) > MAX_LINE_BYTES:
+            raise RequestTooLargeError(f"line {self._checker.lines + 1}: too long")
+        return len(data)
+
+    def seek(self, position: int, whence: int = 0) -> int:
+        """The form parser rewinds what it wrote; there is nothing to read back."""
+        return position
+
+    def _take_line(self, line: bytes) -> None:
+        line = line.rstrip(b"\r")
+        if not line.strip():
+            return
+        self._checker.check(line)
+        self._chunk += line + b"\n"
+        if len(self._chunk) >= CHUNK_BYTES:
+            self._append_chunk()
+
+    def _append_chunk(self) -> None:
+        chunk = records.FileChunk(
+            sequence=self._chunks,
+            content=bytes(self._chunk),
+            first_line=self._chunk_first_line,
+        )
+        self._writer.append(self._stream, records.Record(file_chunk=chunk))
+        self._chunks += 1
+        self._chunk_first_line = self._checker.lines
+        self._chunk.clear()
+
+    def finish(self) -> records.FileSealed:
+        """Append what is left; returns the record that makes the file exist.
+
+        Raises:
+            InvalidRequestError: the last line is malformed, or there is none.
+        """
+        self._take_line(bytes(self._partial))
+        if not self._checker.lines:
+            raise InvalidRequestError("the file has no lines", parameter="file")
+        if self._chunk:
+            self._append_chunk()
+        return records.FileSealed(
+            chunks=self._chunks,
+            size=self._size,
+            lines=self._checker.lines,
+            sha256=self._digest.hexdigest(),
+            model=self._checker.model,
+            endpoint=CHAT_ENDPOINT,
+        )
+
+
+class FileStore:
+    """Files by id."""
+
+    def __init__(self, log: LogService, writer: LogWriter, clock: Clock) -> None:
+        self._log = log
+        self._writer = writer
+        self._clock = clock
+        self._descriptions: OrderedDict[str, FileDescription] = OrderedDict()
+
+    def begin(self, max_bytes: int, max_items: int) -> tuple[str, FileUpload]:
+        """Start an upload; returns the file's id and where its bytes go."""
+        file_id = f"file-{uuid.uuid4().hex}"
+        return file_id, FileUpload(self._writer, file_id, max_bytes, max_items)
+
+    def seal(self, file_id: str, tenant: str, filename: str, upload: FileUpload) -> FileDescription:
+        """Make an uploaded file exist.
+
+        Raises:
+            InvalidRequestError: the last line is malformed, or there is none.
+            LogUnavailableError: the file may exist, but its id was told to nobody.
+        """
+        sealed = upload.finish()
+        created = records.FileCreated(
+            file_id=file_id,
+            tenant=tenant,
+            filename=filename,
+            purpose=BATCH_PURPOSE,
+            created_at_ms=milliseconds(self._clock.wall()),
+        )
+        stream = file_stream(file_id)
+        self._writer.append(stream, records.Record(file_created=created))
+        self._writer.append(stream, records.Record(file_sealed=sealed))
+        indexed = records.FileIndexed(file_id=file_id)
+        self._writer.append(tenant_stream(tenant), records.Record(file_indexed=indexed))
+        return _describe(created, sealed)
+
+    def describe(self, tenant: str, file_id: str) -> FileDescription:
+        """What is known of a tenant's file.
+
+        Raises:
+            NotFoundError: there is none that the tenant may see.
+        """
+        description = self._descriptions.get(file_id) or self._read_description(file_id)
+        if description is None or description.tenant != tenant:
+            raise NotFoundError(f"there is no file {file_id!r}")
+        self._descriptions[file_id] = description
+        while len(self._descriptions) > CACHED_DESCRIPTIONS:
+            self._descriptions.popitem(last=False)
+        return description
+
+    def _read_description(self, file_id: str) -> FileDescription | None:
+        stream = file_stream(file_id)
+        end = self._log.read(stream, 0, limit=1).end_offset
+        # Chunks come first; what describes the file stands in the last records. Repeats
+        # of appends whose answer was lost may push it back a little.
+        created: records.FileCreated | None = None
+        sealed: records.FileSealed | None = None
+        start = end
+        while start > 0 and (created is None or sealed is None):
+            start -= 1
+            record = parse_record(self._log.read(stream, start, limit=1).entries[0].payload)
+            if record.file_deleted.tenant:
+                return None
+            if record.file_created.file_id:
+                created = record.file_created
+            if record.file_sealed.chunks:
+                sealed = record.file_sealed
+            if record.file_chunk.content and created is None:
+                return None
+        return _describe(created, sealed) if created and sealed else None
+
+    def delete(self, tenant: str, file_id: str) -> None:
+        """Hide a file from its tenant; jobs that were accepted still read it.
+
+        Raises:
+            NotFoundError: there is none that the tenant may see.
+        """
+        self.describe(tenant, file_id)
+        deleted = records.Record(file_deleted=records.FileDeleted(tenant=tenant))
+        self._writer.append(file_stream(file_id), deleted)
+        self._descriptions.pop(file_id, None)
+
+    def content(self, file_id: str) -> Iterator[bytes]:
+        """Yield a file's chunks in order."""
+        for chunk in self.chunks(file_id):
+            yield chunk.content
+
+    def chunks(self, file_id: str, offset: int = 0) -> Iterator[records.FileChunk]:
+        """Yield the chunk records of a file; repeats are dropped."""
+        expected: int | None = None
+        for entry in read_all(self._log, file_stream(file_id), offset):
+            chunk = parse_record(entry.payload).file_chunk
+            if not chunk.content or (expected is not None and chunk.sequence < expected):
+                continue
+            expected = chunk.sequence + 1
+            yield chunk
+
+
+def _describe(created: records.FileCreated, sealed: records.FileSealed) -> FileDescription:
+    return FileDescription(
+        file_id=created.file_id,
+        tenant=created.tenant,
+        filename=created.filename,
+        purpose=created.purpose,
+        created_at_ms=created.created_at_ms,
+        size=sealed.size,
+        lines=sealed.lines,
+        model=sealed.model,
+        sha256=sealed.sha256,
+    )
--- /dev/null
+++ b/postvalve/node/batch/holder.py
@@ -0,0 +1,376 @@
+"""Works on the jobs of held shards: hands items to engine owners, records their results."""
+
+from __future__ import annotations
+
+import uuid
+
+import gevent
+
+from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.identity import job_stream, shard_of
+from postvalve.core.batch.job_ledger import JobLedger, is_success
+from postvalve.core.batch.scheduler import (
+    BatchScheduler,
+    Dispatch,
+    ItemKey,
+    ScheduledJob,
+)
+from postvalve.core.membership.view import StateChanged
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import LogUnavailableError, PeerUnavailableError, PostvalveError
+from postvalve.messages.generated import peer, records
+from postvalve.node.background import BackgroundTasks
+from postvalve.node.batch.item_bodies import ItemBodies
+from postvalve.node.batch.job_store import JobStore
+from postvalve.node.batch.result_committer import ResultCommitter
+from postvalve.node.batch.shard_leases import ShardLeases
+from postvalve.node.log_writer import LogWriter
+from postvalve.node.membership_service import MembershipService
+from postvalve.node.metrics import NodeMetrics
+from postvalve.node.peer_link import Channel, PeerClients
+from postvalve.platform.log import LogService
+from postvalve.settings.process import NodeSettings
+from postvalve.states import JobState, NodeState
+
+MAX_PULL = 64
+"""Items handed out in one answer."""
+NOTICE_TIMEOUT = 1.0
+"""Seconds until a cancel notice to an owner is given up and repeated."""
+NOTICE_ATTEMPTS = 5
+LOAD_PAUSE = 1.0
+"""Seconds between tries to load a job while the log does not answer."""
+MAY_HAVE_RUN_STATUS = 502
+"""Status recorded for an at-most-once item whose outcome is unknown."""
+
+
+class BatchHolder:
+    """The jobs that this node holds."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        events: EventLog,
+        metrics: NodeMetrics,
+        membership: MembershipService,
+        peers: PeerClients,
+        log: LogService,
+        writer: LogWriter,
+        store: JobStore,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._membership = membership
+        self._peers = peers
+        self._writer = writer
+        self._store = store
+        self._scheduler = BatchScheduler()
+        self._bodies = ItemBodies(log)
+        self._custom_ids: dict[ItemKey, str] = {}
+        self._loading: set[str] = set()
+        self._closing: set[str] = set()
+        self.committer = ResultCommitter(writer, events, self._committed)
+        self.leases = ShardLeases(settings, clock, events, membership, log, writer, self)
+        membership.listen(self._node_changed)
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Start to work."""
+        self.leases.start(tasks)
+        tasks.loop(self.committer.run_once)
+
+    def waiting_by_model(self) -> dict[str, int]:
+        """Items that wait for an engine, by model."""
+        return self._scheduler.waiting_by_model()
+
+    # ShardListener
+
+    def shard_acquired(self, shard: int, open_jobs: list[str]) -> None:
+        """See `ShardListener`."""
+        for job_id in open_jobs:
+            self.job_opened(shard, job_id)
+
+    def shard_lost(self, shard: int) -> None:
+        """See `ShardListener`. Items that are with owners finish there all the same."""
+        for job_id in self._scheduler.job_ids():
+            if shard_of(job_id, self._settings.shards) == shard:
+                self._scheduler.remove(job_id)
+
+    def job_opened(self, shard: int, job_id: str) -> None:
+        """See `ShardListener`."""
+        if job_id not in self._scheduler and job_id not in self._loading:
+            self._loading.add(job_id)
+            gevent.spawn(self._load_job, shard, job_id)
+
+    def job_cancel_asked(self, shard: int, job_id: str) -> None:
+        """See `ShardListener`."""
+        gevent.spawn(self._catch_up, job_id)
+
+    def _load_job(self, shard: int, job_id: str) -> None:
+        ledger = JobLedger(job_id)
+        try:
+            while self.leases.holds(shard):
+                try:
+                    self._store.catch_up(ledger)
+                    break
+                except LogUnavailableError:
+                    gevent.sleep(LOAD_PAUSE)
+            else:
+                return
+        finally:
+            self._loading.discard(job_id)
+        if not ledger.exists:
+            return
+        job = ScheduledJob(ledger, ledger.accepted.deadline_at_ms / 1000)
+        job.held_back.update(ledger.unfinished_starts())
+        self._scheduler.add(job)
+        self._events.emit(Event.JOB_LOADED, job=job_id, remaining=ledger.remaining)
+        self._settle_unknown_starts(job)
+        self._close_if_ended(job)
+        # Owners learn of new work with the next heartbeat; this one comes at once.
+        self._membership.beat()
+
+    def _settle_unknown_starts(self, job: ScheduledJob) -> None:
+        """End items that an earlier holder started, unless their result still comes."""
+        for item_index in list(job.held_back):
+            key = ItemKey(job.ledger.job_id, item_index)
+            gevent.spawn_later(self._settings.timing.lease_duration, self._end_as_may_have_run, key)
+
+    # Requests of engine owners
+
+    def pull(self, request: peer.ItemPull) -> list[peer.ItemAssignment]:
+        """Hand out items for an engine with room."""
+        keys = self._scheduler.take(
+            request.models, min(request.slots, MAX_PULL), self._clock.wall()
+        )
+        assignments: list[peer.ItemAssignment] = []
+        for position, key in enumerate(keys):
+            try:
+                assignment = self._assign(request, key)
+            except LogUnavailableError:
+                for remaining in keys[position:]:
+                    self._scheduler.give_back(remaining)
+                break
+            if assignment is not None:
+                assignments.append(assignment)
+        return assignments
+
+    def _assign(self, request: peer.ItemPull, key: ItemKey) -> peer.ItemAssignment | None:
+        job = self._scheduler.job(key.job_id)
+        if job is None or not self._holds(key.job_id):
+            self._scheduler.give_back(key)
+            return None
+        submission = job.ledger.accepted
+        attempt_id = uuid.uuid4().hex
+        item = self._bodies.get(submission.input_file_id, key.item_index)
+        if submission.at_most_once and not self._start_once(job, key, attempt_id):
+            self._scheduler.give_back(key)
+            return None
+        self._custom_ids[key] = item.custom_id
+        self._scheduler.dispatched(
+            Dispatch(key, attempt_id, request.node_id, request.incarnation, self._clock.monotonic())
+        )
+        return peer.ItemAssignment(
+            job_id=key.job_id,
+            item_index=key.item_index,
+            attempt_id=attempt_id,
+            tenant=submission.tenant,
+            rank=submission.rank,
+            request_body=item.body,
+            at_most_once=submission.at_most_once,
+        )
+
+    def _start_once(self, job: ScheduledJob, key: ItemKey, attempt_id: str) -> bool:
+        """Record the start of an at-most-once item; whether this attempt alone may run it."""
+        started = records.ItemStarted(item_index=key.item_index, attempt_id=attempt_id)
+        record = records.Record(item_started=started)
+        self._writer.append(job_stream(key.job_id), record)
+        self._store.catch_up(job.ledger)
+        won = job.ledger.start_of(key.item_index) == attempt_id
+        ended = job.ledger.state.is_terminal or job.ledger.is_finished(key.item_index)
+        if not won:
+            job.held_back.add(key.item_index)
+        return won and not ended and self._holds(key.job_id)
+
+    def _holds(self, job_id: str) -> bool:
+        return self.leases.holds(shard_of(job_id, self._settings.shards))
+
+    def report(self, report: peer.ItemReport) -> peer.ItemReportReply:
+        """Take an item's outcome from an engine's owner; answers once it is durable."""
+        key = ItemKey(report.job_id, report.item_index)
+        job = self._scheduler.job(report.job_id)
+        if job is None:
+            return self._report_of_unknown_job(report)
+        if job.ledger.is_finished(report.item_index) or job.ledger.state.is_terminal:
+            self._scheduler.finished(key, self._clock.monotonic())
+            return peer.ItemReportReply(accepted=True)
+        outcome = report.outcome
+        if outcome in (
+            peer.ItemOutcome.ITEM_OUTCOME_COMPLETED,
+            peer.ItemOutcome.ITEM_OUTCOME_FAILED,
+        ):
+            self._commit_result(job, key, report)
+        elif outcome == peer.ItemOutcome.ITEM_OUTCOME_MAY_HAVE_RUN:
+            self._recover(key)
+        else:
+            self._return_not_run(job, key, report.attempt_id)
+        return peer.ItemReportReply(accepted=True)
+
+    def _report_of_unknown_job(self, report: peer.ItemReport) -> peer.ItemReportReply:
+        if self._holds(report.job_id):
+            ledger = self._store.refresh(report.job_id)
+            if ledger.exists and ledger.state.is_terminal:
+                return peer.ItemReportReply(accepted=True)
+        return peer.ItemReportReply(not_holder=True)
+
+    def _commit_result(self, job: ScheduledJob, key: ItemKey, report: peer.ItemReport) -> None:
+        result = records.ItemResult(
+            item_index=key.item_index,
+            attempt_id=report.attempt_id,
+            custom_id=self._custom_id(job, key),
+            status_code=report.status_code,
+            response_body=report.response_body,
+        )
+        self.committer.commit(key.job_id, result)
+
+    def _custom_id(self, job: ScheduledJob, key: ItemKey) -> str:
+        known = self._custom_ids.get(key)
+        if known is None:
+            file_id = job.ledger.accepted.input_file_id
+            known = self._bodies.get(file_id, key.item_index).custom_id
+        return known
+
+    def _return_not_run(self, job: ScheduledJob, key: ItemKey, attempt_id: str) -> None:
+        dispatch = self._scheduler.dispatch_of(key)
+        if dispatch is None or dispatch.attempt_id != attempt_id:
+            return
+        if job.ledger.accepted.at_most_once:
+            # Its start is spent: another start would not be the first.
+            self._end_as_may_have_run(key)
+        else:
+            self._scheduler.give_back(key)
+
+    def _recover(self, key: ItemKey) -> None:
+        """Take back an item whose attempt may have run."""
+        job = self._scheduler.job(key.job_id)
+        if job is None or job.ledger.is_finished(key.item_index):
+            return
+        if job.ledger.accepted.at_most_once:
+            self._end_as_may_have_run(key)
+            return
+        self._events.emit(Event.ITEM_RECOVERED, job=key.job_id, item=key.item_index)
+        self._scheduler.give_back(key)
+
+    def _end_as_may_have_run(self, key: ItemKey) -> None:
+        job = self._scheduler.job(key.job_id)
+        if job is None or job.ledger.is_finished(key.item_index):
+            return
+        if job.ledger.state.is_terminal:
+            return
+        self._events.emit(Event.ITEM_MAY_HAVE_RUN, job=key.job_id, item=key.item_index)
+        result = records.ItemResult(
+            item_index=key.item_index,
+            attempt_id=job.ledger.start_of(key.item_index) or "",
+            custom_id=self._custom_id(job, key),
+            status_code=MAY_HAVE_RUN_STATUS,
+            may_have_run=True,
+        )
+        self.committer.commit(key.job_id, result)
+
+    # What became durable
+
+    def _committed(self, job_id: str, offset: int, record: records.Record) -> None:
+        job = self._scheduler.job(job_id)
+        if job is None:
+            return
+        ledger = job.ledger
+        if offset == ledger.next_offset:
+            # Nobody else wrote in between, so there is nothing to read back.
+            ledger.observe(offset, record)
+        else:
+            self._store.catch_up(ledger)
+        now = self._clock.monotonic()
+        for result in record.items_finished.results:
+            key = ItemKey(job_id, result.item_index)
+            self._observe_duration(ledger.accepted.model, key, now)
+            self._scheduler.finished(key, now)
+            self._custom_ids.pop(key, None)
+            outcome = "completed" if is_success(result) else "failed"
+            self._metrics.items.labels(ledger.accepted.tenant, outcome).inc()
+        self._close_if_ended(job)
+
+    def _observe_duration(self, model: str, key: ItemKey, now: float) -> None:
+        dispatch = self._scheduler.dispatch_of(key)
+        if dispatch is not None:
+            self._metrics.item_duration.labels(model).observe(now - dispatch.dispatched_at)
+
+    def _catch_up(self, job_id: str) -> None:
+        job = self._scheduler.job(job_id)
+        if job is None:
+            return
+        try:
+            self._store.catch_up(job.ledger)
+        except LogUnavailableError:
+            gevent.spawn_later(LOAD_PAUSE, self._catch_up, job_id)
+            return
+        self._close_if_ended(job)
+
+    def _close_if_ended(self, job: ScheduledJob) -> None:
+        ledger = job.ledger
+        if not ledger.state.is_terminal or ledger.job_id in self._closing:
+            return
+        self._closing.add(ledger.job_id)
+        self._events.emit(Event.JOB_ENDED, job=ledger.job_id, state=ledger.state.value)
+        for dispatch in self._scheduler.remove(ledger.job_id):
+            self._custom_ids.pop(dispatch.key, None)
+        if ledger.state is JobState.CANCELLED:
+            self._notify_owners(ledger.job_id)
+        self._bodies.forget(ledger.accepted.input_file_id)
+        gevent.spawn(self._append_end, job)
+
+    def _append_end(self, job: ScheduledJob) -> None:
+        ledger = job.ledger
+        try:
+            if ledger.state is JobState.COMPLETED and not ledger.ended_at_ms:
+                finished = records.JobFinished(finished_at_ms=milliseconds(self._clock.wall()))
+                self._writer.append(
+                    job_stream(ledger.job_id), records.Record(job_finished=finished)
+                )
+            shard = shard_of(ledger.job_id, self._settings.shards)
+            self.leases.append_closed(shard, ledger.job_id)
+        except LogUnavailableError as error:
+            self._events.emit(Event.LOG_UNAVAILABLE, job=ledger.job_id, error=error.message)
+            gevent.spawn_later(LOAD_PAUSE, self._append_end, job)
+            return
+        self._closing.discard(ledger.job_id)
+
+    # Owners
+
+    def _notify_owners(self, job_id: str) -> None:
+        for member in self._membership.view.members():
+            gevent.spawn(self._notify_owner, member.peer_address, job_id)
+
+    def _notify_owner(self, address: str, job_id: str) -> None:
+        notice = peer.JobCancelNotice(job_id=job_id)
+        for attempt in range(NOTICE_ATTEMPTS):
+            try:
+                self._peers.call(address, Channel.BATCH, notice, NOTICE_TIMEOUT)
+                return
+            except PeerUnavailableError:
+                gevent.sleep(NOTICE_TIMEOUT * 2**attempt)
+
+    def _node_changed(self, change: StateChanged) -> None:
+        for dispatch in self._scheduler.dispatches():
+            if dispatch.owner_id != change.node_id:
+                continue
+            restarted = dispatch.owner_incarnation < change.incarnation
+            if restarted or change.state is NodeState.DEAD:
+                gevent.spawn(self._recover_safely, dispatch.key)
+
+    def _recover_safely(self, key: ItemKey) -> None:
+        try:
+            self._recover(key)
+        except PostvalveError as error:
+            self._events.emit(Event.LOG_UNAVAILABLE, job=key.job_id, error=error.message)
+            gevent.spawn_later(LOAD_PAUSE, self._recover_safely, key)
--- /dev/null
+++ b/postvalve/node/batch/item_bodies.py
@@ -0,0 +1,93 @@
+"""Request bodies of batch items, read from the input file chunk by chunk."""
+
+from __future__ import annotations
+
+import json
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from postvalve.core.batch.identity import file_stream
+from postvalve.exceptions import NotFoundError
+from postvalve.messages.generated import records
+from postvalve.messages.records_codec import parse_record
+from postvalve.platform.log import LogService
+
+CACHED_CHUNKS = 16
+"""Chunks of about 1 MiB that a holder keeps."""
+
+
+@dataclass(frozen=True, slots=True)
+class ItemBody:
+    """One item as the caller wrote it."""
+
+    custom_id: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _Chunk:
+    first_line: int
+    lines: list[bytes]
+
+
+class ItemBodies:
+    """Bodies by file and line, with the chunks read last in memory."""
+
+    def __init__(self, log: LogService) -> None:
+        self._log = log
+        self._chunks: OrderedDict[tuple[str, int], _Chunk] = OrderedDict()
+        self._first_lines: dict[str, list[int]] = {}
+
+    def get(self, file_id: str, line: int) -> ItemBody:
+        """The item at `line`, counted from 0.
+
+        Raises:
+            LogUnavailableError: the chunk could not be read.
+            NotFoundError: the file has no such line.
+        """
+        chunk = self._cached(file_id, line) or self._find(file_id, line)
+        document = json.loads(chunk.lines[line - chunk.first_line])
+        return ItemBody(document["custom_id"], json.dumps(document["body"]).encode("utf-8"))
+
+    def forget(self, file_id: str) -> None:
+        """Drop what is kept of a file."""
+        self._first_lines.pop(file_id, None)
+        for key in [one for one in self._chunks if one[0] == file_id]:
+            del self._chunks[key]
+
+    def _cached(self, file_id: str, line: int) -> _Chunk | None:
+        for offset, first_line in enumerate(self._first_lines.get(file_id, ())):
+            chunk = self._chunks.get((file_id, offset))
+            if chunk is None or first_line < 0:
+                continue
+            if chunk.first_line <= line < chunk.first_line + len(chunk.lines):
+                self._chunks.move_to_end((file_id, offset))
+                return chunk
+        return None
+
+    def _find(self, file_id: str, line: int) -> _Chunk:
+        # Offsets before the last known chunk that starts at or before the line are skipped.
+        known = self._first_lines.setdefault(file_id, [])
+        offset = max((index for index, first in enumerate(known) if 0 <= first <= line), default=0)
+        while True:
+            part = self._log.read(file_stream(file_id), offset, limit=1)
+            if not part.entries:
+                raise NotFoundError(f"file {file_id} has no line {line + 1}")
+            record = parse_record(part.entries[0].payload)
+            chunk = self._keep(file_id, offset, record.file_chunk)
+            if chunk and chunk.first_line <= line < chunk.first_line + len(chunk.lines):
+                return chunk
+            offset += 1
+
+    def _keep(self, file_id: str, offset: int, record: records.FileChunk) -> _Chunk | None:
+        known = self._first_lines.setdefault(file_id, [])
+        while len(known) <= offset:
+            known.append(-1)
+        if not record.content:
+            return None
+        chunk = _Chunk(record.first_line, record.content.splitlines())
+        known[offset] = record.first_line
+        self._chunks[file_id, offset] = chunk
+        while len(self._chunks) > CACHED_CHUNKS:
+            self._chunks.popitem(last=False)
+        return chunk
--- /dev/null
+++ b/postvalve/node/batch/job_store.py
@@ -0,0 +1,161 @@
+"""Jobs on the log: submit, read, cancel, list. Any node, and the command line, may use it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+import betterproto
+
+from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.identity import (
+    job_stream,
+    shard_of,
+    shard_stream,
+    tenant_stream,
+)
+from postvalve.core.batch.job_ledger import JobLedger, SubmissionOutcome
+from postvalve.exceptions import (
+    ConflictError,
+    LogUnavailableError,
+    NotFoundError,
+    Verdict,
+)
+from postvalve.messages.framing import FrameError
+from postvalve.messages.generated import records
+from postvalve.messages.records_codec import parse_record
+from postvalve.node.log_writer import LogWriter
+from postvalve.platform.log import LogService, read_all
+
+CACHED_LEDGERS = 256
+"""Ledgers that a node keeps for its readers."""
+
+
+class JobStore:
+    """Jobs by id."""
+
+    def __init__(self, log: LogService, writer: LogWriter, clock: Clock, shards: int) -> None:
+        self._log = log
+        self._writer = writer
+        self._clock = clock
+        self._shards = shards
+        self._ledgers: OrderedDict[str, JobLedger] = OrderedDict()
+
+    def submit(self, submission: records.JobSubmitted) -> JobLedger:
+        """Make a job durable and known to its shard; resends give the same job.
+
+        Raises:
+            ConflictError: the key was used for another job.
+            LogUnavailableError: the job may have been accepted; a resend is safe.
+        """
+        ledger = self.refresh(submission.job_id)
+        if not ledger.exists:
+            record = records.Record(job_submitted=submission)
+            self._writer.append(job_stream(submission.job_id), record)
+            ledger = self.refresh(submission.job_id)
+        outcome = ledger.submission_outcome(submission.request_digest)
+        if outcome is SubmissionOutcome.CONFLICT:
+            raise ConflictError(
+                "this idempotency key was used for another batch",
+                parameter="Idempotency-Key",
+                code="idempotency_key_reused",
+            )
+        self._announce(submission)
+        return ledger
+
+    def _announce(self, submission: records.JobSubmitted) -> None:
+        announcement = records.JobAnnounced(job_id=submission.job_id, tenant=submission.tenant)
+        shard = shard_of(submission.job_id, self._shards)
+        for stream in (tenant_stream(submission.tenant), shard_stream(shard)):
+            try:
+                self._writer.append(stream, records.Record(job_announced=announcement))
+            except LogUnavailableError as error:
+                # The job's record stands, so a later resend may still start it.
+                raise LogUnavailableError(
+                    error.message, Verdict.MAY_HAVE_RUN, retry_after=error.retry_after
+                ) from error
+
+    def get(self, tenant: str, job_id: str) -> JobLedger:
+        """The present state of a tenant's job.
+
+        Raises:
+            NotFoundError: there is none that the tenant may see.
+        """
+        ledger = self.refresh(job_id)
+        if ledger.submission is None or ledger.submission.tenant != tenant:
+            raise NotFoundError(f"there is no batch {job_id!r}")
+        return ledger
+
+    def refresh(self, job_id: str) -> JobLedger:
+        """Read what came to a job's stream since the last look."""
+        ledger = self._ledgers.pop(job_id, None) or JobLedger(job_id)
+        self.catch_up(ledger)
+        if ledger.exists:
+            self._ledgers[job_id] = ledger
+        while len(self._ledgers) > CACHED_LEDGERS:
+            self._ledgers.popitem(last=False)
+        return ledger
+
+    def catch_up(self, ledger: JobLedger) -> None:
+        """Read what came to the stream of a ledger since its last record."""
+        for entry in read_all(self._log, job_stream(ledger.job_id), ledger.next_offset):
+            self._observe(ledger, entry.offset, entry.payload)
+
+    @staticmethod
+    def _observe(ledger: JobLedger, offset: int, payload: bytes) -> None:
+        # Another greenlet may have read the same records meanwhile.
+        if offset < ledger.next_offset:
+            return
+        try:
+            record = parse_record(payload)
+        except FrameError:
+            record = records.Record()
+        ledger.observe(offset, record)
+
+    def cancel(self, tenant: str, job_id: str) -> JobLedger:
+        """Cancel a job; one that ended stays as it is.
+
+        Raises:
+            NotFoundError: there is none that the tenant may see.
+            LogUnavailableError: it may have been cancelled; another cancel is safe.
+        """
+        ledger = self.get(tenant, job_id)
+        if ledger.state.is_terminal:
+            return ledger
+        cancelled_at = milliseconds(self._clock.wall())
+        body = records.JobCancelled(cancelled_at_ms=cancelled_at)
+        self._writer.append(job_stream(job_id), records.Record(job_cancelled=body))
+        request = records.JobCancelRequested(job_id=job_id)
+        shard = shard_of(job_id, self._shards)
+        self._writer.append(shard_stream(shard), records.Record(job_cancel_requested=request))
+        return self.refresh(job_id)
+
+    def results(self, job_id: str) -> Iterator[records.ItemResult]:
+        """Yield the results that count, in offset order, without keeping them."""
+        ledger = JobLedger(job_id)
+        for entry in read_all(self._log, job_stream(job_id)):
+            yield from ledger.observe(entry.offset, parse_record(entry.payload))
+
+    def tenant_jobs(self, tenant: str) -> list[str]:
+        """Ids of a tenant's jobs, the newest first."""
+        return self._index(tenant_stream(tenant), "job_announced")
+
+    def tenant_files(self, tenant: str) -> list[str]:
+        """Ids of a tenant's uploaded files, the newest first."""
+        return self._index(tenant_stream(tenant), "file_indexed")
+
+    def announced_jobs(self) -> list[str]:
+        """Ids of the jobs of all tenants, by shard."""
+        found: dict[str, None] = {}
+        for shard in range(self._shards):
+            for job_id in self._index(shard_stream(shard), "job_announced"):
+                found[job_id] = None
+        return list(found)
+
+    def _index(self, stream: str, wanted: str) -> list[str]:
+        found: dict[str, None] = {}
+        for entry in read_all(self._log, stream):
+            kind, body = betterproto.which_one_of(parse_record(entry.payload), "body")
+            if kind == wanted:
+                found[body.job_id if wanted == "job_announced" else body.file_id] = None
+        return list(reversed(found))
--- /dev/null
+++ b/postvalve/node/batch/result_committer.py
@@ -0,0 +1,107 @@
+"""Group commit of item results: many results to one append, one append at a time per job."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.event import Event as GeventEvent
+from gevent.pool import Pool
+
+from postvalve.core.batch.identity import job_stream
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import LogUnavailableError
+from postvalve.messages.generated import records
+from postvalve.node.log_writer import LogWriter
+
+GATHER_TIME = 0.005
+"""Seconds that results are gathered before an append."""
+MAX_RESULTS_PER_APPEND = 256
+MAX_BYTES_PER_APPEND = 2 * 1024 * 1024
+CONCURRENT_APPENDS = 8
+"""Jobs whose results are appended at once."""
+REPEAT_PATIENCE = 30.0
+"""Seconds of repetition until an outage is logged; then it is repeated again."""
+
+CommitListener = Callable[[str, int, records.Record], None]
+
+
+@dataclass(slots=True)
+class _Waiting:
+    result: records.ItemResult
+    committed: AsyncResult
+
+
+class ResultCommitter:
+    """Appends results to their jobs' streams until the log acknowledges them."""
+
+    def __init__(self, writer: LogWriter, events: EventLog, on_commit: CommitListener) -> None:
+        self._writer = writer
+        self._events = events
+        self._on_commit = on_commit
+        self._queues: dict[str, list[_Waiting]] = defaultdict(list)
+        self._busy: set[str] = set()
+        self._pool = Pool(CONCURRENT_APPENDS)
+        self._wakeup = GeventEvent()
+
+    @property
+    def pending(self) -> int:
+        """Results that are not durable yet."""
+        return sum(len(queue) for queue in self._queues.values()) + len(self._busy)
+
+    def commit(self, job_id: str, result: records.ItemResult) -> None:
+        """Make a result durable; returns once it is."""
+        waiting = _Waiting(result, AsyncResult())
+        self._queues[job_id].append(waiting)
+        self._wakeup.set()
+        waiting.committed.get()
+
+    def run_once(self) -> None:
+        """Start appends for the jobs that have results waiting."""
+        self._wakeup.wait()
+        gevent.sleep(GATHER_TIME)
+        self._wakeup.clear()
+        for job_id in [one for one, queue in self._queues.items() if queue]:
+            if job_id not in self._busy:
+                self._busy.add(job_id)
+                self._pool.spawn(self._drain, job_id)
+
+    def _drain(self, job_id: str) -> None:
+        try:
+            while batch := self._take(job_id):
+                self._append(job_id, batch)
+        finally:
+            self._busy.discard(job_id)
+
+    def _take(self, job_id: str) -> list[_Waiting]:
+        queue = self._queues[job_id]
+        count = 0
+        size = 0
+        for waiting in queue[:MAX_RESULTS_PER_APPEND]:
+            size += len(waiting.result.response_body)
+            if count and size > MAX_BYTES_PER_APPEND:
+                break
+            count += 1
+        batch = queue[:count]
+        del queue[:count]
+        if not queue:
+            self._queues.pop(job_id, None)
+        return batch
+
+    def _append(self, job_id: str, batch: list[_Waiting]) -> None:
+        body = records.ItemsFinished(results=[waiting.result for waiting in batch])
+        record = records.Record(items_finished=body)
+        offset = self._append_until_acknowledged(job_id, record)
+        self._on_commit(job_id, offset, record)
+        for waiting in batch:
+            waiting.committed.set(None)
+
+    def _append_until_acknowledged(self, job_id: str, record: records.Record) -> int:
+        while True:
+            try:
+                return self._writer.append(job_stream(job_id), record, REPEAT_PATIENCE)
+            except LogUnavailableError as error:
+                self._events.emit(Event.LOG_UNAVAILABLE, job=job_id, error=error.message)
--- /dev/null
+++ b/postvalve/node/batch/runner.py
@@ -0,0 +1,355 @@
+"""Runs batch items at the engines this node owns, in slots that online work leaves free."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+import gevent
+
+from postvalve.clock import Clock
+from postvalve.core.batch.identity import shard_of
+from postvalve.core.routing.prefix import cache_salt
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import (
+    AttemptError,
+    EngineRejectedError,
+    PeerUnavailableError,
+    PlatformError,
+    Verdict,
+)
+from postvalve.messages.generated import peer
+from postvalve.node.background import BackgroundTasks
+from postvalve.node.batch.completion import join_events
+from postvalve.node.batch.holder import BatchHolder
+from postvalve.node.engine_registry import EngineRegistry, OwnedEngine
+from postvalve.node.membership_service import MembershipService
+from postvalve.node.metrics import NodeMetrics
+from postvalve.node.online import ONLINE_PRIORITY
+from postvalve.node.peer_link import Channel, PeerClients
+from postvalve.platform.engine import EngineAttempt, EngineStream
+from postvalve.settings.process import NodeSettings
+from postvalve.states import TrafficClass
+
+PULL_TIMEOUT = 5.0
+"""Seconds until a holder's answer to a pull is given up."""
+REPORT_TIMEOUT = 60.0
+"""Seconds until a report is repeated; a holder answers once the result is durable."""
+REPORT_PAUSE = 0.5
+"""Seconds between repetitions of a report."""
+MAX_UNREPORTED = 256
+"""Finished items in memory at which this node stops to pull."""
+FAILED_ENGINE_PAUSE = 1.0
+"""Seconds without pulls for an engine after one of its attempts failed."""
+
+
+@dataclass(slots=True)
+class RunningItem:
+    """An item at this node, running or paused."""
+
+    assignment: peer.ItemAssignment
+    events: list[bytes] = field(default_factory=list)
+    model_version: str = ""
+    attempts: int = 0
+    stream: EngineStream | None = None
+    preempted: bool = False
+    cancelled: bool = False
+
+    @property
+    def engine_attempt_id(self) -> str:
+        """Id of the present attempt at the engine."""
+        return f"{self.assignment.attempt_id}.{self.attempts}"
+
+
+class BatchRunner:
+    """Items by engine."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        events: EventLog,
+        metrics: NodeMetrics,
+        membership: MembershipService,
+        registry: EngineRegistry,
+        peers: PeerClients,
+        holder: BatchHolder,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._membership = membership
+        self._registry = registry
+        self._peers = peers
+        self._holder = holder
+        self._running: dict[str, RunningItem] = {}
+        self._paused: dict[str, list[RunningItem]] = {}
+        self._pulling: set[str] = set()
+        self._resting: dict[str, float] = {}
+        self._unreported = 0
+        self._draining = False
+        registry.on_preemption(self.preempt)
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Start to pull."""
+        tasks.every(self._settings.timing.pull_interval, self.pull_all)
+
+    @property
+    def in_progress(self) -> int:
+        """Items that run, pause or wait to be reported."""
+        paused = sum(len(items) for items in self._paused.values())
+        return len(self._running) + paused + self._unreported
+
+    def drain(self) -> None:
+        """Pull no more; paused items go on where there is room."""
+        self._draining = True
+
+    def pull_all(self) -> None:
+        """Fill the free slots of every owned engine."""
+        for engine in self._registry.owned():
+            engine_id = engine.machine.machine_id
+            if engine_id not in self._pulling:
+                self._pulling.add(engine_id)
+                gevent.spawn(self._fill, engine)
+        self._return_orphans()
+
+    def _fill(self, engine: OwnedEngine) -> None:
+        engine_id = engine.machine.machine_id
+        try:
+            self._resume_paused(engine)
+            now = self._clock.monotonic()
+            rested = self._resting.get(engine_id, 0.0) <= now
+            if not self._draining and rested and self._unreported < MAX_UNREPORTED:
+                self._pull(engine)
+        finally:
+            self._pulling.discard(engine_id)
+
+    def _resume_paused(self, engine: OwnedEngine) -> None:
+        waiting = self._paused.get(engine.machine.machine_id, [])
+        while waiting and engine.slots.batch_room(self._clock.monotonic()) > 0:
+            self._launch(engine, waiting.pop(0))
+
+    def _return_orphans(self) -> None:
+        """Give back paused items of engines that this node no longer owns."""
+        owned = {engine.machine.machine_id for engine in self._registry.owned()}
+        for engine_id in [one for one in self._paused if one not in owned]:
+            for item in self._paused.pop(engine_id):
+                self._spawn_report(item, _interrupted(item), 0, b"")
+
+    def _pull(self, engine: OwnedEngine) -> None:
+        room = engine.slots.batch_room(self._clock.monotonic())
+        if room < 1:
+            return
+        request = peer.ItemPull(
+            node_id=self._settings.node_id,
+            incarnation=self._membership.incarnation,
+            engine_id=engine.machine.machine_id,
+            models=self._served_models(engine),
+            slots=room,
+        )
+        for address in self._holders_with_work(set(request.models)):
+            assignments = self._ask_holder(address, request)
+            for assignment in assignments:
+                self._launch(engine, RunningItem(assignment))
+            if assignments:
+                return
+
+    def _served_models(self, engine: OwnedEngine) -> list[str]:
+        pools = self._registry.pools_of(engine.machine)
+        allowed = set(pools[0].models) if pools else set()
+        return sorted(allowed & set(engine.load.models))
+
+    def _holders_with_work(self, models: set[str]) -> list[str]:
+        """Peer addresses of holders, this node first as the empty address."""
+        found: list[tuple[bool, int, str]] = []
+        if models & set(self._holder.waiting_by_model()):
+            found.append((False, 0, ""))
+        for member in self._membership.view.members():
+            waiting = sum(one.items for one in member.summary.pending if one.model in models)
+            if waiting and member.node_id != self._settings.node_id:
+                foreign = member.zone != self._settings.zone
+                found.append((foreign, -waiting, member.peer_address))
+        return [address for _, _, address in sorted(found)]
+
+    def _ask_holder(self, address: str, request: peer.ItemPull) -> list[peer.ItemAssignment]:
+        if not address:
+            return self._holder.pull(request)
+        try:
+            reply = self._peers.call(address, Channel.BATCH, request, PULL_TIMEOUT)
+        except PeerUnavailableError:
+            return []
+        return reply.items if isinstance(reply, peer.ItemPullReply) else []
+
+    def _launch(self, engine: OwnedEngine, item: RunningItem) -> None:
+        item.attempts += 1
+        item.preempted = False
+        now = self._clock.monotonic()
+        assignment = item.assignment
+        if not engine.slots.admit_batch(item.engine_attempt_id, assignment.rank, now):
+            # Online work came while the item was on its way.
+            self._pause(engine, item)
+            return
+        self._running[item.engine_attempt_id] = item
+        gevent.spawn(self._run, engine, item)
+
+    def _pause(self, engine: OwnedEngine, item: RunningItem) -> None:
+        self._paused.setdefault(engine.machine.machine_id, []).append(item)
+
+    def _run(self, engine: OwnedEngine, item: RunningItem) -> None:
+        attempt_id = item.engine_attempt_id
+        try:
+            self._read_stream(engine, item)
+            outcome = peer.ItemOutcome.ITEM_OUTCOME_COMPLETED
+            self._end(item, outcome, 200, join_events(item.events))
+        except EngineRejectedError as error:
+            body = json.dumps({"error": {"message": error.message}}).encode("utf-8")
+            self._end(item, peer.ItemOutcome.ITEM_OUTCOME_FAILED, error.http_status, body)
+        except AttemptError as error:
+            self._interrupt(engine, item, error)
+        finally:
+            if item.stream is not None:
+                item.stream.close()
+            self._running.pop(attempt_id, None)
+            self._registry.release(engine.machine.machine_id, attempt_id)
+
+    def _read_stream(self, engine: OwnedEngine, item: RunningItem) -> None:
+        assignment = item.assignment
+        item.stream = engine.connection.open(
+            EngineAttempt(
+                attempt_id=item.engine_attempt_id,
+                request_id=f"chatcmpl-{assignment.attempt_id}",
+                body=_streamed(assignment.request_body),
+                priority=ONLINE_PRIORITY + 1 + assignment.rank,
+                cache_salt=cache_salt(assignment.tenant),
+                resume_offset=len(item.events),
+            ),
+            batch=True,
+        )
+        if item.events and item.stream.model_version != item.model_version:
+            item.events.clear()
+            raise AttemptError("the model version changed in between", Verdict.MAY_HAVE_RUN)
+        item.model_version = item.stream.model_version
+        if item.preempted or item.cancelled:
+            raise AttemptError("interrupted", Verdict.MAY_HAVE_RUN)
+        for event in item.stream.events():
+            item.events.append(event)
+
+    def _interrupt(self, engine: OwnedEngine, item: RunningItem, error: AttemptError) -> None:
+        if item.cancelled:
+            return
+        if item.preempted:
+            self._metrics.attempts.labels(TrafficClass.BATCH.value, "preempted").inc()
+            self._pause(engine, item)
+            return
+        engine_id = engine.machine.machine_id
+        self._metrics.attempts.labels(TrafficClass.BATCH.value, error.verdict.value).inc()
+        self._events.emit(
+            Event.ATTEMPT_FAILED,
+            engine=engine_id,
+            attempt=item.engine_attempt_id,
+            verdict=error.verdict.value,
+            error=error.message,
+        )
+        self._resting[engine_id] = self._clock.monotonic() + FAILED_ENGINE_PAUSE
+        outcome = _interrupted(item)
+        if error.verdict is Verdict.MAY_HAVE_RUN:
+            outcome = peer.ItemOutcome.ITEM_OUTCOME_MAY_HAVE_RUN
+        self._end(item, outcome, 0, b"")
+
+    def _end(self, item: RunningItem, outcome: peer.ItemOutcome, status: int, body: bytes) -> None:
+        if not item.cancelled:
+            self._spawn_report(item, outcome, status, body)
+
+    def _spawn_report(
+        self, item: RunningItem, outcome: peer.ItemOutcome, status: int, body: bytes
+    ) -> None:
+        report = peer.ItemReport(
+            job_id=item.assignment.job_id,
+            item_index=item.assignment.item_index,
+            attempt_id=item.assignment.attempt_id,
+            outcome=outcome,
+            status_code=status,
+            response_body=body,
+        )
+        self._unreported += 1
+        gevent.spawn(self._report, item, report)
+
+    def _report(self, item: RunningItem, report: peer.ItemReport) -> None:
+        try:
+            while not item.cancelled:
+                if self._report_once(report):
+                    return
+                gevent.sleep(REPORT_PAUSE)
+        finally:
+            self._unreported -= 1
+
+    def _report_once(self, report: peer.ItemReport) -> bool:
+        shard = shard_of(report.job_id, self._settings.shards)
+        if self._holder.leases.holds(shard):
+            return self._holder.report(report).accepted
+        for member in self._membership.view.members():
+            if shard not in member.summary.shards:
+                continue
+            if member.node_id == self._settings.node_id:
+                continue
+            try:
+                reply = self._peers.call(member.peer_address, Channel.BATCH, report, REPORT_TIMEOUT)
+            except PeerUnavailableError:
+                continue
+            if isinstance(reply, peer.ItemReportReply) and reply.accepted:
+                return True
+        return False
+
+    def preempt(self, engine_id: str, attempt_ids: tuple[str, ...]) -> None:
+        """Cancel attempts that lost their slot to online work, at once."""
+        connection = None
+        for engine in self._registry.owned():
+            if engine.machine.machine_id == engine_id:
+                connection = engine.connection
+        for attempt_id in attempt_ids:
+            item = self._running.get(attempt_id)
+            if item is None:
+                continue
+            item.preempted = True
+            self._metrics.preemptions.inc()
+            self._events.emit(Event.ITEM_PREEMPTED, engine=engine_id, attempt=attempt_id)
+            self._stop_stream(item)
+            if connection is not None:
+                gevent.spawn(_cancel_quietly, connection.cancel, attempt_id)
+
+    def cancel_job(self, job_id: str) -> None:
+        """Stop the items of a cancelled job, running or paused."""
+        for items in self._paused.values():
+            items[:] = [one for one in items if one.assignment.job_id != job_id]
+        for item in list(self._running.values()):
+            if item.assignment.job_id == job_id:
+                item.cancelled = True
+                self._stop_stream(item)
+
+    @staticmethod
+    def _stop_stream(item: RunningItem) -> None:
+        if item.stream is not None:
+            item.stream.abort()
+
+
+def _interrupted(item: RunningItem) -> peer.ItemOutcome:
+    # An at-most-once item that produced something did run.
+    if item.events and item.assignment.at_most_once:
+        return peer.ItemOutcome.ITEM_OUTCOME_MAY_HAVE_RUN
+    return peer.ItemOutcome.ITEM_OUTCOME_NOT_RUN
+
+
+def _streamed(body: bytes) -> bytes:
+    document = json.loads(body)
+    document["stream"] = True
+    return json.dumps(document).encode("utf-8")
+
+
+def _cancel_quietly(cancel: object, attempt_id: str) -> None:
+    assert callable(cancel)
+    try:
+        cancel(attempt_id)
+    except PlatformError:
+        # The stream's connection is closed as well, which stops the attempt a little later.
+        return
--- /dev/null
+++ b/postvalve/node/batch/shard_leases.py
@@ -0,0 +1,267 @@
+"""Follows the shards that this node may hold, and claims, renews and releases leases."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import gevent
+from gevent.event import Event as GeventEvent
+
+from postvalve.clock import Clock
+from postvalve.core.batch.identity import shard_stream
+from postvalve.core.batch.lease import LeaseStep, LeaseTiming
+from postvalve.core.batch.shard_state import (
+    REPLAY_WINDOW,
+    JobCancelAsked,
+    JobOpened,
+    ShardEffect,
+    ShardState,
+)
+from postvalve.core.membership.ownership import rank_owners
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import LogUnavailableError
+from postvalve.messages.framing import FrameError
+from postvalve.messages.generated import records
+from postvalve.messages.records_codec import parse_record
+from postvalve.node.background import BackgroundTasks
+from postvalve.node.log_writer import LogWriter
+from postvalve.node.membership_service import MembershipService
+from postvalve.platform.log import LogEntry, LogService
+from postvalve.settings.process import NodeSettings
+from postvalve.states import LeaseState, NodeState
+
+FOLLOW_WAIT = 5.0
+"""Seconds of one long poll of a shard's stream."""
+FOLLOWERS_PER_SHARD = 2
+"""Nodes that follow a shard: the preferred holder and the one that would take over."""
+STEP_INTERVAL = 0.25
+"""Seconds between looks at the leases."""
+OUTAGE_PAUSE = 1.0
+"""Seconds between reads while the log does not answer."""
+
+
+class ShardListener(Protocol):
+    """Who works on the jobs of held shards."""
+
+    def shard_acquired(self, shard: int, open_jobs: list[str]) -> None:
+        """This node holds the shard from now on."""
+
+    def shard_lost(self, shard: int) -> None:
+        """This node no longer holds the shard."""
+
+    def job_opened(self, shard: int, job_id: str) -> None:
+        """A job came to a held shard."""
+
+    def job_cancel_asked(self, shard: int, job_id: str) -> None:
+        """A job of a held shard was cancelled, or is about to be."""
+
+
+class _Follower:
+    """Reads one shard's stream from its newest checkpoint on."""
+
+    def __init__(self, shard: int, state: ShardState) -> None:
+        self.shard = shard
+        self.state = state
+        self.offset = -1
+        self.caught_up = False
+        self.held = False
+        self.stopped = GeventEvent()
+
+
+class ShardLeases:
+    """The shards of this node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        events: EventLog,
+        membership: MembershipService,
+        log: LogService,
+        writer: LogWriter,
+        listener: ShardListener,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._membership = membership
+        self._log = log
+        self._writer = writer
+        self._listener = listener
+        self._followers: dict[int, _Follower] = {}
+        self._releasing = False
+        self._started_at = clock.monotonic()
+        timing = settings.timing
+        self._timing = LeaseTiming(timing.lease_duration, timing.lease_renewal)
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Start to follow."""
+        tasks.every(STEP_INTERVAL, self.step)
+
+    def held_shards(self) -> list[int]:
+        """Shards whose lease this node holds, by its own clock."""
+        return sorted(shard for shard in self._followers if self.holds(shard))
+
+    def holds(self, shard: int) -> bool:
+        """Whether this node's own lease of the shard has not expired."""
+        follower = self._followers.get(shard)
+        if follower is None or not follower.held:
+            return False
+        return follower.state.lease.state(self._clock.monotonic()) is LeaseState.HELD_HERE
+
+    def shard_state(self, shard: int) -> ShardState | None:
+        """The replayed state of a followed shard."""
+        follower = self._followers.get(shard)
+        return follower.state if follower else None
+
+    def release_all(self) -> None:
+        """Give all shards up, for a planned stop."""
+        self._releasing = True
+        for follower in list(self._followers.values()):
+            if follower.held:
+                self._append_step(follower, LeaseStep.RELEASE)
+                self._lose(follower)
+
+    def step(self) -> None:
+        """Follow the right shards and take the due steps on their leases."""
+        if self._releasing or not self._view_settled():
+            return
+        nodes = self._membership.view.alive_ids()
+        for shard in range(self._settings.shards):
+            order = rank_owners(f"shard.{shard}", nodes)
+            self._step_shard(shard, order)
+
+    def _view_settled(self) -> bool:
+        # A node that just started must hear its peers before it knows what it is preferred for.
+        settling = 2 * self._settings.timing.heartbeat_interval
+        return self._clock.monotonic() - self._started_at >= settling
+
+    def _step_shard(self, shard: int, order: list[str]) -> None:
+        node_id = self._settings.node_id
+        follower = self._followers.get(shard)
+        if node_id not in order[:FOLLOWERS_PER_SHARD]:
+            if follower is not None and not follower.held:
+                follower.stopped.set()
+                del self._followers[shard]
+                return
+            if follower is None:
+                return
+        follower = follower or self._follow(shard)
+        if follower.caught_up:
+            self._step_lease(follower, preferred=order[:1] == [node_id])
+
+    def _follow(self, shard: int) -> _Follower:
+        state = ShardState(self._settings.node_id, self._membership.incarnation, self._timing)
+        follower = self._followers[shard] = _Follower(shard, state)
+        gevent.spawn(self._read_loop, follower)
+        return follower
+
+    def _step_lease(self, follower: _Follower, *, preferred: bool) -> None:
+        now = self._clock.monotonic()
+        lease = follower.state.lease
+        holding = lease.state(now) is LeaseState.HELD_HERE
+        if holding and not follower.held:
+            self._acquire(follower)
+        elif follower.held and not holding:
+            self._lose(follower)
+        step = lease.next_step(now, preferred=preferred, holder_gone=self._is_gone(lease.holder))
+        if step is not LeaseStep.NONE:
+            gevent.spawn(self._append_step, follower, step)
+        if step is LeaseStep.RELEASE:
+            self._lose(follower)
+        elif holding and follower.state.checkpoint_due:
+            gevent.spawn(self._append_checkpoint, follower)
+
+    def _is_gone(self, holder: str) -> bool:
+        member = self._membership.member(holder)
+        return member is not None and member.state is NodeState.DEAD
+
+    def _acquire(self, follower: _Follower) -> None:
+        follower.held = True
+        self._events.emit(Event.SHARD_LEASED, shard=follower.shard)
+        self._listener.shard_acquired(follower.shard, follower.state.open_jobs)
+
+    def _lose(self, follower: _Follower) -> None:
+        if follower.held:
+            follower.held = False
+            self._events.emit(Event.SHARD_LOST, shard=follower.shard)
+            self._listener.shard_lost(follower.shard)
+
+    def _append_step(self, follower: _Follower, step: LeaseStep) -> None:
+        lease = follower.state.lease
+        if step is LeaseStep.CLAIM:
+            claim = records.LeaseClaimed(
+                epoch=lease.epoch + 1,
+                node_id=self._settings.node_id,
+                incarnation=self._membership.incarnation,
+            )
+            self._append(follower, records.Record(lease_claimed=claim))
+        elif step is LeaseStep.RENEW:
+            renewal = records.LeaseRenewed(epoch=lease.epoch)
+            self._append(follower, records.Record(lease_renewed=renewal))
+        else:
+            release = records.LeaseReleased(epoch=lease.epoch)
+            self._append(follower, records.Record(lease_released=release))
+
+    def _append_checkpoint(self, follower: _Follower) -> None:
+        checkpoint = follower.state.checkpoint()
+        self._append(follower, records.Record(shard_checkpoint=checkpoint))
+
+    def append_closed(self, shard: int, job_id: str) -> None:
+        """Note that a job ended, so that later holders pass it over."""
+        closed = records.Record(job_closed=records.JobClosed(job_id=job_id))
+        self._writer.append(shard_stream(shard), closed)
+
+    def _append(self, follower: _Follower, record: records.Record) -> None:
+        try:
+            self._writer.append(shard_stream(follower.shard), record, patience=1.0)
+        except LogUnavailableError as error:
+            self._events.emit(Event.LOG_UNAVAILABLE, shard=follower.shard, error=error.message)
+
+    def _read_loop(self, follower: _Follower) -> None:
+        stream = shard_stream(follower.shard)
+        while not follower.stopped.is_set():
+            try:
+                if follower.offset < 0:
+                    follower.offset = self._replay_start(stream)
+                wait = FOLLOW_WAIT if follower.caught_up else 0.0
+                part = self._log.read(stream, follower.offset, wait=wait)
+            except LogUnavailableError:
+                gevent.sleep(OUTAGE_PAUSE)
+                continue
+            for entry in part.entries:
+                self._observe(follower, entry)
+            follower.offset = part.next_offset
+            follower.caught_up = follower.caught_up or part.caught_up
+
+    def _replay_start(self, stream: str) -> int:
+        end = self._log.read(stream, 0, limit=1).end_offset
+        window = REPLAY_WINDOW
+        while True:
+            start = max(0, end - window)
+            part = self._log.read(stream, start)
+            for entry in reversed(part.entries):
+                if start == 0:
+                    return 0
+                if parse_record(entry.payload).shard_checkpoint.epoch:
+                    return entry.offset
+            if start == 0:
+                return 0
+            window *= 2
+
+    def _observe(self, follower: _Follower, entry: LogEntry) -> None:
+        try:
+            record = parse_record(entry.payload)
+        except FrameError as error:
+            self._events.emit(Event.LOG_RECORD_INVALID, shard=follower.shard, error=str(error))
+            return
+        effects = follower.state.observe(record, self._clock.monotonic())
+        if follower.held:
+            for effect in effects:
+                self._apply(follower.shard, effect)
+
+    def _apply(self, shard: int, effect: ShardEffect) -> None:
+        if isinstance(effect, JobOpened):
+            self._listener.job_opened(shard, effect.job_id)
+        elif isinstance(effect, JobCancelAsked):
+            self._listener.job_cancel_asked(shard, effect.job_id)
--- /dev/null
+++ b/postvalve/node/engine_registry.py
@@ -0,0 +1,262 @@
+"""Engines as this node sees them: which it owns, their slots, and candidates for requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from postvalve.clock import Clock, milliseconds
+from postvalve.core.admission.engine_slots import EngineSlots
+from postvalve.core.configuration.resolution import (
+    compiled_selector,
+    matching_pools,
+    pool_serves,
+)
+from postvalve.core.membership.ownership import preferred_owner
+from postvalve.core.membership.view import StateChanged
+from postvalve.core.routing.router import EngineCandidate
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import PlatformError
+from postvalve.messages.generated import peer
+from postvalve.node.background import BackgroundTasks
+from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.membership_service import MembershipService
+from postvalve.platform.engine import EngineConnection, EngineLoad
+from postvalve.platform.machines import Machine
+from postvalve.settings.fleet import PoolSpec, TenantSpec
+from postvalve.settings.process import NodeSettings
+from postvalve.states import MachineState, NodeState
+
+OWNERSHIP_INTERVAL = 0.5
+"""Seconds between looks at who owns which engine."""
+UNREACHABLE_AFTER = 3
+"""Load reads that fail in a row until an engine gets no new work."""
+
+PreemptionListener = Callable[[str, tuple[str, ...]], None]
+
+
+@dataclass(slots=True)
+class OwnedEngine:
+    """An engine that this node admits work to."""
+
+    machine: Machine
+    connection: EngineConnection
+    slots: EngineSlots
+    load: EngineLoad
+    failed_reads: int = 0
+    disowned: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether it takes new work."""
+        live = self.machine.state is MachineState.LIVE
+        return live and not self.disowned and self.failed_reads < UNREACHABLE_AFTER
+
+
+class EngineRegistry:
+    """Engines by id."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        events: EventLog,
+        membership: MembershipService,
+        configuration: ConfigurationService,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._membership = membership
+        self._configuration = configuration
+        self._connections: dict[str, EngineConnection] = {}
+        self._owned: dict[str, OwnedEngine] = {}
+        self._machines: dict[str, Machine] = {}
+        self._preemption_listeners: list[PreemptionListener] = []
+        membership.listen(self._node_changed)
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Start to follow ownership and load."""
+        tasks.every(OWNERSHIP_INTERVAL, self.refresh)
+        tasks.every(self._settings.timing.load_report_interval, self._read_loads)
+
+    def on_preemption(self, listener: PreemptionListener) -> None:
+        """Be told of batch attempts that lost their slot at an engine."""
+        self._preemption_listeners.append(listener)
+
+    def refresh(self) -> None:
+        """Follow the machine list and the live nodes."""
+        self._machines = {one.machine_id: one for one in self._membership.engines()}
+        if not self._configuration.ready:
+            return
+        for machine in self._machines.values():
+            if self._drained(machine):
+                machine.state = MachineState.LEAVING
+        for engine_id, machine in self._machines.items():
+            self._set_owned(machine, self._owner_of(machine) == self._settings.node_id)
+            if engine_id in self._owned:
+                self._owned[engine_id].machine = machine
+        for engine_id in [one for one in self._owned if one not in self._machines]:
+            self._disown(engine_id)
+
+    def _drained(self, machine: Machine) -> bool:
+        labels = engine_labels(machine)
+        drains = self._configuration.current.drains
+        return any(compiled_selector(drain.machines).matches(labels) for drain in drains)
+
+    def _owner_of(self, machine: Machine) -> str | None:
+        view = self._membership.view
+        nodes = view.alive_ids(machine.zone) or view.alive_ids()
+        return preferred_owner(machine.machine_id, nodes)
+
+    def _set_owned(self, machine: Machine, owned: bool) -> None:
+        known = self._owned.get(machine.machine_id)
+        if owned and known is not None and known.disowned:
+            known.disowned = False
+        elif owned and known is None:
+            self._own(machine)
+        elif not owned and known is not None and not known.disowned:
+            self._disown(machine.machine_id)
+
+    def _own(self, machine: Machine) -> None:
+        connection = self.connection(machine)
+        try:
+            load = connection.load()
+        except PlatformError as error:
+            self._events.emit(
+                Event.ENGINE_UNREACHABLE, engine=machine.machine_id, error=error.message
+            )
+            return
+        slots = EngineSlots(load.slots, self._minimum_headroom(machine))
+        self._owned[machine.machine_id] = OwnedEngine(machine, connection, slots, load)
+        self._events.emit(Event.ENGINE_OWNED, engine=machine.machine_id)
+
+    def _disown(self, engine_id: str) -> None:
+        engine = self._owned[engine_id]
+        engine.disowned = True
+        # Work in progress still counts here until it ends.
+        if engine.slots.online_count + engine.slots.batch_count == 0:
+            del self._owned[engine_id]
+        self._events.emit(Event.ENGINE_DISOWNED, engine=engine_id)
+
+    def _minimum_headroom(self, machine: Machine) -> int:
+        pools = matching_pools(self._configuration.current, engine_labels(machine))
+        return pools[0].online_headroom_slots if pools else 0
+
+    def _read_loads(self) -> None:
+        for engine in list(self._owned.values()):
+            try:
+                engine.load = engine.connection.load()
+                engine.failed_reads = 0
+                engine.slots.slots = engine.load.slots
+                engine.slots.minimum_headroom = self._minimum_headroom(engine.machine)
+            except PlatformError as error:
+                engine.failed_reads += 1
+                self._events.emit(
+                    Event.ENGINE_UNREACHABLE,
+                    engine=engine.machine.machine_id,
+                    error=error.message,
+                )
+
+    def _node_changed(self, change: StateChanged) -> None:
+        if change.state is NodeState.DEAD:
+            now = self._clock.monotonic()
+            for engine in self._owned.values():
+                engine.slots.release_gateway(change.node_id, now)
+        self.refresh()
+
+    def connection(self, machine: Machine) -> EngineConnection:
+        """Connections to an engine."""
+        known = self._connections.get(machine.machine_id)
+        if known is None or known.address != machine.address:
+            known = self._connections[machine.machine_id] = EngineConnection(machine.address)
+        return known
+
+    def machine(self, engine_id: str) -> Machine | None:
+        """An engine of the machine list."""
+        return self._machines.get(engine_id)
+
+    def owned(self) -> list[OwnedEngine]:
+        """Engines that this node owns and that take new work."""
+        return [engine for engine in self._owned.values() if engine.usable]
+
+    def summaries(self) -> list[peer.EngineSummary]:
+        """What heartbeats tell of the owned engines."""
+        return [
+            peer.EngineSummary(
+                engine_id=engine.machine.machine_id,
+                in_flight_online=engine.slots.online_count,
+                in_flight_batch=engine.slots.batch_count,
+                slots=engine.slots.slots,
+                models=sorted(engine.load.models),
+            )
+            for engine in self.owned()
+        ]
+
+    def pools_of(self, machine: Machine) -> list[PoolSpec]:
+        """Pools that cover an engine, the winner first."""
+        return matching_pools(self._configuration.current, engine_labels(machine))
+
+    def candidates(
+        self, tenant: TenantSpec, model: str, excluded: Iterable[str]
+    ) -> list[EngineCandidate]:
+        """Engines that may run a request, by the summaries of their owners."""
+        skipped = set(excluded)
+        found: dict[str, EngineCandidate] = {}
+        for member in self._membership.view.alive():
+            for summary in self._engine_summaries(member.node_id, member.summary):
+                machine = self._machines.get(summary.engine_id)
+                if machine is None or summary.engine_id in skipped:
+                    continue
+                if model in summary.models and self._may_serve(machine, tenant, model):
+                    found[summary.engine_id] = EngineCandidate(
+                        summary.engine_id,
+                        member.node_id,
+                        machine.zone,
+                        summary.in_flight_online,
+                        summary.slots,
+                    )
+        return list(found.values())
+
+    def _engine_summaries(
+        self, node_id: str, summary: peer.NodeSummary
+    ) -> list[peer.EngineSummary]:
+        # This node's own counts are exact; those of others are as old as a heartbeat.
+        return self.summaries() if node_id == self._settings.node_id else summary.engines
+
+    def _may_serve(self, machine: Machine, tenant: TenantSpec, model: str) -> bool:
+        if machine.state is not MachineState.LIVE:
+            return False
+        pools = self.pools_of(machine)
+        return bool(pools) and pool_serves(pools[0], tenant, model)
+
+    def admit_online(self, request: peer.AdmissionRequest) -> peer.AdmissionReply:
+        """Decide, as the owner, whether an online attempt may start."""
+        engine = self._owned.get(request.engine_id)
+        if engine is None or not engine.usable:
+            return peer.AdmissionReply(outcome=peer.AdmissionOutcome.ADMISSION_OUTCOME_NOT_OWNER)
+        now = self._clock.monotonic()
+        decision = engine.slots.admit_online(request.attempt_id, request.gateway_id, now)
+        if not decision.granted:
+            return peer.AdmissionReply(
+                outcome=peer.AdmissionOutcome.ADMISSION_OUTCOME_OVERLOADED,
+                retry_after_ms=milliseconds(decision.retry_after),
+            )
+        if decision.preempted:
+            for listener in self._preemption_listeners:
+                listener(request.engine_id, decision.preempted)
+        return peer.AdmissionReply(outcome=peer.AdmissionOutcome.ADMISSION_OUTCOME_GRANTED)
+
+    def release(self, engine_id: str, attempt_id: str) -> None:
+        """Free the slot of an attempt."""
+        engine = self._owned.get(engine_id)
+        if engine is None:
+            return
+        engine.slots.release(attempt_id, self._clock.monotonic())
+        if engine.disowned and engine.slots.online_count + engine.slots.batch_count == 0:
+            del self._owned[engine_id]
+
+
+def engine_labels(machine: Machine) -> dict[str, str]:
+    """Labels of an engine, with its zone as `zone` and its kind as `kind`."""
+    return {**machine.labels, "zone": machine.zone, "kind": machine.kind.value}
--- /dev/null
+++ b/postvalve/node/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface that callers and operators see."""
--- /dev/null
+++ b/postvalve/node/http/batches.py
@@ -0,0 +1,179 @@
+"""`/v1/batches`: create, show, list, cancel."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import re
+import uuid
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from werkzeug.wrappers import Request, Response
+
+from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.identity import error_file_id, job_id_for, output_file_id
+from postvalve.core.batch.job_ledger import JobLedger
+from postvalve.core.configuration.resolution import resolve_workload
+from postvalve.exceptions import InvalidRequestError, NotFoundError
+from postvalve.messages.generated import records
+from postvalve.node.batch.file_store import FileDescription, FileStore
+from postvalve.node.batch.job_store import JobStore
+from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.http.headers import (
+    at_most_once,
+    deadline_seconds,
+    idempotency_key,
+    workload_name,
+)
+from postvalve.node.http.json_answers import json_response, list_document
+from postvalve.node.http.paging import page_of
+from postvalve.settings.fleet import TenantSpec
+from postvalve.states import JobState, TrafficClass
+
+MAX_METADATA_ENTRIES = 16
+MAX_METADATA_LENGTH = 512
+_UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
+_WINDOW = re.compile(r"^([1-9][0-9]{0,5})([smhd])$")
+
+MetadataText = Annotated[str, Field(max_length=MAX_METADATA_LENGTH)]
+
+
+class BatchBody(BaseModel):
+    """Body of a request to create a batch."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    input_file_id: str
+    endpoint: Literal["/v1/chat/completions"]
+    completion_window: str
+    metadata: dict[MetadataText, MetadataText] | None = Field(None, max_length=MAX_METADATA_ENTRIES)
+
+
+class BatchesEndpoint:
+    """Serves batches."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        configuration: ConfigurationService,
+        files: FileStore,
+        jobs: JobStore,
+    ) -> None:
+        self._clock = clock
+        self._configuration = configuration
+        self._files = files
+        self._jobs = jobs
+
+    def create(self, request: Request, tenant: TenantSpec) -> Response:
+        """Accept a batch: answered once its record is decided on the log."""
+        body = _parse_body(request.get_data())
+        workload = resolve_workload(
+            self._configuration.current, tenant, workload_name(request), TrafficClass.BATCH
+        )
+        file = self._files.describe(tenant.name, body.input_file_id)
+        self._check_model(file)
+        created_at = self._clock.wall()
+        allowed = deadline_seconds(request) or _window_seconds(body.completion_window)
+        once = at_most_once(request)
+        submission = records.JobSubmitted(
+            job_id=job_id_for(tenant.name, idempotency_key(request) or uuid.uuid4().hex),
+            tenant=tenant.name,
+            workload=workload.name,
+            rank=workload.rank,
+            input_file_id=file.file_id,
+            endpoint=body.endpoint,
+            items=file.lines,
+            model=file.model,
+            created_at_ms=milliseconds(created_at),
+            deadline_at_ms=milliseconds(created_at + allowed),
+            request_digest=_digest(body, workload.name, once, file, allowed),
+            at_most_once=once,
+            metadata_json=json.dumps(body.metadata) if body.metadata else "",
+            completion_window=body.completion_window,
+        )
+        return json_response(batch_document(self._jobs.submit(submission)))
+
+    def _check_model(self, file: FileDescription) -> None:
+        if file.model not in self._configuration.current.model_by_name:
+            raise NotFoundError(f"there is no model {file.model!r}", parameter="body.model")
+
+    def show(self, request: Request, tenant: TenantSpec, job_id: str) -> Response:
+        """Show a batch."""
+        return json_response(batch_document(self._jobs.get(tenant.name, job_id)))
+
+    def list(self, request: Request, tenant: TenantSpec) -> Response:
+        """List the tenant's batches, the newest first."""
+        page = page_of(request, self._jobs.tenant_jobs(tenant.name))
+        documents = [batch_document(self._jobs.get(tenant.name, one)) for one in page.ids]
+        return json_response(list_document(documents, page.has_more))
+
+    def cancel(self, request: Request, tenant: TenantSpec, job_id: str) -> Response:
+        """Cancel a batch; one that ended stays as it is."""
+        return json_response(batch_document(self._jobs.cancel(tenant.name, job_id)))
+
+
+def _parse_body(content: bytes) -> BatchBody:
+    try:
+        return BatchBody.model_validate_json(content)
+    except ValidationError as error:
+        finding = error.errors(include_url=False)[0]
+        field = ".".join(str(part) for part in finding["loc"])
+        message = f"{field}: {finding['msg']}" if field else str(finding["msg"])
+        raise InvalidRequestError(message, parameter=field or None) from None
+
+
+def _window_seconds(window: str) -> float:
+    match = _WINDOW.match(window)
+    if match is None:
+        raise InvalidRequestError(
+            f"completion_window: {window!r} is no number with s, m, h or d",
+            parameter="completion_window",
+        )
+    return float(int(match.group(1)) * _UNIT_SECONDS[match.group(2)])
+
+
+def _digest(
+    body: BatchBody, workload: str, once: bool, file: FileDescription, allowed: float
+) -> str:
+    # Files are compared by content, so that a resend may upload its file again.
+    parts = [
+        file.sha256,
+        body.endpoint,
+        workload,
+        str(once),
+        str(allowed),
+        json.dumps(body.metadata, sort_keys=True),
+    ]
+    return hashlib.sha256("\0".join(parts).encode()).hexdigest()
+
+
+def batch_document(ledger: JobLedger) -> dict[str, Any]:
+    """A batch as callers of the OpenAI interface know it."""
+    submission = ledger.accepted
+    ended_at = ledger.ended_at_ms // 1000 or None
+    completed = ledger.state is JobState.COMPLETED
+    cancelled = ledger.state is JobState.CANCELLED
+    ended = ledger.state.is_terminal
+    return {
+        "id": submission.job_id,
+        "object": "batch",
+        "endpoint": submission.endpoint,
+        "errors": None,
+        "input_file_id": submission.input_file_id,
+        "completion_window": submission.completion_window,
+        "status": ledger.state.value,
+        "output_file_id": output_file_id(submission.job_id) if ended else None,
+        "error_file_id": error_file_id(submission.job_id) if ended and ledger.failed else None,
+        "created_at": submission.created_at_ms // 1000,
+        "in_progress_at": submission.created_at_ms // 1000,
+        "expires_at": submission.deadline_at_ms // 1000,
+        "completed_at": ended_at if completed else None,
+        "cancelled_at": ended_at if cancelled else None,
+        "request_counts": {
+            "total": submission.items,
+            "completed": ledger.completed,
+            "failed": ledger.failed,
+        },
+        "metadata": json.loads(submission.metadata_json) if submission.metadata_json else None,
+    }
--- /dev/null
+++ b/postvalve/node/http/chat.py
@@ -0,0 +1,101 @@
+"""`/v1/chat/completions` and `/v1/models`."""
+
+from __future__ import annotations
+
+import uuid
+
+from werkzeug.wrappers import Request, Response
+
+from postvalve.clock import Clock
+from postvalve.core.configuration.resolution import resolve_workload
+from postvalve.core.routing.prefix import cache_salt, prefix_key
+from postvalve.exceptions import NotFoundError, Verdict
+from postvalve.node.batch.input_lines import ChatCompletionBody, check_chat_body
+from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.http.errors import VERDICT_HEADER
+from postvalve.node.http.headers import at_most_once, deadline_seconds, workload_name
+from postvalve.node.http.json_answers import json_response
+from postvalve.node.online import OnlineDispatcher, OnlineRequest
+from postvalve.platform.engine import REQUEST_HEADER
+from postvalve.settings.fleet import TenantSpec
+from postvalve.settings.process import HttpSettings
+from postvalve.states import TrafficClass
+
+
+class ChatEndpoint:
+    """Serves online requests."""
+
+    def __init__(
+        self,
+        settings: HttpSettings,
+        clock: Clock,
+        configuration: ConfigurationService,
+        dispatcher: OnlineDispatcher,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+
+    def complete(self, request: Request, tenant: TenantSpec) -> Response:
+        """Run one chat completion."""
+        arrived_at = self._clock.monotonic()
+        content = request.get_data()
+        body = check_chat_body(content)
+        online = self._online_request(request, tenant, body, content, arrived_at)
+        answer = self._dispatcher.run(online)
+        headers = {VERDICT_HEADER: Verdict.RAN.value, REQUEST_HEADER: online.request_id}
+        if online.streamed:
+            return Response(
+                answer.events(),
+                headers={**headers, "Cache-Control": "no-cache"},
+                content_type="text/event-stream",
+                direct_passthrough=True,
+            )
+        return Response(answer.whole(), headers=headers, content_type="application/json")
+
+    def _online_request(
+        self,
+        request: Request,
+        tenant: TenantSpec,
+        body: ChatCompletionBody,
+        content: bytes,
+        arrived_at: float,
+    ) -> OnlineRequest:
+        configuration = self._configuration.current
+        self._check_model(body.model)
+        workload = resolve_workload(
+            configuration, tenant, workload_name(request), TrafficClass.ONLINE
+        )
+        allowed = deadline_seconds(request) or self._settings.request_timeout
+        return OnlineRequest(
+            request_id=f"chatcmpl-{uuid.uuid4().hex}",
+            tenant=tenant,
+            workload=workload,
+            model=body.model,
+            body=content,
+            streamed=body.stream,
+            at_most_once=at_most_once(request),
+            prefix_key=prefix_key(tenant.name, body.model, body.messages[0].content),
+            cache_salt=cache_salt(tenant.name),
+            deadline=arrived_at + min(allowed, self._settings.request_timeout),
+            arrived_at=arrived_at,
+        )
+
+    def _check_model(self, model: str) -> None:
+        if model not in self._configuration.current.model_by_name:
+            raise NotFoundError(f"there is no model {model!r}", parameter="model")
+
+    def list_models(self, request: Request, tenant: TenantSpec) -> Response:
+        """List the models."""
+        models = [self._model_document(name) for name in self._configuration.current.model_by_name]
+        return json_response({"object": "list", "data": models})
+
+    def show_model(self, request: Request, tenant: TenantSpec, model: str) -> Response:
+        """Show one model."""
+        self._check_model(model)
+        return json_response(self._model_document(model))
+
+    @staticmethod
+    def _model_document(name: str) -> dict[str, str | int]:
+        return {"id": name, "object": "model", "created": 0, "owned_by": "postvalve"}
--- /dev/null
+++ b/postvalve/node/http/operations.py
@@ -0,0 +1,62 @@
+"""Health, metrics and status, for operators and their tools."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from werkzeug.wrappers import Request, Response
+
+from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.http.authentication import authenticate_operator
+from postvalve.node.http.json_answers import json_response
+from postvalve.node.metrics import NodeMetrics
+
+
+class StatusSource(Protocol):
+    """What the operations endpoint asks of its node."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether the node takes no new work."""
+        ...
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node serves callers."""
+        ...
+
+    def status_document(self) -> dict[str, Any]:
+        """The node's view, for `postvalve status`."""
+        ...
+
+
+class OperationsEndpoint:
+    """Serves `/healthz`, `/readyz`, `/metrics` and `/status`."""
+
+    def __init__(
+        self, node: StatusSource, configuration: ConfigurationService, metrics: NodeMetrics
+    ) -> None:
+        self._node = node
+        self._configuration = configuration
+        self._metrics = metrics
+
+    def healthz(self, request: Request) -> Response:
+        """Answer 200 as long as the process works, draining included."""
+        return json_response({"status": "ok"})
+
+    def readyz(self, request: Request) -> Response:
+        """Answer 200 while the node takes new work."""
+        if self._node.draining:
+            return json_response({"status": "draining"}, 503)
+        if not self._node.ready:
+            return json_response({"status": "starting"}, 503)
+        return json_response({"status": "ready"})
+
+    def metrics(self, request: Request) -> Response:
+        """Give the metrics in Prometheus' text format."""
+        return Response(self._metrics.exposition(), content_type="text/plain; version=0.0.4")
+
+    def status(self, request: Request) -> Response:
+        """Give the node's view to an operator."""
+        authenticate_operator(request, self._configuration.current)
+        return json_response(self._node.status_document())
--- /dev/null
+++ b/postvalve/node/http/paging.py
@@ -0,0 +1,43 @@
+"""Pages of lists: `limit` and `after`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from werkzeug.wrappers import Request
+
+from postvalve.exceptions import InvalidRequestError
+
+DEFAULT_PAGE = 20
+MAX_PAGE = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Ids of one page, and whether more follow."""
+
+    ids: list[str]
+    has_more: bool
+
+
+def page_of(request: Request, ids: list[str]) -> Page:
+    """Cut the page that the request asks for.
+
+    Raises:
+        InvalidRequestError: the limit is no number in range, or `after` is unknown.
+    """
+    limit = _limit(request)
+    after = request.args.get("after")
+    start = 0
+    if after:
+        if after not in ids:
+            raise InvalidRequestError(f"after: {after!r} is not in the list", parameter="after")
+        start = ids.index(after) + 1
+    return Page(ids[start : start + limit], len(ids) > start + limit)
+
+
+def _limit(request: Request) -> int:
+    text = request.args.get("limit", str(DEFAULT_PAGE))
+    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_PAGE:
+        raise InvalidRequestError(f"limit: takes 1 to {MAX_PAGE}", parameter="limit")
+    return int(text)
--- /dev/null
+++ b/postvalve/node/log_writer.py
@@ -0,0 +1,61 @@
+"""Appends with repetition: the same record id until the log answers or time is up."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+
+import gevent
+
+from postvalve.clock import Clock
+from postvalve.exceptions import LogUnavailableError, Verdict
+from postvalve.messages.generated import records
+from postvalve.platform.log import LogService
+
+REPEAT_PAUSE = 0.1
+"""Seconds before the first repetition, doubled for each later one."""
+MAX_REPEAT_PAUSE = 2.0
+DEFAULT_PATIENCE = 3.0
+"""Seconds that an append is repeated for a caller who waits."""
+
+
+def new_record_id() -> str:
+    """An id that readers drop repeats by."""
+    return uuid.uuid4().hex
+
+
+class LogWriter:
+    """Appends records to the log."""
+
+    def __init__(
+        self, log: LogService, clock: Clock, pause: Callable[[float], None] = gevent.sleep
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._pause = pause
+
+    def append(
+        self, stream: str, record: records.Record, patience: float = DEFAULT_PATIENCE
+    ) -> int:
+        """Append a record, repeating it until it is acknowledged; returns its offset.
+
+        Raises:
+            LogUnavailableError: after `patience` seconds; NOT_RUN only when no repetition
+                may have taken effect.
+        """
+        if not record.record_id:
+            record.record_id = new_record_id()
+        payload = bytes(record)
+        deadline = self._clock.monotonic() + patience
+        verdict = Verdict.NOT_RUN
+        pause = REPEAT_PAUSE
+        while True:
+            try:
+                return self._log.append(stream, payload)
+            except LogUnavailableError as error:
+                if error.verdict is not Verdict.NOT_RUN:
+                    verdict = error.verdict
+                if self._clock.monotonic() + pause >= deadline:
+                    raise LogUnavailableError(error.message, verdict) from error
+            self._pause(pause)
+            pause = min(MAX_REPEAT_PAUSE, pause * 2)
--- /dev/null
+++ b/postvalve/node/membership_service.py
@@ -0,0 +1,256 @@
+"""Carries heartbeats and zone digests over UDP, and reads the platform's machine list."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+
+import betterproto
+from gevent.server import DatagramServer
+
+from postvalve.clock import Clock
+from postvalve.core.membership.ownership import rank_owners
+from postvalve.core.membership.view import (
+    Member,
+    MembershipTiming,
+    MembershipView,
+    StateChanged,
+)
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import PlatformError
+from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
+from postvalve.messages.generated import peer
+from postvalve.node.background import BackgroundTasks
+from postvalve.node.metrics import NodeMetrics
+from postvalve.platform.machines import Machine, MachineList
+from postvalve.settings.process import NodeSettings
+from postvalve.states import MachineKind, MachineState, NodeState
+
+FULL_SUMMARY_EVERY = 5
+"""Heartbeats between two that carry the summary though it did not change."""
+RELAYS_PER_ZONE = 2
+"""Nodes of another zone that get a digest and relay it."""
+
+ChangeListener = Callable[[StateChanged], None]
+
+
+class MembershipService:
+    """This node's part in membership."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        events: EventLog,
+        metrics: NodeMetrics,
+        machine_list: MachineList,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._machine_list = machine_list
+        timing = settings.timing
+        self.view = MembershipView(MembershipTiming(timing.dead_after, timing.digest_interval))
+        self.incarnation = int(clock.wall() * 1000)
+        self.leaving = False
+        self._sequence = 0
+        self._summary = b""
+        self._summary_version = 0
+        self._summary_sent_at = -FULL_SUMMARY_EVERY
+        self._machines: dict[str, Machine] = {}
+        self._listeners: list[ChangeListener] = []
+        self._summary_provider: Callable[[], peer.NodeSummary] = peer.NodeSummary
+        self._revision_provider: Callable[[], int] = lambda: -1
+        host, _, port = settings.peer_listen.rpartition(":")
+        self._server = DatagramServer((host, int(port)), self._receive)
+
+    def provide(self, summary: Callable[[], peer.NodeSummary], revision: Callable[[], int]) -> None:
+        """Set what heartbeats tell of this node."""
+        self._summary_provider = summary
+        self._revision_provider = revision
+
+    def listen(self, listener: ChangeListener) -> None:
+        """Be told of changes of node states."""
+        self._listeners.append(listener)
+
+    def start(self, tasks: BackgroundTasks) -> None:
+        """Start to send and receive."""
+        timing = self._settings.timing
+        self._server.start()
+        tasks.every(timing.machine_list_interval, self.read_machine_list)
+        tasks.every(timing.heartbeat_interval, self.beat)
+        tasks.every(timing.digest_interval, self.send_digest)
+
+    def stop(self) -> None:
+        """Stop to receive."""
+        self._server.stop(timeout=1)
+
+    def engines(self) -> list[Machine]:
+        """Engines of the machine list, leaving ones included."""
+        return [one for one in self._machines.values() if one.kind is MachineKind.ENGINE]
+
+    def member(self, node_id: str) -> Member | None:
+        """What is known of a node."""
+        return self.view.get(node_id)
+
+    def announce_leaving(self) -> None:
+        """Tell everybody at once that this node takes no new work."""
+        self.leaving = True
+        self.beat()
+        self.send_digest(force=True)
+
+    def read_machine_list(self) -> None:
+        """Refresh the hints of the platform."""
+        try:
+            machines = self._machine_list.fetch()
+        except PlatformError as error:
+            self._events.emit(Event.MACHINE_LIST_UNAVAILABLE, error=error.message)
+            return
+        fresh = {machine.machine_id: machine for machine in machines}
+        for machine in machines:
+            self._keep_leaving(machine)
+        self._machines = fresh
+
+    def _keep_leaving(self, machine: Machine) -> None:
+        known = self._machines.get(machine.machine_id)
+        if known is not None and known.state is MachineState.LEAVING:
+            machine.state = MachineState.LEAVING
+        if machine.state is not MachineState.LEAVING:
+            return
+        if machine.kind is MachineKind.NODE:
+            self._publish(self.view.mark_leaving(machine.machine_id))
+
+    def beat(self) -> None:
+        """Send one heartbeat to the zone, and expire silent nodes."""
+        now = self._clock.monotonic()
+        heartbeat = self._heartbeat()
+        self._publish(self.view.observe(heartbeat, now))
+        self._publish(self.view.expire(now))
+        data = encode_frame(heartbeat, 0)
+        for address in self._zone_addresses(self._settings.zone):
+            self._send(data, address)
+
+    def _heartbeat(self) -> peer.Heartbeat:
+        self._sequence += 1
+        summary = bytes(self._summary_provider())
+        changed = summary != self._summary
+        if changed:
+            self._summary = summary
+            self._summary_version += 1
+        due = self._sequence - self._summary_sent_at >= FULL_SUMMARY_EVERY
+        if changed or due:
+            self._summary_sent_at = self._sequence
+        return peer.Heartbeat(
+            node_id=self._settings.node_id,
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            zone=self._settings.zone,
+            peer_address=self._settings.peer_listen,
+            leaving=self.leaving,
+            configuration_revision=self._revision_provider(),
+            summary_version=self._summary_version,
+            summary=summary if changed or due else b"",
+        )
+
+    def send_digest(self, *, force: bool = False) -> None:
+        """Report this zone to the others, when this node is the zone's reporter."""
+        zone = self._settings.zone
+        order = rank_owners(f"reporter.{zone}", self.view.alive_ids(zone))
+        if not force and order[:1] != [self._settings.node_id]:
+            return
+        members = [one for one in self.view.members() if one.zone == zone]
+        digest = peer.ZoneDigest(
+            zone=zone, heartbeats=[bytes(_heartbeat_of(member)) for member in members]
+        )
+        data = encode_frame(digest, 0)
+        for address in self._relay_addresses():
+            self._send(data, address)
+
+    def _relay_addresses(self) -> list[str]:
+        addresses: list[str] = []
+        for zone, nodes in self._known_nodes().items():
+            if zone == self._settings.zone:
+                continue
+            order = rank_owners(f"relay.{zone}.{self._settings.zone}", nodes)
+            addresses += [nodes[node_id] for node_id in order[:RELAYS_PER_ZONE]]
+        return addresses
+
+    def _zone_addresses(self, zone: str) -> list[str]:
+        nodes = self._known_nodes().get(zone, {})
+        return [address for node_id, address in nodes.items() if node_id != self._settings.node_id]
+
+    def _known_nodes(self) -> dict[str, dict[str, str]]:
+        # Zone to node id to address. The machine list may lack nodes that were heard.
+        nodes: dict[str, dict[str, str]] = defaultdict(dict)
+        for machine in self._machines.values():
+            if machine.kind is MachineKind.NODE and not self._is_dead(machine.machine_id):
+                nodes[machine.zone][machine.machine_id] = machine.address
+        for member in self.view.members():
+            nodes[member.zone][member.node_id] = member.peer_address
+        return nodes
+
+    def _is_dead(self, node_id: str) -> bool:
+        member = self.view.get(node_id)
+        # Dead nodes are still told of this one now and then: they may only have been cut off.
+        probing = self._sequence % FULL_SUMMARY_EVERY == 0
+        return member is not None and member.state is NodeState.DEAD and not probing
+
+    def _send(self, data: bytes, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._metrics.control_bytes.labels("sent").inc(len(data))
+        try:
+            self._server.socket.sendto(data, (host, int(port)))
+        except OSError as error:
+            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=repr(error))
+
+    def _receive(self, data: bytes, address: object) -> None:
+        self._metrics.control_bytes.labels("received").inc(len(data))
+        try:
+            message = decode_datagram(data)
+            self._take(message)
+        except FrameError as error:
+            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=str(address), error=str(error))
+
+    def _take(self, message: betterproto.Message) -> None:
+        now = self._clock.monotonic()
+        if isinstance(message, peer.Heartbeat):
+            self._observe(message, now, direct=True)
+        elif isinstance(message, peer.ZoneDigest):
+            for data in message.heartbeats:
+                self._observe(peer.Heartbeat().parse(data), now, direct=False)
+            if not message.relayed:
+                self._relay(message)
+
+    def _observe(self, heartbeat: peer.Heartbeat, now: float, *, direct: bool) -> None:
+        if heartbeat.node_id == self._settings.node_id:
+            return
+        self._publish(self.view.observe(heartbeat, now, direct=direct))
+
+    def _relay(self, digest: peer.ZoneDigest) -> None:
+        digest.relayed = True
+        data = encode_frame(digest, 0)
+        for address in self._zone_addresses(self._settings.zone):
+            self._send(data, address)
+
+    def _publish(self, changes: list[StateChanged]) -> None:
+        for change in changes:
+            self._events.emit(
+                Event.NODE_STATE_CHANGED, peer=change.node_id, state=change.state.value
+            )
+            for listener in self._listeners:
+                listener(change)
+
+
+def _heartbeat_of(member: Member) -> peer.Heartbeat:
+    return peer.Heartbeat(
+        node_id=member.node_id,
+        incarnation=member.incarnation,
+        sequence=member.sequence,
+        zone=member.zone,
+        peer_address=member.peer_address,
+        leaving=member.state is NodeState.LEAVING,
+        configuration_revision=member.configuration_revision,
+        summary_version=member.summary_version,
+        summary=bytes(member.summary),
+    )
--- /dev/null
+++ b/postvalve/node/metrics.py
@@ -0,0 +1,63 @@
+"""Prometheus metrics of a node."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+SECONDS_BUCKETS = (
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.43, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
+)  # fmt: skip
+
+
+class NodeMetrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "postvalve_requests", "Online requests", "tenant", "workload", "outcome"
+        )
+        self.first_token = self._histogram(
+            "postvalve_first_token_seconds", "Arrival to first token", "workload"
+        )
+        self.request_duration = self._histogram(
+            "postvalve_request_seconds", "Arrival to end of the answer", "workload"
+        )
+        self.attempts = self._counter(
+            "postvalve_attempts", "Attempts at engines", "class", "outcome"
+        )
+        self.retries = self._counter("postvalve_retries", "Attempts after the first", "kind")
+        self.crossed_answers = self._counter(
+            "postvalve_crossed_answers", "Answers for another attempt, dropped"
+        )
+        self.preemptions = self._counter(
+            "postvalve_preemptions", "Batch items that gave way to online work"
+        )
+        self.items = self._counter(
+            "postvalve_batch_items", "Batch items that ended", "tenant", "outcome"
+        )
+        self.item_duration = self._histogram(
+            "postvalve_batch_item_seconds", "Dispatch to result of a batch item", "model"
+        )
+        self.items_waiting = Gauge(
+            "postvalve_batch_items_waiting",
+            "Batch items waiting at this holder",
+            ["model"],
+            registry=self.registry,
+        )
+        self.control_bytes = self._counter(
+            "postvalve_control_bytes", "Bytes of heartbeats and digests", "direction"
+        )
+        self.configuration_revision = Gauge(
+            "postvalve_configuration_revision", "Revision in force", registry=self.registry
+        )
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(name, text, labels, buckets=SECONDS_BUCKETS, registry=self.registry)
+
+    def exposition(self) -> bytes:
+        """The metrics in Prometheus' text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/postvalve/node/node.py
@@ -0,0 +1,267 @@
+"""One node: wires the parts together, starts them, drains them."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import betterproto
+import gevent
+from gevent.event import Event as GeventEvent
+
+from postvalve.clock import Clock, SystemClock
+from postvalve.core.configuration.resolution import compiled_selector
+from postvalve.events import Event, EventLog
+from postvalve.messages.generated import peer
+from postvalve.node.background import BackgroundTasks
+from postvalve.node.batch.file_store import FileStore
+from postvalve.node.batch.holder import BatchHolder
+from postvalve.node.batch.job_store import JobStore
+from postvalve.node.batch.runner import BatchRunner
+from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.engine_registry import EngineRegistry
+from postvalve.node.http.application import NodeApplication
+from postvalve.node.http.batches import BatchesEndpoint
+from postvalve.node.http.chat import ChatEndpoint
+from postvalve.node.http.files import FilesEndpoint
+from postvalve.node.http.operations import OperationsEndpoint
+from postvalve.node.http.server import HttpServer
+from postvalve.node.log_writer import LogWriter
+from postvalve.node.membership_service import MembershipService
+from postvalve.node.metrics import NodeMetrics
+from postvalve.node.online import OnlineDispatcher
+from postvalve.node.peer_link import PeerClients, PeerServer
+from postvalve.platform.log import HttpLog
+from postvalve.platform.machines import HttpMachineList
+from postvalve.settings.fleet import FleetConfiguration
+from postvalve.settings.process import NodeSettings
+
+DRAIN_CHECK_INTERVAL = 0.05
+"""Seconds between looks at what is still in progress."""
+NOTICE_TIME = 0.2
+"""Seconds that a drained node still answers, so that peers and callers hear of it."""
+
+
+class Node:
+    """A node process."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._events = EventLog(settings.node_id, settings.zone)
+        self._metrics = NodeMetrics()
+        self._tasks = BackgroundTasks(self._events)
+        self._stopped = GeventEvent()
+        self._draining = False
+        self._build_platform()
+        self._build_batch()
+        self._build_online()
+        self._build_servers()
+        self._membership.provide(self._summary, lambda: self._configuration.revision)
+        self._configuration.listen(self._follow_drains)
+
+    def _build_platform(self) -> None:
+        settings = self._settings
+        self._log = HttpLog(settings.log_url, settings.zone)
+        self._writer = LogWriter(self._log, self._clock)
+        self._peers = PeerClients()
+        self._membership = MembershipService(
+            settings,
+            self._clock,
+            self._events,
+            self._metrics,
+            HttpMachineList(settings.machine_list_url),
+        )
+        self._configuration = ConfigurationService(
+            self._log, self._membership, self._peers, self._events, self._metrics
+        )
+        self._registry = EngineRegistry(
+            settings, self._clock, self._events, self._membership, self._configuration
+        )
+
+    def _build_batch(self) -> None:
+        settings = self._settings
+        self._files = FileStore(self._log, self._writer, self._clock)
+        self._jobs = JobStore(self._log, self._writer, self._clock, settings.shards)
+        self._holder = BatchHolder(
+            settings,
+            self._clock,
+            self._events,
+            self._metrics,
+            self._membership,
+            self._peers,
+            self._log,
+            self._writer,
+            self._jobs,
+        )
+        self._runner = BatchRunner(
+            settings,
+            self._clock,
+            self._events,
+            self._metrics,
+            self._membership,
+            self._registry,
+            self._peers,
+            self._holder,
+        )
+
+    def _build_online(self) -> None:
+        self._dispatcher = OnlineDispatcher(
+            self._settings.node_id,
+            self._settings.zone,
+            self._clock,
+            self._events,
+            self._metrics,
+            self._configuration,
+            self._membership,
+            self._registry,
+            self._peers,
+            random.Random(),
+        )
+
+    def _build_servers(self) -> None:
+        http = self._settings.http
+        application = NodeApplication(
+            http,
+            self._settings.timing,
+            self._events,
+            self._configuration,
+            self,
+            ChatEndpoint(http, self._clock, self._configuration, self._dispatcher),
+            FilesEndpoint(http, self._files, self._jobs),
+            BatchesEndpoint(self._clock, self._configuration, self._files, self._jobs),
+            OperationsEndpoint(self, self._configuration, self._metrics),
+        )
+        self._http_server = HttpServer(self._settings.listen, application, http)
+        self._peer_server = PeerServer(self._settings.peer_listen, self._serve_peer, self._events)
+
+    @property
+    def draining(self) -> bool:
+        """Whether the node takes no new work."""
+        return self._draining
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node serves callers."""
+        return self._configuration.ready
+
+    def run(self) -> None:
+        """Start, and return when the node was drained."""
+        self._peer_server.start()
+        self._membership.start(self._tasks)
+        self._configuration.start(self._tasks)
+        self._registry.start(self._tasks)
+        self._holder.start(self._tasks)
+        self._runner.start(self._tasks)
+        self._http_server.start()
+        self._events.emit(Event.NODE_STARTED, listen=self._settings.listen)
+        self._stopped.wait()
+
+    def drain(self) -> None:
+        """Hand everything over, finish what is in progress, and stop."""
+        if self._draining:
+            return
+        self._draining = True
+        gevent.spawn(self._drain)
+
+    def _drain(self) -> None:
+        self._events.emit(Event.DRAIN_STARTED)
+        self._membership.announce_leaving()
+        self._runner.drain()
+        finished = self._wait_until_idle(self._settings.timing.drain_timeout)
+        self._holder.leases.release_all()
+        self._membership.announce_leaving()
+        gevent.sleep(NOTICE_TIME)
+        self._events.emit(Event.DRAIN_FINISHED if finished else Event.DRAIN_TIMED_OUT)
+        self._stop()
+
+    def _wait_until_idle(self, patience: float) -> bool:
+        deadline = self._clock.monotonic() + patience
+        while self._clock.monotonic() < deadline:
+            if not self._work_in_progress():
+                return True
+            gevent.sleep(DRAIN_CHECK_INTERVAL)
+        return False
+
+    def _work_in_progress(self) -> int:
+        return (
+            self._dispatcher.in_progress + self._runner.in_progress + self._holder.committer.pending
+        )
+
+    def _stop(self) -> None:
+        self._http_server.stop(timeout=NOTICE_TIME)
+        self._tasks.stop()
+        self._peer_server.stop()
+        self._membership.stop()
+        self._peers.close()
+        self._stopped.set()
+
+    def _follow_drains(self, configuration: FleetConfiguration) -> None:
+        labels = {
+            **self._settings.labels,
+            "zone": self._settings.zone,
+            "region": self._settings.region,
+            "kind": "node",
+        }
+        for drain in configuration.drains:
+            if compiled_selector(drain.machines).matches(labels):
+                self.drain()
+
+    def _summary(self) -> peer.NodeSummary:
+        waiting = self._holder.waiting_by_model()
+        return peer.NodeSummary(
+            engines=self._registry.summaries(),
+            shards=self._holder.leases.held_shards(),
+            pending=[
+                peer.PendingBatch(model=model, items=items)
+                for model, items in sorted(waiting.items())
+            ],
+        )
+
+    def _serve_peer(self, message: betterproto.Message) -> betterproto.Message:
+        if isinstance(message, peer.AdmissionRequest):
+            return self._registry.admit_online(message)
+        if isinstance(message, peer.AdmissionRelease):
+            self._registry.release(message.engine_id, message.attempt_id)
+            return peer.Acknowledgement()
+        if isinstance(message, peer.ItemPull):
+            return peer.ItemPullReply(items=self._holder.pull(message))
+        if isinstance(message, peer.ItemReport):
+            return self._holder.report(message)
+        if isinstance(message, peer.JobCancelNotice):
+            self._runner.cancel_job(message.job_id)
+            return peer.Acknowledgement()
+        if isinstance(message, peer.ConfigurationFetch):
+            return self._configuration.answer_fetch()
+        raise TypeError(f"no request of a peer: {type(message).__name__}")
+
+    def status_document(self) -> dict[str, Any]:
+        """See `StatusSource`."""
+        return {
+            "node_id": self._settings.node_id,
+            "zone": self._settings.zone,
+            "draining": self._draining,
+            "configuration_revision": self._configuration.revision,
+            "online_in_progress": self._dispatcher.in_progress,
+            "batch_in_progress": self._runner.in_progress,
+            "shards": self._holder.leases.held_shards(),
+            "nodes": [
+                {
+                    "node_id": member.node_id,
+                    "zone": member.zone,
+                    "state": member.state.value,
+                    "configuration_revision": member.configuration_revision,
+                    "engines": [
+                        {
+                            "engine_id": engine.engine_id,
+                            "online": engine.in_flight_online,
+                            "batch": engine.in_flight_batch,
+                            "slots": engine.slots,
+                            "models": engine.models,
+                        }
+                        for engine in member.summary.engines
+                    ],
+                }
+                for member in self._membership.view.members()
+            ],
+        }
--- /dev/null
+++ b/postvalve/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to what the platform provides: log, machine list, engines."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that start fleets for demonstrations and tests."""
