--- a/postvalve/cli/connection.py
+++ b/postvalve/cli/connection.py
@@ -9,6 +9,7 @@
 from postvalve.clock import SystemClock
 from postvalve.node.batch.job_store import JobStore
 from postvalve.node.configuration_store import ConfigurationStore
+from postvalve.node.context import random_id
 from postvalve.node.log_writer import LogWriter
 from postvalve.platform.log import HttpLog
 
@@ -41,5 +42,5 @@
         raise SystemExit(f"error: give --log-url or set {LOG_URL_VARIABLE}")
     clock = SystemClock()
     log = HttpLog(arguments.log_url, arguments.zone)
-    writer = LogWriter(log, clock)
+    writer = LogWriter(log, clock, random_id)
     return LogAccess(ConfigurationStore(log, writer, clock), JobStore(log, writer, clock, shards))
--- a/postvalve/cli/node.py
+++ b/postvalve/cli/node.py
@@ -11,6 +11,8 @@
 
 from postvalve.cli.output import ExitCode
 from postvalve.events import configure_logging
+from postvalve.node.context import system_context
+from postvalve.node.http.server import HttpServer
 from postvalve.node.node import Node
 from postvalve.settings.process import load_node_settings
 
@@ -25,6 +27,9 @@
     "shards",
 )
 
+STOP_TIME = 1.0
+"""Seconds that connections have to close after the drain."""
+
 EXAMPLES = """examples:
   postvalve node --config node.toml
   postvalve node --config node.toml --check
@@ -61,8 +66,12 @@
         print("the settings are valid")
         return ExitCode.OK
     configure_logging(arguments.log_level)
-    node = Node(settings)
+    node = Node(system_context(settings))
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, node.drain)
-    node.run()
+    server = HttpServer(settings.listen, node.application, settings.http)
+    node.start()
+    server.start()
+    node.wait()
+    server.stop(STOP_TIME)
     return ExitCode.OK
--- /dev/null
+++ b/postvalve/emulator/virtual_engine.py
@@ -0,0 +1,338 @@
+"""Engines under virtual time: the model of `EngineModel`, stepped by the loop's timers."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import gevent
+from gevent.queue import Queue
+from pydantic import ValidationError
+
+from postvalve.emulator.engine_model import (
+    Emission,
+    EngineModel,
+    EngineParameters,
+    LoadReport,
+    StepResult,
+)
+from postvalve.emulator.tokens import (
+    DONE_EVENT,
+    ChatRequest,
+    chunk_event,
+    completion_document,
+    prompt_token_count,
+)
+from postvalve.emulator.virtual_network import Place, VirtualNetwork
+from postvalve.exceptions import AttemptError, EngineRejectedError, PlatformError, Verdict
+from postvalve.platform.engine import CONNECT_TIMEOUT, TOKEN_TIMEOUT, EngineAttempt, EngineLoad
+
+
+@dataclass(frozen=True, slots=True)
+class LaggedLoad:
+    """A load report and when it was taken."""
+
+    taken_at: float
+    report: LoadReport
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """One attempt as the engine saw it, kept for the checks of tests."""
+
+    attempt_id: str
+    client: Place
+    body: bytes
+    resume_offset: int
+    submitted_at: float
+    last_event_at: float = 0.0
+    tokens: int = 0
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Faults on order, each used up by one attempt."""
+
+    cut_after_tokens: deque[int]
+    crossed_answers: int = 0
+    refusals: int = 0
+    silent_attempts: int = 0
+    """Attempts that are taken and never answered."""
+
+
+class VirtualEngine:
+    """One engine of a simulation."""
+
+    def __init__(
+        self,
+        network: VirtualNetwork,
+        place: Place,
+        models: dict[str, str],
+        parameters: EngineParameters,
+        load_lag: float = 0.5,
+    ) -> None:
+        self.network = network
+        self.loop = network.loop
+        self.place = place
+        self.models = models
+        self.model = EngineModel(parameters)
+        self.faults = EngineFaults(deque())
+        self.attempts: list[AttemptRecord] = []
+        self.alive = True
+        self.busy_until = 0.0
+        self._load_lag = load_lag
+        self._reports: deque[LaggedLoad] = deque()
+        self._streams: dict[str, VirtualEngineStream] = {}
+        self._stepping = False
+
+    def submit(self, attempt: EngineAttempt, client: Place) -> VirtualEngineStream:
+        """Take an attempt.
+
+        Raises:
+            AttemptError: refused, so not run.
+            EngineRejectedError: the request is invalid.
+        """
+        try:
+            request = ChatRequest.model_validate_json(attempt.body)
+        except ValidationError as error:
+            raise EngineRejectedError(str(error)) from error
+        if request.model not in self.models:
+            raise AttemptError(f"model {request.model} is not loaded", Verdict.NOT_RUN)
+        if self.faults.refusals > 0:
+            self.faults.refusals -= 1
+            raise AttemptError("refused on order", Verdict.NOT_RUN)
+        version = self.models[request.model]
+        try:
+            self.model.submit(
+                attempt.attempt_id,
+                request,
+                version=version,
+                priority=attempt.priority,
+                cache_salt=attempt.cache_salt,
+                resume_offset=attempt.resume_offset,
+            )
+        except ValueError as error:
+            raise EngineRejectedError(str(error)) from error
+        return self._open_stream(attempt, request, client, version)
+
+    def _open_stream(
+        self, attempt: EngineAttempt, request: ChatRequest, client: Place, version: str
+    ) -> VirtualEngineStream:
+        record = AttemptRecord(
+            attempt.attempt_id, client, attempt.body, attempt.resume_offset, self.loop.now()
+        )
+        self.attempts.append(record)
+        stream = VirtualEngineStream(self, attempt, request, client, record, version)
+        self._streams[attempt.attempt_id] = stream
+        if self.faults.silent_attempts > 0:
+            self.faults.silent_attempts -= 1
+            stream.muted = True
+        elif self.faults.cut_after_tokens:
+            stream.cut_after = self.faults.cut_after_tokens.popleft()
+        self._start_step()
+        return stream
+
+    def _start_step(self) -> None:
+        if self._stepping or self.model.idle or not self.alive:
+            return
+        self._stepping = True
+        result = self.model.step()
+        self._note_load()
+        self.loop.call_for(self.place.owner, result.duration, self._finish_step, result)
+
+    def _finish_step(self, result: StepResult) -> None:
+        self._stepping = False
+        for emission in result.emissions:
+            stream = self._streams.get(emission.attempt_id)
+            if stream is not None:
+                stream.emit(emission)
+                if emission.finished:
+                    del self._streams[emission.attempt_id]
+        self._start_step()
+
+    def cancel(self, attempt_id: str) -> None:
+        """Drop an attempt."""
+        self.model.cancel(attempt_id)
+        self._streams.pop(attempt_id, None)
+
+    def client_gone(self, owner: str) -> None:
+        """Drop the attempts of a client that died."""
+        for attempt_id, stream in list(self._streams.items()):
+            if stream.client.owner == owner:
+                self.cancel(attempt_id)
+
+    def die(self) -> None:
+        """Cut every stream; nothing answers any more."""
+        self.alive = False
+        for stream in self._streams.values():
+            stream.deliver(None)
+        self._streams.clear()
+
+    def _note_load(self) -> None:
+        now = self.loop.now()
+        self._reports.append(LaggedLoad(now, self.model.load()))
+        while len(self._reports) > 1 and self._reports[1].taken_at <= now - self._load_lag:
+            self._reports.popleft()
+
+    def load(self) -> EngineLoad:
+        """The report, as old as the lag."""
+        report = LoadReport(0, 0, self.model.parameters.slots, 0)
+        if self._reports and self._reports[0].taken_at <= self.loop.now() - self._load_lag:
+            report = self._reports[0].report
+        return EngineLoad(report.running, report.waiting, report.slots, dict(self.models))
+
+
+class VirtualEngineStream:
+    """The answer to one attempt."""
+
+    def __init__(
+        self,
+        engine: VirtualEngine,
+        attempt: EngineAttempt,
+        request: ChatRequest,
+        client: Place,
+        record: AttemptRecord,
+        version: str,
+    ) -> None:
+        self.client = client
+        self.model_version = version
+        self.muted = False
+        self.cut_after: int | None = None
+        self._engine = engine
+        self._attempt = attempt
+        self._request = request
+        self._record = record
+        self._queue: Queue = Queue()
+        self._first: Emission | None = None
+        self._ended = False
+
+    # At the engine
+
+    def emit(self, emission: Emission) -> None:
+        """Send a token on its way."""
+        if self.muted:
+            return
+        record = self._record
+        record.tokens += 1
+        record.last_event_at = self._engine.loop.now()
+        record.finished = emission.finished
+        self.deliver(emission)
+        if self.cut_after is not None and record.tokens >= self.cut_after:
+            self.deliver(None)
+            self._engine.cancel(self._attempt.attempt_id)
+
+    def deliver(self, emission: Emission | None) -> None:
+        """Put something before the client; None is the end of the connection."""
+        network = self._engine.network
+        if network.connected(self._engine.place, self.client):
+            delay = network.delay(self._engine.place, self.client)
+            network.loop.call_for(self.client.owner, delay, self._queue.put, emission)
+
+    # At the client
+
+    def wait_for_first(self) -> None:
+        """Wait for the first token, with which the answer's headers come.
+
+        Raises:
+            AttemptError: it did not come.
+        """
+        self._first = self._next()
+
+    def _next(self) -> Emission:
+        try:
+            emission = self._queue.get(timeout=TOKEN_TIMEOUT)
+        except Exception as error:
+            raise AttemptError("the engine is silent", Verdict.MAY_HAVE_RUN) from error
+        if emission is None:
+            self._ended = True
+            raise AttemptError("the engine's stream was cut", Verdict.MAY_HAVE_RUN)
+        assert isinstance(emission, Emission)
+        return emission
+
+    def _emissions(self) -> Iterator[Emission]:
+        while not self._ended:
+            emission = self._first or self._next()
+            self._first = None
+            self._ended = emission.finished
+            yield emission
+
+    def events(self) -> Iterator[bytes]:
+        """See `EngineStream`."""
+        for emission in self._emissions():
+            yield chunk_event(
+                self._attempt.request_id, self._request.model, [emission.text], emission.finished
+            )
+        yield DONE_EVENT
+
+    def whole(self) -> bytes:
+        """See `EngineStream`."""
+        text = "".join(emission.text for emission in self._emissions())
+        return completion_document(
+            self._attempt.request_id,
+            self._request,
+            text,
+            prompt_token_count(self._request.prompt_text),
+            self._request.token_count,
+        )
+
+    def abort(self) -> None:
+        """See `EngineStream`."""
+        self._queue.put(None)
+
+    def close(self) -> None:
+        """See `EngineStream`."""
+        if not self._record.finished:
+            engine = self._engine
+            delay = engine.network.delay(self.client, engine.place)
+            engine.loop.call_for(engine.place.owner, delay, engine.cancel, self._attempt.attempt_id)
+
+
+class VirtualEngineAccess:
+    """One node's connection to an engine."""
+
+    def __init__(self, engine: VirtualEngine, client: Place, address: str) -> None:
+        self.address = address
+        self._engine = engine
+        self._client = client
+
+    def open(self, attempt: EngineAttempt, *, batch: bool) -> VirtualEngineStream:
+        """See `Engine`."""
+        self._travel(AttemptError("the engine refused the connection", Verdict.NOT_RUN))
+        stream = self._engine.submit(attempt, self._client)
+        try:
+            stream.wait_for_first()
+        except BaseException:
+            stream.close()
+            raise
+        if self._engine.faults.crossed_answers > 0:
+            self._engine.faults.crossed_answers -= 1
+            stream.close()
+            raise AttemptError("the engine answered for another attempt", Verdict.MAY_HAVE_RUN)
+        return stream
+
+    def _travel(self, error: AttemptError) -> None:
+        network = self._engine.network
+        if not network.connected(self._client, self._engine.place):
+            gevent.sleep(CONNECT_TIMEOUT)
+            raise error
+        gevent.sleep(network.delay(self._client, self._engine.place))
+        if not self._engine.alive:
+            raise error
+
+    def cancel(self, attempt_id: str) -> None:
+        """See `Engine`."""
+        self._control()
+        self._engine.cancel(attempt_id)
+
+    def load(self) -> EngineLoad:
+        """See `Engine`."""
+        self._control()
+        return self._engine.load()
+
+    def _control(self) -> None:
+        try:
+            self._travel(AttemptError("the engine does not answer", Verdict.NOT_RUN))
+        except AttemptError as error:
+            raise PlatformError(error.message) from error
--- /dev/null
+++ b/postvalve/emulator/virtual_network.py
@@ -0,0 +1,190 @@
+"""The network between nodes under virtual time: delays, cuts, deaths."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import betterproto
+import gevent
+from gevent.event import AsyncResult
+
+from postvalve.emulator.virtual_time import VirtualLoop
+from postvalve.exceptions import PeerUnavailableError, Verdict
+from postvalve.node.peer_link import Channel, PeerHandler
+from postvalve.node.transport import DatagramHandler
+
+LOCAL_DELAY = 0.0003
+"""Seconds one way within a zone."""
+ZONE_DELAY = 0.001
+"""Seconds one way between zones."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where something runs: its owner in the loop, and its zone."""
+
+    owner: str
+    zone: str
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """A node that listens."""
+
+    place: Place
+    handle_request: PeerHandler
+    handle_datagram: DatagramHandler
+
+
+@dataclass(frozen=True, slots=True)
+class PendingCall:
+    """A call whose answer has not come."""
+
+    caller: Place
+    callee: Place
+    result: AsyncResult
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What one owner sent."""
+
+    datagrams: int = 0
+    datagram_bytes: int = 0
+    calls: int = 0
+    call_bytes: int = 0
+
+
+class VirtualNetwork:
+    """Carries messages as bytes, so that the codec is part of every run."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.traffic: dict[str, Traffic] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        self._pending: list[PendingCall] = []
+        self._cuts: set[frozenset[str]] = set()
+
+    def cut(self, first: str, second: str) -> None:
+        """Let nothing pass between two zones or owners."""
+        self._cuts.add(frozenset((first, second)))
+
+    def heal(self, first: str, second: str) -> None:
+        """Let everything pass again."""
+        self._cuts.discard(frozenset((first, second)))
+
+    def connected(self, first: Place, second: Place) -> bool:
+        """Whether messages pass between two places."""
+        if not self._cuts:
+            return True
+        names_first = {first.owner, first.zone}
+        names_second = {second.owner, second.zone}
+        return not any(
+            frozenset((one, other)) in self._cuts for one in names_first for other in names_second
+        )
+
+    def delay(self, first: Place, second: Place) -> float:
+        """Seconds one way."""
+        return LOCAL_DELAY if first.zone == second.zone else ZONE_DELAY
+
+    def listen(self, address: str, endpoint: Endpoint) -> None:
+        """Put a node at an address."""
+        self._endpoints[address] = endpoint
+
+    def close(self, address: str) -> None:
+        """Take a node away; calls to it fail at once."""
+        endpoint = self._endpoints.pop(address, None)
+        if endpoint is None:
+            return
+        for call in [one for one in self._pending if one.callee == endpoint.place]:
+            error = PeerUnavailableError("the connection was reset", Verdict.MAY_HAVE_RUN)
+            self.loop.call_for(call.caller.owner, 0.0, call.result.set_exception, error)
+
+    def _traffic_of(self, place: Place) -> Traffic:
+        return self.traffic.setdefault(place.owner, Traffic())
+
+    def send(self, sender: Place, sender_address: str, address: str, data: bytes) -> None:
+        """Carry a datagram, if nothing is in its way."""
+        traffic = self._traffic_of(sender)
+        traffic.datagrams += 1
+        traffic.datagram_bytes += len(data)
+        endpoint = self._endpoints.get(address)
+        if endpoint is None or not self.connected(sender, endpoint.place):
+            return
+        delay = self.delay(sender, endpoint.place)
+        self.loop.call_for(
+            endpoint.place.owner, delay, endpoint.handle_datagram, data, sender_address
+        )
+
+    def call(
+        self, caller: Place, address: str, message: betterproto.Message, timeout: float
+    ) -> betterproto.Message:
+        """Carry a request and its reply."""
+        traffic = self._traffic_of(caller)
+        traffic.calls += 1
+        data = bytes(message)
+        traffic.call_bytes += len(data)
+        endpoint = self._endpoints.get(address)
+        if endpoint is None:
+            gevent.sleep(ZONE_DELAY)
+            raise PeerUnavailableError("the connection was refused", Verdict.NOT_RUN)
+        pending = PendingCall(caller, endpoint.place, AsyncResult())
+        self._pending.append(pending)
+        if self.connected(caller, endpoint.place):
+            delay = self.delay(caller, endpoint.place)
+            self.loop.call_for(
+                endpoint.place.owner, delay, self._serve, endpoint, pending, type(message), data
+            )
+        try:
+            return pending.result.get(timeout=timeout)
+        except gevent.Timeout:
+            raise PeerUnavailableError("no answer in time", Verdict.MAY_HAVE_RUN) from None
+        finally:
+            self._pending.remove(pending)
+
+    def _serve(
+        self,
+        endpoint: Endpoint,
+        pending: PendingCall,
+        message_type: type[betterproto.Message],
+        data: bytes,
+    ) -> None:
+        gevent.spawn(self._answer, endpoint, pending, message_type().parse(data))
+
+    def _answer(
+        self, endpoint: Endpoint, pending: PendingCall, message: betterproto.Message
+    ) -> None:
+        reply = endpoint.handle_request(message)
+        if not self.connected(endpoint.place, pending.caller):
+            return
+        copied = type(reply)().parse(bytes(reply))
+        delay = self.delay(endpoint.place, pending.caller)
+        self.loop.call_for(pending.caller.owner, delay, pending.result.set, copied)
+
+
+class VirtualTransport:
+    """One node's access to the network."""
+
+    def __init__(self, network: VirtualNetwork, place: Place, address: str) -> None:
+        self._network = network
+        self._place = place
+        self._address = address
+
+    def serve(self, handle_request: PeerHandler, handle_datagram: DatagramHandler) -> None:
+        """See `Transport`."""
+        endpoint = Endpoint(self._place, handle_request, handle_datagram)
+        self._network.listen(self._address, endpoint)
+
+    def call(
+        self, address: str, channel: Channel, message: betterproto.Message, timeout: float
+    ) -> betterproto.Message:
+        """See `Transport`."""
+        return self._network.call(self._place, address, message, timeout)
+
+    def send(self, address: str, data: bytes) -> None:
+        """See `Transport`."""
+        self._network.send(self._place, self._address, address, data)
+
+    def stop(self) -> None:
+        """See `Transport`."""
+        self._network.close(self._address)
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -33,6 +33,7 @@
     MACHINE_LIST_UNAVAILABLE = (402, "warning", "machine list unavailable")
     ENGINE_OWNED = (403, "info", "engine owned by this node")
     ENGINE_DISOWNED = (404, "info", "engine no longer owned by this node")
+    PEER_UNREACHABLE = (406, "warning", "datagram could not be sent to a peer")
     ENGINE_UNREACHABLE = (405, "warning", "engine unreachable")
     SHARD_LEASED = (500, "info", "shard leased by this node")
     SHARD_LOST = (501, "warning", "shard no longer leased by this node")
--- a/postvalve/node/batch/file_store.py
+++ b/postvalve/node/batch/file_store.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import hashlib
-import uuid
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from postvalve.clock import Clock, milliseconds
+from postvalve.clock import milliseconds
 from postvalve.core.batch.identity import file_stream, tenant_stream
 from postvalve.exceptions import InvalidRequestError, NotFoundError, RequestTooLargeError
 from postvalve.messages.generated import records
 from postvalve.messages.records_codec import parse_record
 from postvalve.node.batch.input_lines import CHAT_ENDPOINT, MAX_LINE_BYTES, InputChecker
+from postvalve.node.context import NodeContext
 from postvalve.node.log_writer import LogWriter
-from postvalve.platform.log import LogService, read_all
+from postvalve.platform.log import read_all
 
 CHUNK_BYTES = 1024 * 1024
 """Bytes after which a chunk of whole lines is appended."""
@@ -125,15 +125,16 @@
 class FileStore:
     """Files by id."""
 
-    def __init__(self, log: LogService, writer: LogWriter, clock: Clock) -> None:
-        self._log = log
-        self._writer = writer
-        self._clock = clock
+    def __init__(self, context: NodeContext) -> None:
+        self._log = context.log
+        self._writer = context.writer
+        self._clock = context.clock
+        self._new_id = context.new_id
         self._descriptions: OrderedDict[str, FileDescription] = OrderedDict()
 
     def begin(self, max_bytes: int, max_items: int) -> tuple[str, FileUpload]:
         """Start an upload; returns the file's id and where its bytes go."""
-        file_id = f"file-{uuid.uuid4().hex}"
+        file_id = f"file-{self._new_id()}"
         return file_id, FileUpload(self._writer, file_id, max_bytes, max_items)
 
     def seal(self, file_id: str, tenant: str, filename: str, upload: FileUpload) -> FileDescription:
--- a/postvalve/node/batch/holder.py
+++ b/postvalve/node/batch/holder.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import uuid
-
 import gevent
 
-from postvalve.clock import Clock, milliseconds
+from postvalve.clock import milliseconds
 from postvalve.core.batch.identity import job_stream, shard_of
 from postvalve.core.batch.job_ledger import JobLedger, is_success
 from postvalve.core.batch.scheduler import (
@@ -16,7 +14,7 @@
     ScheduledJob,
 )
 from postvalve.core.membership.view import StateChanged
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import LogUnavailableError, PeerUnavailableError, PostvalveError
 from postvalve.messages.generated import peer, records
 from postvalve.node.background import BackgroundTasks
@@ -24,12 +22,9 @@
 from postvalve.node.batch.job_store import JobStore
 from postvalve.node.batch.result_committer import ResultCommitter
 from postvalve.node.batch.shard_leases import ShardLeases
-from postvalve.node.log_writer import LogWriter
+from postvalve.node.context import NodeContext
 from postvalve.node.membership_service import MembershipService
-from postvalve.node.metrics import NodeMetrics
-from postvalve.node.peer_link import Channel, PeerClients
-from postvalve.platform.log import LogService
-from postvalve.settings.process import NodeSettings
+from postvalve.node.peer_link import Channel
 from postvalve.states import JobState, NodeState
 
 MAX_PULL = 64
@@ -47,32 +42,24 @@
     """The jobs that this node holds."""
 
     def __init__(
-        self,
-        settings: NodeSettings,
-        clock: Clock,
-        events: EventLog,
-        metrics: NodeMetrics,
-        membership: MembershipService,
-        peers: PeerClients,
-        log: LogService,
-        writer: LogWriter,
-        store: JobStore,
+        self, context: NodeContext, membership: MembershipService, store: JobStore
     ) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
+        self._metrics = context.metrics
+        self._transport = context.transport
+        self._writer = context.writer
+        self._new_id = context.new_id
         self._membership = membership
-        self._peers = peers
-        self._writer = writer
         self._store = store
         self._scheduler = BatchScheduler()
-        self._bodies = ItemBodies(log)
+        self._bodies = ItemBodies(context.log)
         self._custom_ids: dict[ItemKey, str] = {}
         self._loading: set[str] = set()
         self._closing: set[str] = set()
-        self.committer = ResultCommitter(writer, events, self._committed)
-        self.leases = ShardLeases(settings, clock, events, membership, log, writer, self)
+        self.committer = ResultCommitter(context.writer, context.events, self._committed)
+        self.leases = ShardLeases(context, membership, self)
         membership.listen(self._node_changed)
 
     def start(self, tasks: BackgroundTasks) -> None:
@@ -162,7 +149,7 @@
             self._scheduler.give_back(key)
             return None
         submission = job.ledger.accepted
-        attempt_id = uuid.uuid4().hex
+        attempt_id = self._new_id()
         item = self._bodies.get(submission.input_file_id, key.item_index)
         if submission.at_most_once and not self._start_once(job, key, attempt_id):
             self._scheduler.give_back(key)
@@ -355,7 +342,7 @@
         notice = peer.JobCancelNotice(job_id=job_id)
         for attempt in range(NOTICE_ATTEMPTS):
             try:
-                self._peers.call(address, Channel.BATCH, notice, NOTICE_TIMEOUT)
+                self._transport.call(address, Channel.BATCH, notice, NOTICE_TIMEOUT)
                 return
             except PeerUnavailableError:
                 gevent.sleep(NOTICE_TIMEOUT * 2**attempt)
--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -7,10 +7,9 @@
 
 import gevent
 
-from postvalve.clock import Clock
 from postvalve.core.batch.identity import shard_of
 from postvalve.core.routing.prefix import cache_salt
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import (
     AttemptError,
     EngineRejectedError,
@@ -22,13 +21,12 @@
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.batch.completion import join_events
 from postvalve.node.batch.holder import BatchHolder
+from postvalve.node.context import NodeContext
 from postvalve.node.engine_registry import EngineRegistry, OwnedEngine
 from postvalve.node.membership_service import MembershipService
-from postvalve.node.metrics import NodeMetrics
 from postvalve.node.online import ONLINE_PRIORITY
-from postvalve.node.peer_link import Channel, PeerClients
+from postvalve.node.peer_link import Channel
 from postvalve.platform.engine import EngineAttempt, EngineStream
-from postvalve.settings.process import NodeSettings
 from postvalve.states import TrafficClass
 
 PULL_TIMEOUT = 5.0
@@ -66,22 +64,18 @@
 
     def __init__(
         self,
-        settings: NodeSettings,
-        clock: Clock,
-        events: EventLog,
-        metrics: NodeMetrics,
+        context: NodeContext,
         membership: MembershipService,
         registry: EngineRegistry,
-        peers: PeerClients,
         holder: BatchHolder,
     ) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
+        self._metrics = context.metrics
+        self._transport = context.transport
         self._membership = membership
         self._registry = registry
-        self._peers = peers
         self._holder = holder
         self._running: dict[str, RunningItem] = {}
         self._paused: dict[str, list[RunningItem]] = {}
@@ -176,7 +170,7 @@
         if not address:
             return self._holder.pull(request)
         try:
-            reply = self._peers.call(address, Channel.BATCH, request, PULL_TIMEOUT)
+            reply = self._transport.call(address, Channel.BATCH, request, PULL_TIMEOUT)
         except PeerUnavailableError:
             return []
         return reply.items if isinstance(reply, peer.ItemPullReply) else []
@@ -294,7 +288,9 @@
             if member.node_id == self._settings.node_id:
                 continue
             try:
-                reply = self._peers.call(member.peer_address, Channel.BATCH, report, REPORT_TIMEOUT)
+                reply = self._transport.call(
+                    member.peer_address, Channel.BATCH, report, REPORT_TIMEOUT
+                )
             except PeerUnavailableError:
                 continue
             if isinstance(reply, peer.ItemReportReply) and reply.accepted:
--- a/postvalve/node/batch/shard_leases.py
+++ b/postvalve/node/batch/shard_leases.py
@@ -7,7 +7,6 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
-from postvalve.clock import Clock
 from postvalve.core.batch.identity import shard_stream
 from postvalve.core.batch.lease import LeaseStep, LeaseTiming
 from postvalve.core.batch.shard_state import (
@@ -18,16 +17,15 @@
     ShardState,
 )
 from postvalve.core.membership.ownership import rank_owners
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import LogUnavailableError
 from postvalve.messages.framing import FrameError
 from postvalve.messages.generated import records
 from postvalve.messages.records_codec import parse_record
 from postvalve.node.background import BackgroundTasks
-from postvalve.node.log_writer import LogWriter
+from postvalve.node.context import NodeContext
 from postvalve.node.membership_service import MembershipService
-from postvalve.platform.log import LogEntry, LogService
-from postvalve.settings.process import NodeSettings
+from postvalve.platform.log import LogEntry
 from postvalve.states import LeaseState, NodeState
 
 FOLLOW_WAIT = 5.0
@@ -72,26 +70,19 @@
     """The shards of this node."""
 
     def __init__(
-        self,
-        settings: NodeSettings,
-        clock: Clock,
-        events: EventLog,
-        membership: MembershipService,
-        log: LogService,
-        writer: LogWriter,
-        listener: ShardListener,
+        self, context: NodeContext, membership: MembershipService, listener: ShardListener
     ) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._events = events
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
+        self._log = context.log
+        self._writer = context.writer
         self._membership = membership
-        self._log = log
-        self._writer = writer
         self._listener = listener
         self._followers: dict[int, _Follower] = {}
         self._releasing = False
-        self._started_at = clock.monotonic()
-        timing = settings.timing
+        self._started_at = self._clock.monotonic()
+        timing = self._settings.timing
         self._timing = LeaseTiming(timing.lease_duration, timing.lease_renewal)
 
     def start(self, tasks: BackgroundTasks) -> None:
--- a/postvalve/node/configuration_service.py
+++ b/postvalve/node/configuration_service.py
@@ -13,14 +13,13 @@
     ConfigurationHistory,
     Revision,
 )
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import LogUnavailableError, NotReadyError, PeerUnavailableError
 from postvalve.messages.generated import peer, records
 from postvalve.node.background import BackgroundTasks
+from postvalve.node.context import NodeContext
 from postvalve.node.membership_service import MembershipService
-from postvalve.node.metrics import NodeMetrics
-from postvalve.node.peer_link import Channel, PeerClients
-from postvalve.platform.log import LogService
+from postvalve.node.peer_link import Channel
 from postvalve.settings.fleet import FleetConfiguration, parse_fleet_configuration
 from postvalve.settings.validation import InvalidSettingsGroup
 
@@ -39,19 +38,12 @@
 class ConfigurationService:
     """The configuration in force at this node. It only moves forward."""
 
-    def __init__(
-        self,
-        log: LogService,
-        membership: MembershipService,
-        peers: PeerClients,
-        events: EventLog,
-        metrics: NodeMetrics,
-    ) -> None:
-        self._log = log
+    def __init__(self, context: NodeContext, membership: MembershipService) -> None:
+        self._log = context.log
+        self._transport = context.transport
+        self._events = context.events
+        self._metrics = context.metrics
         self._membership = membership
-        self._peers = peers
-        self._events = events
-        self._metrics = metrics
         self._history = ConfigurationHistory()
         self._offset = 0
         self._current: FleetConfiguration | None = None
@@ -146,7 +138,9 @@
         newest = max(ahead, key=lambda member: member.configuration_revision)
         fetch = peer.ConfigurationFetch(known_revision=max(0, self.revision))
         try:
-            reply = self._peers.call(newest.peer_address, Channel.ADMISSION, fetch, PEER_TIMEOUT)
+            reply = self._transport.call(
+                newest.peer_address, Channel.ADMISSION, fetch, PEER_TIMEOUT
+            )
         except PeerUnavailableError:
             return
         if isinstance(reply, peer.ConfigurationReply) and reply.document:
--- a/postvalve/node/configuration_store.py
+++ b/postvalve/node/configuration_store.py
@@ -15,7 +15,7 @@
 from postvalve.exceptions import RevisionConflictError
 from postvalve.messages.generated import records
 from postvalve.messages.records_codec import parse_record
-from postvalve.node.log_writer import LogWriter, new_record_id
+from postvalve.node.log_writer import LogWriter
 from postvalve.platform.log import LogService, read_all
 from postvalve.settings.fleet import FleetConfiguration, parse_fleet_configuration
 
@@ -96,7 +96,7 @@
             document=configuration.model_dump_json().encode("utf-8"),
             written_at_ms=milliseconds(self._clock.wall()),
         )
-        record = records.Record(record_id=new_record_id(), configuration_change=change)
+        record = records.Record(configuration_change=change)
         self._writer.append(CONFIGURATION_STREAM, record)
         return self._decided(record.record_id, base_revision)
 
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from postvalve.clock import Clock, milliseconds
+from postvalve.clock import milliseconds
 from postvalve.core.admission.engine_slots import EngineSlots
 from postvalve.core.configuration.resolution import (
     compiled_selector,
@@ -15,16 +15,16 @@
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.membership.view import StateChanged
 from postvalve.core.routing.router import EngineCandidate
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import PlatformError
 from postvalve.messages.generated import peer
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.context import NodeContext
 from postvalve.node.membership_service import MembershipService
-from postvalve.platform.engine import EngineConnection, EngineLoad
+from postvalve.platform.engine import Engine, EngineLoad
 from postvalve.platform.machines import Machine
 from postvalve.settings.fleet import PoolSpec, TenantSpec
-from postvalve.settings.process import NodeSettings
 from postvalve.states import MachineState, NodeState
 
 OWNERSHIP_INTERVAL = 0.5
@@ -40,7 +40,7 @@
     """An engine that this node admits work to."""
 
     machine: Machine
-    connection: EngineConnection
+    connection: Engine
     slots: EngineSlots
     load: EngineLoad
     failed_reads: int = 0
@@ -58,18 +58,17 @@
 
     def __init__(
         self,
-        settings: NodeSettings,
-        clock: Clock,
-        events: EventLog,
+        context: NodeContext,
         membership: MembershipService,
         configuration: ConfigurationService,
     ) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._events = events
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
+        self._connect = context.connect_engine
         self._membership = membership
         self._configuration = configuration
-        self._connections: dict[str, EngineConnection] = {}
+        self._connections: dict[str, Engine] = {}
         self._owned: dict[str, OwnedEngine] = {}
         self._machines: dict[str, Machine] = {}
         self._preemption_listeners: list[PreemptionListener] = []
@@ -165,11 +164,11 @@
                 engine.slots.release_gateway(change.node_id, now)
         self.refresh()
 
-    def connection(self, machine: Machine) -> EngineConnection:
+    def connection(self, machine: Machine) -> Engine:
         """Connections to an engine."""
         known = self._connections.get(machine.machine_id)
         if known is None or known.address != machine.address:
-            known = self._connections[machine.machine_id] = EngineConnection(machine.address)
+            known = self._connections[machine.machine_id] = self._connect(machine.address)
         return known
 
     def machine(self, engine_id: str) -> Machine | None:
--- a/postvalve/node/http/application.py
+++ b/postvalve/node/http/application.py
@@ -14,7 +14,7 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import (
     DrainingError,
     InvalidRequestError,
@@ -26,13 +26,13 @@
     Verdict,
 )
 from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.context import NodeContext
 from postvalve.node.http.authentication import authenticate_tenant
 from postvalve.node.http.batches import BatchesEndpoint
 from postvalve.node.http.chat import ChatEndpoint
 from postvalve.node.http.errors import error_response
 from postvalve.node.http.files import FilesEndpoint
 from postvalve.node.http.operations import OperationsEndpoint, StatusSource
-from postvalve.settings.process import HttpSettings, TimingSettings
 
 DRAINING_RETRY_AFTER = 1.0
 """Seconds told to a caller of a draining node; another node takes the request at once."""
@@ -52,9 +52,7 @@
 
     def __init__(
         self,
-        http: HttpSettings,
-        timing: TimingSettings,
-        events: EventLog,
+        context: NodeContext,
         configuration: ConfigurationService,
         node: StatusSource,
         chat: ChatEndpoint,
@@ -62,9 +60,9 @@
         batches: BatchesEndpoint,
         operations: OperationsEndpoint,
     ) -> None:
-        self._http = http
-        self._timing = timing
-        self._events = events
+        self._http = context.settings.http
+        self._timing = context.settings.timing
+        self._events = context.events
         self._configuration = configuration
         self._node = node
         self._open_routes: dict[str, OpenHandler] = {
--- a/postvalve/node/http/batches.py
+++ b/postvalve/node/http/batches.py
@@ -5,13 +5,12 @@
 import hashlib
 import json
 import re
-import uuid
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from werkzeug.wrappers import Request, Response
 
-from postvalve.clock import Clock, milliseconds
+from postvalve.clock import milliseconds
 from postvalve.core.batch.identity import error_file_id, job_id_for, output_file_id
 from postvalve.core.batch.job_ledger import JobLedger
 from postvalve.core.configuration.resolution import resolve_workload
@@ -20,6 +19,7 @@
 from postvalve.node.batch.file_store import FileDescription, FileStore
 from postvalve.node.batch.job_store import JobStore
 from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.context import NodeContext
 from postvalve.node.http.headers import (
     at_most_once,
     deadline_seconds,
@@ -55,12 +55,13 @@
 
     def __init__(
         self,
-        clock: Clock,
+        context: NodeContext,
         configuration: ConfigurationService,
         files: FileStore,
         jobs: JobStore,
     ) -> None:
-        self._clock = clock
+        self._clock = context.clock
+        self._new_id = context.new_id
         self._configuration = configuration
         self._files = files
         self._jobs = jobs
@@ -77,7 +78,7 @@
         allowed = deadline_seconds(request) or _window_seconds(body.completion_window)
         once = at_most_once(request)
         submission = records.JobSubmitted(
-            job_id=job_id_for(tenant.name, idempotency_key(request) or uuid.uuid4().hex),
+            job_id=job_id_for(tenant.name, idempotency_key(request) or self._new_id()),
             tenant=tenant.name,
             workload=workload.name,
             rank=workload.rank,
--- a/postvalve/node/http/chat.py
+++ b/postvalve/node/http/chat.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
-import uuid
-
 from werkzeug.wrappers import Request, Response
 
-from postvalve.clock import Clock
 from postvalve.core.configuration.resolution import resolve_workload
 from postvalve.core.routing.prefix import cache_salt, prefix_key
 from postvalve.exceptions import NotFoundError, Verdict
 from postvalve.node.batch.input_lines import ChatCompletionBody, check_chat_body
 from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.context import NodeContext
 from postvalve.node.http.errors import VERDICT_HEADER
 from postvalve.node.http.headers import at_most_once, deadline_seconds, workload_name
 from postvalve.node.http.json_answers import json_response
 from postvalve.node.online import OnlineDispatcher, OnlineRequest
 from postvalve.platform.engine import REQUEST_HEADER
 from postvalve.settings.fleet import TenantSpec
-from postvalve.settings.process import HttpSettings
 from postvalve.states import TrafficClass
 
 
@@ -27,13 +24,13 @@
 
     def __init__(
         self,
-        settings: HttpSettings,
-        clock: Clock,
+        context: NodeContext,
         configuration: ConfigurationService,
         dispatcher: OnlineDispatcher,
     ) -> None:
-        self._settings = settings
-        self._clock = clock
+        self._settings = context.settings.http
+        self._clock = context.clock
+        self._new_id = context.new_id
         self._configuration = configuration
         self._dispatcher = dispatcher
 
@@ -69,7 +66,7 @@
         )
         allowed = deadline_seconds(request) or self._settings.request_timeout
         return OnlineRequest(
-            request_id=f"chatcmpl-{uuid.uuid4().hex}",
+            request_id=f"chatcmpl-{self._new_id()}",
             tenant=tenant,
             workload=workload,
             model=body.model,
--- a/postvalve/node/log_writer.py
+++ b/postvalve/node/log_writer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
 from collections.abc import Callable
 
 import gevent
@@ -19,20 +18,13 @@
 """Seconds that an append is repeated for a caller who waits."""
 
 
-def new_record_id() -> str:
-    """An id that readers drop repeats by."""
-    return uuid.uuid4().hex
-
-
 class LogWriter:
     """Appends records to the log."""
 
-    def __init__(
-        self, log: LogService, clock: Clock, pause: Callable[[float], None] = gevent.sleep
-    ) -> None:
+    def __init__(self, log: LogService, clock: Clock, new_id: Callable[[], str]) -> None:
         self._log = log
         self._clock = clock
-        self._pause = pause
+        self._new_id = new_id
 
     def append(
         self, stream: str, record: records.Record, patience: float = DEFAULT_PATIENCE
@@ -44,7 +36,8 @@
                 may have taken effect.
         """
         if not record.record_id:
-            record.record_id = new_record_id()
+            # Readers drop repeats by this id.
+            record.record_id = self._new_id()
         payload = bytes(record)
         deadline = self._clock.monotonic() + patience
         verdict = Verdict.NOT_RUN
@@ -57,5 +50,5 @@
                     verdict = error.verdict
                 if self._clock.monotonic() + pause >= deadline:
                     raise LogUnavailableError(error.message, verdict) from error
-            self._pause(pause)
+            gevent.sleep(pause)
             pause = min(MAX_REPEAT_PAUSE, pause * 2)
--- a/postvalve/node/membership_service.py
+++ b/postvalve/node/membership_service.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable
 
 import betterproto
-from gevent.server import DatagramServer
 
-from postvalve.clock import Clock
+from postvalve.clock import milliseconds
 from postvalve.core.membership.ownership import rank_owners
 from postvalve.core.membership.view import (
     Member,
@@ -16,14 +15,13 @@
     MembershipView,
     StateChanged,
 )
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import PlatformError
 from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
 from postvalve.messages.generated import peer
 from postvalve.node.background import BackgroundTasks
-from postvalve.node.metrics import NodeMetrics
-from postvalve.platform.machines import Machine, MachineList
-from postvalve.settings.process import NodeSettings
+from postvalve.node.context import NodeContext
+from postvalve.platform.machines import Machine
 from postvalve.states import MachineKind, MachineState, NodeState
 
 FULL_SUMMARY_EVERY = 5
@@ -37,22 +35,16 @@
 class MembershipService:
     """This node's part in membership."""
 
-    def __init__(
-        self,
-        settings: NodeSettings,
-        clock: Clock,
-        events: EventLog,
-        metrics: NodeMetrics,
-        machine_list: MachineList,
-    ) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
-        self._machine_list = machine_list
-        timing = settings.timing
+    def __init__(self, context: NodeContext) -> None:
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
+        self._metrics = context.metrics
+        self._machine_list = context.machine_list
+        self._transport = context.transport
+        timing = self._settings.timing
         self.view = MembershipView(MembershipTiming(timing.dead_after, timing.digest_interval))
-        self.incarnation = int(clock.wall() * 1000)
+        self.incarnation = milliseconds(self._clock.wall())
         self.leaving = False
         self._sequence = 0
         self._summary = b""
@@ -62,8 +54,6 @@
         self._listeners: list[ChangeListener] = []
         self._summary_provider: Callable[[], peer.NodeSummary] = peer.NodeSummary
         self._revision_provider: Callable[[], int] = lambda: -1
-        host, _, port = settings.peer_listen.rpartition(":")
-        self._server = DatagramServer((host, int(port)), self._receive)
 
     def provide(self, summary: Callable[[], peer.NodeSummary], revision: Callable[[], int]) -> None:
         """Set what heartbeats tell of this node."""
@@ -77,15 +67,10 @@
     def start(self, tasks: BackgroundTasks) -> None:
         """Start to send and receive."""
         timing = self._settings.timing
-        self._server.start()
         tasks.every(timing.machine_list_interval, self.read_machine_list)
         tasks.every(timing.heartbeat_interval, self.beat)
         tasks.every(timing.digest_interval, self.send_digest)
 
-    def stop(self) -> None:
-        """Stop to receive."""
-        self._server.stop(timeout=1)
-
     def engines(self) -> list[Machine]:
         """Engines of the machine list, leaving ones included."""
         return [one for one in self._machines.values() if one.kind is MachineKind.ENGINE]
@@ -197,20 +182,17 @@
         return member is not None and member.state is NodeState.DEAD and not probing
 
     def _send(self, data: bytes, address: str) -> None:
-        host, _, port = address.rpartition(":")
         self._metrics.control_bytes.labels("sent").inc(len(data))
-        try:
-            self._server.socket.sendto(data, (host, int(port)))
-        except OSError as error:
-            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=repr(error))
+        self._transport.send(address, data)
 
-    def _receive(self, data: bytes, address: object) -> None:
+    def receive(self, data: bytes, address: str) -> None:
+        """Take a datagram of a peer."""
         self._metrics.control_bytes.labels("received").inc(len(data))
         try:
             message = decode_datagram(data)
             self._take(message)
         except FrameError as error:
-            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=str(address), error=str(error))
+            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(error))
 
     def _take(self, message: betterproto.Message) -> None:
         now = self._clock.monotonic()
--- a/postvalve/node/node.py
+++ b/postvalve/node/node.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 import betterproto
 import gevent
 from gevent.event import Event as GeventEvent
 
-from postvalve.clock import Clock, SystemClock
 from postvalve.core.configuration.resolution import compiled_selector
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.messages.generated import peer
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.batch.file_store import FileStore
@@ -19,22 +17,16 @@
 from postvalve.node.batch.job_store import JobStore
 from postvalve.node.batch.runner import BatchRunner
 from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.context import NodeContext
 from postvalve.node.engine_registry import EngineRegistry
 from postvalve.node.http.application import NodeApplication
 from postvalve.node.http.batches import BatchesEndpoint
 from postvalve.node.http.chat import ChatEndpoint
 from postvalve.node.http.files import FilesEndpoint
 from postvalve.node.http.operations import OperationsEndpoint
-from postvalve.node.http.server import HttpServer
-from postvalve.node.log_writer import LogWriter
 from postvalve.node.membership_service import MembershipService
-from postvalve.node.metrics import NodeMetrics
 from postvalve.node.online import OnlineDispatcher
-from postvalve.node.peer_link import PeerClients, PeerServer
-from postvalve.platform.log import HttpLog
-from postvalve.platform.machines import HttpMachineList
 from postvalve.settings.fleet import FleetConfiguration
-from postvalve.settings.process import NodeSettings
 
 DRAIN_CHECK_INTERVAL = 0.05
 """Seconds between looks at what is still in progress."""
@@ -45,95 +37,39 @@
 class Node:
     """A node process."""
 
-    def __init__(self, settings: NodeSettings, clock: Clock | None = None) -> None:
-        self._settings = settings
-        self._clock = clock or SystemClock()
-        self._events = EventLog(settings.node_id, settings.zone)
-        self._metrics = NodeMetrics()
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
         self._tasks = BackgroundTasks(self._events)
         self._stopped = GeventEvent()
         self._draining = False
-        self._build_platform()
-        self._build_batch()
-        self._build_online()
-        self._build_servers()
-        self._membership.provide(self._summary, lambda: self._configuration.revision)
-        self._configuration.listen(self._follow_drains)
-
-    def _build_platform(self) -> None:
-        settings = self._settings
-        self._log = HttpLog(settings.log_url, settings.zone)
-        self._writer = LogWriter(self._log, self._clock)
-        self._peers = PeerClients()
-        self._membership = MembershipService(
-            settings,
-            self._clock,
-            self._events,
-            self._metrics,
-            HttpMachineList(settings.machine_list_url),
-        )
-        self._configuration = ConfigurationService(
-            self._log, self._membership, self._peers, self._events, self._metrics
-        )
-        self._registry = EngineRegistry(
-            settings, self._clock, self._events, self._membership, self._configuration
-        )
-
-    def _build_batch(self) -> None:
-        settings = self._settings
-        self._files = FileStore(self._log, self._writer, self._clock)
-        self._jobs = JobStore(self._log, self._writer, self._clock, settings.shards)
-        self._holder = BatchHolder(
-            settings,
-            self._clock,
-            self._events,
-            self._metrics,
-            self._membership,
-            self._peers,
-            self._log,
-            self._writer,
-            self._jobs,
-        )
-        self._runner = BatchRunner(
-            settings,
-            self._clock,
-            self._events,
-            self._metrics,
-            self._membership,
-            self._registry,
-            self._peers,
-            self._holder,
-        )
-
-    def _build_online(self) -> None:
+        self._membership = MembershipService(context)
+        self._configuration = ConfigurationService(context, self._membership)
+        self._registry = EngineRegistry(context, self._membership, self._configuration)
+        self._files = FileStore(context)
+        self._jobs = JobStore(context.log, context.writer, self._clock, self._settings.shards)
+        self._holder = BatchHolder(context, self._membership, self._jobs)
+        self._runner = BatchRunner(context, self._membership, self._registry, self._holder)
         self._dispatcher = OnlineDispatcher(
-            self._settings.node_id,
-            self._settings.zone,
-            self._clock,
-            self._events,
-            self._metrics,
-            self._configuration,
-            self._membership,
-            self._registry,
-            self._peers,
-            random.Random(),
+            context, self._configuration, self._membership, self._registry
         )
+        self.application = self._build_application()
+        self._membership.provide(self._summary, lambda: self._configuration.revision)
+        self._configuration.listen(self._follow_drains)
 
-    def _build_servers(self) -> None:
-        http = self._settings.http
-        application = NodeApplication(
-            http,
-            self._settings.timing,
-            self._events,
+    def _build_application(self) -> NodeApplication:
+        context = self._context
+        return NodeApplication(
+            context,
             self._configuration,
             self,
-            ChatEndpoint(http, self._clock, self._configuration, self._dispatcher),
-            FilesEndpoint(http, self._files, self._jobs),
-            BatchesEndpoint(self._clock, self._configuration, self._files, self._jobs),
-            OperationsEndpoint(self, self._configuration, self._metrics),
+            ChatEndpoint(context, self._configuration, self._dispatcher),
+            FilesEndpoint(self._settings.http, self._files, self._jobs),
+            BatchesEndpoint(context, self._configuration, self._files, self._jobs),
+            OperationsEndpoint(self, self._configuration, context.metrics),
         )
-        self._http_server = HttpServer(self._settings.listen, application, http)
-        self._peer_server = PeerServer(self._settings.peer_listen, self._serve_peer, self._events)
 
     @property
     def draining(self) -> bool:
@@ -145,16 +81,18 @@
         """Whether the node serves callers."""
         return self._configuration.ready
 
-    def run(self) -> None:
-        """Start, and return when the node was drained."""
-        self._peer_server.start()
+    def start(self) -> None:
+        """Start everything but the callers' HTTP server."""
+        self._context.transport.serve(self._serve_peer, self._membership.receive)
         self._membership.start(self._tasks)
         self._configuration.start(self._tasks)
         self._registry.start(self._tasks)
         self._holder.start(self._tasks)
         self._runner.start(self._tasks)
-        self._http_server.start()
         self._events.emit(Event.NODE_STARTED, listen=self._settings.listen)
+
+    def wait(self) -> None:
+        """Return when the node was drained."""
         self._stopped.wait()
 
     def drain(self) -> None:
@@ -189,11 +127,8 @@
         )
 
     def _stop(self) -> None:
-        self._http_server.stop(timeout=NOTICE_TIME)
         self._tasks.stop()
-        self._peer_server.stop()
-        self._membership.stop()
-        self._peers.close()
+        self._context.transport.stop()
         self._stopped.set()
 
     def _follow_drains(self, configuration: FleetConfiguration) -> None:
--- a/postvalve/node/online.py
+++ b/postvalve/node/online.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import json
-import random
-import uuid
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 import gevent
 
-from postvalve.clock import Clock
 from postvalve.core.admission.tenant_limits import LimitKey, TenantLimiter
 from postvalve.core.configuration.resolution import matching_limits
 from postvalve.core.routing.retry import RetryBudget, backoff, may_repeat
 from postvalve.core.routing.router import EngineCandidate, Router
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.exceptions import (
     AttemptError,
     DeadlineExceededError,
@@ -26,10 +23,10 @@
 )
 from postvalve.messages.generated import peer
 from postvalve.node.configuration_service import ConfigurationService
+from postvalve.node.context import NodeContext
 from postvalve.node.engine_registry import EngineRegistry
 from postvalve.node.membership_service import MembershipService
-from postvalve.node.metrics import NodeMetrics
-from postvalve.node.peer_link import Channel, PeerClients
+from postvalve.node.peer_link import Channel
 from postvalve.platform.engine import EngineAttempt, EngineStream
 from postvalve.settings.fleet import TenantSpec, WorkloadSpec
 from postvalve.states import TrafficClass
@@ -93,27 +90,22 @@
 
     def __init__(
         self,
-        node_id: str,
-        zone: str,
-        clock: Clock,
-        events: EventLog,
-        metrics: NodeMetrics,
+        context: NodeContext,
         configuration: ConfigurationService,
         membership: MembershipService,
         registry: EngineRegistry,
-        peers: PeerClients,
-        generator: random.Random,
     ) -> None:
-        self._node_id = node_id
-        self._clock = clock
-        self._events = events
-        self._metrics = metrics
+        self._node_id = context.settings.node_id
+        self._clock = context.clock
+        self._events = context.events
+        self._metrics = context.metrics
+        self._transport = context.transport
+        self._new_id = context.new_id
         self._configuration = configuration
         self._membership = membership
         self._registry = registry
-        self._peers = peers
-        self._random = generator
-        self._router = Router(zone, generator)
+        self._random = context.generator
+        self._router = Router(context.settings.zone, context.generator)
         self._limiter = TenantLimiter()
         self._budget = RetryBudget()
         self.in_progress = 0
@@ -152,7 +144,7 @@
         retry_after = OVERLOAD_RETRY_AFTER
         order = self._router.order(candidates, request.prefix_key)
         for candidate in order[:MAX_ADMISSION_ROUNDS]:
-            admission = _Admission(uuid.uuid4().hex, candidate)
+            admission = _Admission(self._new_id(), candidate)
             reply = self._ask_owner(request, admission)
             if reply.outcome == peer.AdmissionOutcome.ADMISSION_OUTCOME_GRANTED:
                 return admission
@@ -185,7 +177,9 @@
         owner = self._membership.member(admission.candidate.owner_id)
         if owner is None:
             raise PeerUnavailableError("the owner is unknown", Verdict.NOT_RUN)
-        return self._peers.call(owner.peer_address, Channel.ADMISSION, message, ADMISSION_TIMEOUT)
+        return self._transport.call(
+            owner.peer_address, Channel.ADMISSION, message, ADMISSION_TIMEOUT
+        )
 
     def release(self, admission: _Admission) -> None:
         """Give a slot back; does not wait for the owner."""
--- a/postvalve/platform/engine.py
+++ b/postvalve/platform/engine.py
@@ -9,7 +9,7 @@
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import quote
 
 from geventhttpclient import HTTPClient
@@ -75,12 +75,11 @@
     """Model name to version."""
 
 
-class EngineStream:
+class EngineStream(Protocol):
     """The answer to one attempt, as it comes."""
 
-    def __init__(self, response: HTTPSocketPoolResponse) -> None:
-        self._response = response
-        self.model_version = str(response.get(MODEL_VERSION_HEADER, ""))
+    model_version: str
+    """Version of the model that answers."""
 
     def events(self) -> Iterator[bytes]:
         """Yield server-sent events as bytes, the last one included.
@@ -88,6 +87,65 @@
         Raises:
             AttemptError: with MAY_HAVE_RUN when the stream ends before its last event.
         """
+        ...
+
+    def whole(self) -> bytes:
+        """Read a whole answer that is not streamed.
+
+        Raises:
+            AttemptError: with MAY_HAVE_RUN when it is cut.
+        """
+        ...
+
+    def abort(self) -> None:
+        """Close the connection under a greenlet that reads from it, whose read then fails."""
+        ...
+
+    def close(self) -> None:
+        """End the attempt when its answer was not read to the end."""
+        ...
+
+
+class Engine(Protocol):
+    """What postvalve needs of one engine."""
+
+    address: str
+
+    def open(self, attempt: EngineAttempt, *, batch: bool) -> EngineStream:
+        """Start an attempt and return its stream once the engine answers.
+
+        Raises:
+            AttemptError: with the verdict.
+            EngineRejectedError: the engine finds the request invalid.
+        """
+        ...
+
+    def cancel(self, attempt_id: str) -> None:
+        """Ask the engine to stop an attempt; a lost request is made good by closing its stream.
+
+        Raises:
+            PlatformError: when the engine did not answer as it should.
+        """
+        ...
+
+    def load(self) -> EngineLoad:
+        """Read the load report.
+
+        Raises:
+            PlatformError: when the engine did not answer as it should.
+        """
+        ...
+
+
+class HttpEngineStream:
+    """The answer to one attempt, as it comes."""
+
+    def __init__(self, response: HTTPSocketPoolResponse) -> None:
+        self._response = response
+        self.model_version = str(response.get(MODEL_VERSION_HEADER, ""))
+
+    def events(self) -> Iterator[bytes]:
+        """See `EngineStream`."""
         while True:
             event = self._read_event()
             if not event:
@@ -98,11 +156,7 @@
                 return
 
     def whole(self) -> bytes:
-        """Read a whole answer that is not streamed.
-
-        Raises:
-            AttemptError: with MAY_HAVE_RUN when it is cut.
-        """
+        """See `EngineStream`."""
         content = self._read_rest()
         if not self._response.message_complete:
             raise AttemptError("the engine's answer was cut", Verdict.MAY_HAVE_RUN)
@@ -121,18 +175,18 @@
             raise _cut(error) from error
 
     def abort(self) -> None:
-        """Close the connection under a greenlet that reads from it, whose read then fails."""
+        """See `EngineStream`."""
         connection = self._response._sock
         if connection is not None:
             connection.close()
 
     def close(self) -> None:
-        """Give the connection back, or close it when the answer was not read to its end."""
+        """See `EngineStream`. The connection is used again when the answer was read whole."""
         self._response.release()
 
 
-class EngineConnection:
-    """Connections to one engine."""
+class HttpEngine:
+    """One engine over HTTP."""
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -151,13 +205,8 @@
             network_timeout=timeout,
         )
 
-    def open(self, attempt: EngineAttempt, *, batch: bool) -> EngineStream:
-        """Start an attempt and return its stream once the engine answers.
-
-        Raises:
-            AttemptError: with the verdict.
-            EngineRejectedError: the engine finds the request invalid.
-        """
+    def open(self, attempt: EngineAttempt, *, batch: bool) -> HttpEngineStream:
+        """See `Engine`."""
         client = self._batch if batch else self._online
         response = self._post(client, attempt)
         if response.status_code != 200:
@@ -165,7 +214,7 @@
         if response.get(ATTEMPT_HEADER) != attempt.attempt_id:
             response.release()
             raise AttemptError("the engine answered for another attempt", Verdict.MAY_HAVE_RUN)
-        return EngineStream(response)
+        return HttpEngineStream(response)
 
     def _post(self, client: HTTPClient, attempt: EngineAttempt) -> HTTPSocketPoolResponse:
         try:
@@ -187,16 +236,12 @@
         raise AttemptError(f"the engine answered {response.status_code}", Verdict.MAY_HAVE_RUN)
 
     def cancel(self, attempt_id: str) -> None:
-        """Ask the engine to stop an attempt; a lost request is made good by closing its stream."""
+        """See `Engine`."""
         path = f"/v1/attempts/{quote(attempt_id, safe='')}"
         self._control_call("DELETE", path, b"")
 
     def load(self) -> EngineLoad:
-        """Read the load report.
-
-        Raises:
-            PlatformError: when the engine did not answer as it should.
-        """
+        """See `Engine`."""
         document = self._control_call("GET", "/v1/load", b"")
         try:
             return EngineLoad(
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,6 +3,8 @@
 import hashlib
 import json
 
+import gevent
+
 
 def expected_start(text):
     """The first token of the emulated engines for a message."""
@@ -25,3 +27,88 @@
         for number in range(count)
     )
     return "".join(json.dumps(line) + "\n" for line in lines).encode()
+
+
+def upload_form(content):
+    """A multipart form with a batch input file, and its content type."""
+    head = (
+        b'--x\r\nContent-Disposition: form-data; name="purpose"\r\n\r\nbatch\r\n'
+        b'--x\r\nContent-Disposition: form-data; name="file"; filename="in.jsonl"\r\n\r\n'
+    )
+    return head + content + b"\r\n--x--\r\n", "multipart/form-data; boundary=x"
+
+
+def upload(fleet, node_id, content, tenant=None):
+    """Upload a batch input file to a virtual fleet."""
+    body, content_type = upload_form(content)
+    answer = fleet.request(
+        node_id, "POST", "/v1/files", tenant=tenant, body=body, content_type=content_type
+    )
+    assert answer.status == 200, answer.body
+    return answer.document["id"]
+
+
+def create_batch(fleet, node_id, file_id, tenant=None, headers=None, window="24h"):
+    """Ask for a batch; returns the answer."""
+    document = {
+        "input_file_id": file_id,
+        "endpoint": "/v1/chat/completions",
+        "completion_window": window,
+    }
+    return fleet.request(
+        node_id, "POST", "/v1/batches", tenant=tenant, document=document, headers=headers
+    )
+
+
+def submit_batch(fleet, node_id, count, *, tenant=None, headers=None, max_tokens=6, name="item"):
+    """Upload and create a batch that must be accepted; returns its id."""
+    content = batch_lines(fleet.shape.model, count, max_tokens, name)
+    file_id = upload(fleet, node_id, content, tenant)
+    answer = create_batch(fleet, node_id, file_id, tenant, headers)
+    assert answer.status == 200, answer.body
+    return answer.document["id"]
+
+
+def batch_document(fleet, node_id, job_id, tenant=None):
+    """The state of a batch as a node shows it."""
+    answer = fleet.request(node_id, "GET", f"/v1/batches/{job_id}", tenant=tenant)
+    assert answer.status == 200, answer.body
+    return answer.document
+
+
+def wait_for_batch(fleet, job_id, *, node_id=None, tenant=None, patience=600.0):
+    """Wait until a batch has ended; returns its document."""
+    node_id = node_id or next(iter(fleet.nodes))
+    deadline = fleet.loop.now() + patience
+    while fleet.loop.now() < deadline:
+        document = batch_document(fleet, node_id, job_id, tenant)
+        if document["status"] != "in_progress":
+            return document
+        gevent.sleep(0.5)
+    raise AssertionError(f"not ended in {patience} virtual seconds: {document}")
+
+
+def result_lines(fleet, document, *, node_id=None, tenant=None, kind="output_file_id"):
+    """Lines of an output or error file of a batch that has ended."""
+    if document[kind] is None:
+        return []
+    node_id = node_id or next(iter(fleet.nodes))
+    path = f"/v1/files/{document[kind]}/content"
+    answer = fleet.request(node_id, "GET", path, tenant=tenant)
+    assert answer.status == 200, answer.body
+    return [json.loads(line) for line in answer.body.splitlines()]
+
+
+def run_batch(fleet, job_id, *, node_id=None, tenant=None):
+    """Wait for a batch; returns custom id to answer, each exactly once."""
+    document = wait_for_batch(fleet, job_id, node_id=node_id, tenant=tenant)
+    assert document["status"] == "completed", document
+    lines = result_lines(fleet, document, node_id=node_id, tenant=tenant)
+    answers = {line["custom_id"]: answer_text(line) for line in lines}
+    assert len(answers) == len(lines), "an item has two results"
+    return answers
+
+
+def answer_text(line):
+    """The text of one line of an output file."""
+    return line["response"]["body"]["choices"][0]["message"]["content"]
