Send tokens at once; add `bench relay`

Cause: the first `bench relay` run showed 44 ms added to the first token at the median. With one stream alone the direct way to the engine lost 44 ms as well, so it was no queue of ours: Nagle's algorithm held the second small write back until the receiver's delayed acknowledgement of the first.

Ruled out: admission (local in that run, under 2 ms), waiting for the engine's step (10 ms, the same on both ways).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 READY := $(VENV)/.ready
 FLEET ?= apcf
 
-.PHONY: demo test fleet golden setup clean
+.PHONY: demo test fleet golden bench setup clean
 
 setup: $(READY)
 
@@ -28,6 +28,9 @@
 fleet: $(READY)
 	$(BIN)/python -m scripts.fleet --shape $(FLEET)
 
+bench: $(READY)
+	$(BIN)/python -m scripts.bench
+
 golden: $(READY)
 	UPDATE_GOLDEN=1 $(BIN)/python -m unittest tests.test_golden
 
--- /dev/null
+++ b/postvalve/bench/relay.py
@@ -0,0 +1,93 @@
+"""Cost of the relay: processor time per token chunk, and time added to the first token.
+
+The processes run already (a script starts them): an engine, a bare socket relay before it
+and a node before it. All are measured in one run, one after the other, several times.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, replace
+from statistics import median
+
+import psutil
+
+from postvalve.bench.streams import StreamLoad, StreamTimes, run_streams
+
+PERCENTILE = 95.0
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTargets:
+    """Where the three ways to the engine begin."""
+
+    engine_url: str
+    relay_url: str
+    relay_pid: int
+    node_url: str
+    node_pid: int
+
+
+@dataclass(frozen=True, slots=True)
+class RelayReport:
+    """Figures of one run; microseconds of processor time, milliseconds to the first token."""
+
+    chunks: int
+    failures: int
+    relay_cpu_us_per_chunk: float
+    node_cpu_us_per_chunk: float
+    cpu_ratio: float
+    direct_first_token_p95_ms: float
+    node_first_token_p95_ms: float
+    added_first_token_p95_ms: float
+    added_first_token_p50_ms: float
+
+    def document(self) -> dict[str, float | int]:
+        """The report as a plain mapping."""
+        return {name: round(value, 3) for name, value in asdict(self).items()}
+
+
+def cpu_seconds(pid: int) -> float:
+    """User and system time of a process."""
+    times = psutil.Process(pid).cpu_times()
+    return times.user + times.system
+
+
+def measure_relay(targets: RelayTargets, load: StreamLoad, rounds: int) -> RelayReport:
+    """Measure the three ways in turn, and report the medians over the rounds."""
+    reports = [_measure_round(targets, load, number) for number in range(rounds)]
+    fields = {name: [getattr(one, name) for one in reports] for name in asdict(reports[0])}
+    middle = {name: median(values) for name, values in fields.items()}
+    middle["chunks"] = sum(fields["chunks"])
+    middle["failures"] = sum(fields["failures"])
+    return RelayReport(**middle)
+
+
+def _measure_round(targets: RelayTargets, load: StreamLoad, number: int) -> RelayReport:
+    direct = run_streams(replace(load, url=targets.engine_url, name=f"direct-{number}"))
+    relay, relay_cpu = _measure_process(
+        replace(load, url=targets.relay_url, name=f"relay-{number}"), targets.relay_pid
+    )
+    node, node_cpu = _measure_process(
+        replace(load, url=targets.node_url, name=f"node-{number}"), targets.node_pid
+    )
+    return RelayReport(
+        chunks=node.chunks,
+        failures=direct.failures + relay.failures + node.failures,
+        relay_cpu_us_per_chunk=relay_cpu * 1e6 / max(1, relay.chunks),
+        node_cpu_us_per_chunk=node_cpu * 1e6 / max(1, node.chunks),
+        cpu_ratio=(node_cpu / max(1, node.chunks)) / (relay_cpu / max(1, relay.chunks)),
+        direct_first_token_p95_ms=_first_token(direct, PERCENTILE),
+        node_first_token_p95_ms=_first_token(node, PERCENTILE),
+        added_first_token_p95_ms=_first_token(node, PERCENTILE) - _first_token(direct, PERCENTILE),
+        added_first_token_p50_ms=_first_token(node, 50.0) - _first_token(direct, 50.0),
+    )
+
+
+def _measure_process(load: StreamLoad, pid: int) -> tuple[StreamTimes, float]:
+    before = cpu_seconds(pid)
+    times = run_streams(load)
+    return times, cpu_seconds(pid) - before
+
+
+def _first_token(times: StreamTimes, percentile: float) -> float:
+    return times.first_token.get_value_at_percentile(percentile) / 1000
--- a/postvalve/cli/bench.py
+++ b/postvalve/cli/bench.py
@@ -1,17 +1,64 @@
-"""`postvalve bench`: measurements."""
+"""`postvalve bench`: measurements on what runs."""
 
 from __future__ import annotations
 
 import argparse
 from typing import Any
 
+from postvalve.bench.relay import RelayTargets, measure_relay
+from postvalve.bench.streams import StreamLoad
+from postvalve.cli.output import ExitCode, add_output_flag, print_document
+
+EXAMPLES = """`make bench` starts the processes that the measurements need and runs them all.
+
+examples:
+  postvalve bench relay --engine http://127.0.0.1:7100 --relay http://127.0.0.1:7200 \\
+      --relay-pid 101 --node http://127.0.0.1:8080 --node-pid 102 --key KEY --model m
+"""
+
 
 def add_parser(commands: Any) -> None:
     """Add the command."""
-    parser = commands.add_parser("bench", help="measurements")
-    parser.set_defaults(run=run)
+    parser = commands.add_parser(
+        "bench",
+        help="measurements on what runs",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    kinds = parser.add_subparsers(dest="kind", required=True, metavar="KIND")
+    relay = kinds.add_parser("relay", help="a node's relay beside a bare socket relay")
+    relay.add_argument("--engine", required=True, help="URL of the engine itself")
+    relay.add_argument("--relay", required=True, help="URL of the bare relay before it")
+    relay.add_argument("--relay-pid", type=int, required=True)
+    relay.add_argument("--node", required=True, help="URL of the node before it")
+    relay.add_argument("--node-pid", type=int, required=True)
+    relay.add_argument("--key", required=True)
+    relay.add_argument("--model", required=True)
+    relay.add_argument("--streams", type=int, default=64)
+    relay.add_argument("--requests", type=int, default=3, help="requests of each stream")
+    relay.add_argument("--tokens", type=int, default=100, help="tokens of each answer")
+    relay.add_argument("--rounds", type=int, default=3)
+    add_output_flag(relay)
+    relay.set_defaults(run=run_relay)
 
 
-def run(arguments: argparse.Namespace) -> int:
-    """Nothing yet."""
-    return 0
+def run_relay(arguments: argparse.Namespace) -> int:
+    """Measure the relay."""
+    targets = RelayTargets(
+        engine_url=arguments.engine,
+        relay_url=arguments.relay,
+        relay_pid=arguments.relay_pid,
+        node_url=arguments.node,
+        node_pid=arguments.node_pid,
+    )
+    load = StreamLoad(
+        url="",
+        api_key=arguments.key,
+        model=arguments.model,
+        streams=arguments.streams,
+        requests_per_stream=arguments.requests,
+        tokens=arguments.tokens,
+    )
+    report = measure_relay(targets, load, arguments.rounds)
+    print_document(report.document(), arguments.output)
+    return ExitCode.OK if not report.failures else ExitCode.FAILED
--- a/postvalve/cli/emulate.py
+++ b/postvalve/cli/emulate.py
@@ -10,6 +10,7 @@
 from postvalve.emulator.engine_service import EngineEmulation, EngineServiceShell
 from postvalve.emulator.log_service import LogServiceShell
 from postvalve.emulator.machine_service import MachineServiceShell
+from postvalve.emulator.relay import serve_relay
 from postvalve.emulator.service import serve
 from postvalve.exceptions import SettingsError
 
@@ -37,7 +38,10 @@
     engine = kinds.add_parser("engine", help="model engine")
     _add_engine_flags(engine)
     engine.set_defaults(run=run_engine)
-    for kind in (log, machines, engine):
+    relay = kinds.add_parser("relay", help="bare socket relay, the yardstick of bench relay")
+    relay.add_argument("--target", required=True, help="IP:PORT")
+    relay.set_defaults(run=run_relay)
+    for kind in (log, machines, engine, relay):
         kind.add_argument("--listen", required=True, help="IP:PORT")
 
 
@@ -64,6 +68,12 @@
     return ExitCode.OK
 
 
+def run_relay(arguments: argparse.Namespace) -> int:
+    """Run a bare relay."""
+    serve_relay(arguments.listen, arguments.target)
+    return ExitCode.OK
+
+
 def run_machines(arguments: argparse.Namespace) -> int:
     """Run the machine list."""
     serve(arguments.listen, MachineServiceShell(arguments.lag).application())
--- /dev/null
+++ b/postvalve/emulator/relay.py
@@ -0,0 +1,33 @@
+"""A bare socket relay: the yardstick that a node's relay is measured against."""
+
+from __future__ import annotations
+
+import gevent
+from gevent.server import StreamServer
+from gevent.socket import create_connection, socket
+
+BLOCK = 64 * 1024
+
+
+def serve_relay(listen: str, target: str) -> None:
+    """Copy bytes between callers and `target` until the process ends."""
+    host, _, port = listen.rpartition(":")
+    target_host, _, target_port = target.rpartition(":")
+
+    def relay(caller: socket, address: object) -> None:
+        upstream = create_connection((target_host, int(target_port)))
+        back = gevent.spawn(_copy, upstream, caller)
+        _copy(caller, upstream)
+        back.kill()
+        upstream.close()
+        caller.close()
+
+    StreamServer((host, int(port)), relay).serve_forever()
+
+
+def _copy(source: socket, sink: socket) -> None:
+    try:
+        while block := source.recv(BLOCK):
+            sink.sendall(block)
+    except OSError:
+        return
--- a/postvalve/emulator/service.py
+++ b/postvalve/emulator/service.py
@@ -8,11 +8,13 @@
 from typing import Any
 
 import gevent
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 from werkzeug.exceptions import HTTPException
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from postvalve.sockets import send_at_once
+
 Handler = Callable[..., Response]
 
 
@@ -45,10 +47,18 @@
         return response(environ, start_response)
 
 
+class _Handler(WSGIHandler):
+    def __init__(self, connection: Any, *arguments: Any, **options: Any) -> None:
+        send_at_once(connection)
+        super().__init__(connection, *arguments, **options)
+
+
 def serve(listen: str, application: EmulatorApplication) -> None:
     """Serve until SIGTERM or SIGINT."""
     host, _, port = listen.rpartition(":")
-    server = WSGIServer((host, int(port)), application, log=None, error_log=None)
+    server = WSGIServer(
+        (host, int(port)), application, log=None, error_log=None, handler_class=_Handler
+    )
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, server.stop, 1)
     server.serve_forever()
--- a/postvalve/node/peer_link.py
+++ b/postvalve/node/peer_link.py
@@ -27,6 +27,7 @@
     decode_header,
     encode_frame,
 )
+from postvalve.sockets import send_at_once
 
 CONNECT_TIMEOUT = 1.0
 """Seconds to open a connection to a peer."""
@@ -85,6 +86,7 @@
         self._server.stop(timeout=1)
 
     def _serve(self, connection: socket, address: object) -> None:
+        send_at_once(connection)
         write_lock = RLock()
         handlers = Pool(MAX_HANDLERS_PER_CONNECTION)
         try:
@@ -128,6 +130,7 @@
         host, _, port = address.rpartition(":")
         self._socket = create_connection((host, int(port)), timeout=CONNECT_TIMEOUT)
         self._socket.settimeout(None)
+        send_at_once(self._socket)
         self._write_lock = RLock()
         self._waiting: dict[int, AsyncResult] = {}
         self._correlation_ids = itertools.count(1)
--- a/postvalve/platform/engine.py
+++ b/postvalve/platform/engine.py
@@ -32,7 +32,8 @@
 """Seconds until a load read, an order or a cancel counts as unanswered."""
 CONNECTIONS = 512
 """Connections to one engine for each kind of work."""
-READ_BLOCK = 64 * 1024
+READ_BLOCK = 16 * 1024
+"""Bytes asked of a socket at once."""
 
 EVENT_END = b"\n\n"
 """Ends one server-sent event."""
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -44,6 +44,9 @@
 SHAPES = {
     "apcf": Shape("apcf.toml", "price-analysis", ("member-desk", "pricing"), 3, 6),
     "libranza": Shape("libranza.toml", "ledger-assistant", ("retail-group", "accountants"), 4, 9),
+    "bench": Shape(
+        "apcf.toml", "price-analysis", ("member-desk", "pricing"), 1, 1, nodes_per_zone=1
+    ),
     "small": Shape(
         "apcf.toml", "price-analysis", ("member-desk", "pricing"), 1, 2, nodes_per_zone=2
     ),
