--- a/postvalve/cli/emulate.py
+++ b/postvalve/cli/emulate.py
@@ -12,6 +12,7 @@
 from postvalve.emulator.machine_service import MachineServiceShell
 from postvalve.emulator.relay import serve_relay
 from postvalve.emulator.service import serve
+from postvalve.emulator.weights_service import DEFAULT_WEIGHT_BYTES, WeightServiceShell
 from postvalve.exceptions import SettingsError
 
 EXAMPLES = """examples:
@@ -38,10 +39,14 @@
     engine = kinds.add_parser("engine", help="model engine")
     _add_engine_flags(engine)
     engine.set_defaults(run=run_engine)
+    weights = kinds.add_parser("weights", help="weight store with a rate limit")
+    weights.add_argument("--rate", type=float, default=1e9, help="bytes a second")
+    weights.add_argument("--weight-bytes", type=int, default=DEFAULT_WEIGHT_BYTES)
+    weights.set_defaults(run=run_weights)
     relay = kinds.add_parser("relay", help="bare socket relay, the yardstick of bench relay")
     relay.add_argument("--target", required=True, help="IP:PORT")
     relay.set_defaults(run=run_relay)
-    for kind in (log, machines, engine, relay):
+    for kind in (log, machines, engine, relay, weights):
         kind.add_argument("--listen", required=True, help="IP:PORT")
 
 
@@ -59,6 +64,7 @@
         "--prefill-per-token", type=float, default=defaults.prefill_per_token, help="seconds"
     )
     parser.add_argument("--cache-blocks", type=int, default=defaults.cache_blocks)
+    parser.add_argument("--weights-url", default="", help="weight store that loads fetch from")
     parser.add_argument("--load-lag", type=float, default=0.5, help="seconds")
 
 
@@ -68,6 +74,13 @@
     return ExitCode.OK
 
 
+def run_weights(arguments: argparse.Namespace) -> int:
+    """Run the weight store."""
+    shell = WeightServiceShell(arguments.rate, arguments.weight_bytes)
+    serve(arguments.listen, shell.application())
+    return ExitCode.OK
+
+
 def run_relay(arguments: argparse.Namespace) -> int:
     """Run a bare relay."""
     serve_relay(arguments.listen, arguments.target)
@@ -91,7 +104,7 @@
     )
     models = dict(_parse_model(text) for text in arguments.model)
     emulation = EngineEmulation(parameters=parameters, load_lag=arguments.load_lag)
-    shell = EngineServiceShell(models, emulation)
+    shell = EngineServiceShell(models, emulation, arguments.weights_url)
     shell.start()
     serve(arguments.listen, shell.application())
     return ExitCode.OK
--- a/postvalve/core/batch/identity.py
+++ b/postvalve/core/batch/identity.py
@@ -60,5 +60,10 @@
     return f"tenant.{tenant}"
 
 
+def request_stream(tenant: str, idempotency_key: str) -> str:
+    """Stream of one online request with an idempotency key."""
+    return f"request.{_digest(tenant, idempotency_key)}"
+
+
 def _digest(tenant: str, key: str) -> str:
     return hashlib.sha256(f"{tenant}\0{key}".encode()).hexdigest()[:_ID_LENGTH]
--- a/postvalve/core/configuration/resolution.py
+++ b/postvalve/core/configuration/resolution.py
@@ -75,7 +75,7 @@
 def pool_serves(pool: PoolSpec, tenant: TenantSpec, model: str) -> bool:
     """Whether the pool's engines take this tenant's requests for the model."""
     covered = compiled_selector(pool.tenants).matches(tenant_labels(tenant))
-    return covered and model in pool.models
+    return covered and model.partition(":")[0] in pool.models
 
 
 def resolve_workload(
--- /dev/null
+++ b/postvalve/core/routing/keyed_request.py
@@ -0,0 +1,72 @@
+"""Replay of the stream of one online request with an idempotency key.
+
+The first start in offset order runs the request. It ends in a finish, whose answer every
+resend gets, or in a release, which frees the key again. A repeatable request whose start
+was left behind by a dead node may be started anew after its deadline; one that must run at
+most once may not.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import betterproto
+
+from postvalve.messages.generated import records
+
+
+class KeyState(enum.StrEnum):
+    """What a new arrival with the key finds."""
+
+    FREE = "free"
+    RUNNING = "running"
+    ABANDONED = "abandoned"
+    """Started, not finished, and past its deadline."""
+    FINISHED = "finished"
+
+
+class KeyedRequest:
+    """State of one key of one tenant."""
+
+    def __init__(self) -> None:
+        self.start: records.RequestStarted | None = None
+        self.finish: records.RequestFinished | None = None
+        self.request_digest = ""
+        self.next_offset = 0
+
+    def observe(self, offset: int, record: records.Record) -> None:
+        """Take the record at `offset` in; offsets must come in order."""
+        self.next_offset = offset + 1
+        kind, body = betterproto.which_one_of(record, "body")
+        if kind == "request_started":
+            self._observe_start(body)
+        elif kind == "request_finished" and self._is_current(body.attempt_id):
+            self.finish = self.finish or body
+        elif kind == "request_released" and self._is_current(body.attempt_id):
+            self.start = None
+
+    def _observe_start(self, body: records.RequestStarted) -> None:
+        self.request_digest = self.request_digest or body.request_digest
+        if self.start is None or self._may_follow(body):
+            self.start = body
+
+    def _may_follow(self, body: records.RequestStarted) -> bool:
+        # Only a start that names the one it replaces follows it, so of two that race for an
+        # abandoned key the first in offset order wins.
+        assert self.start is not None
+        if self.finish is not None or self.start.at_most_once:
+            return False
+        return body.replaces_attempt_id == self.start.attempt_id
+
+    def _is_current(self, attempt_id: str) -> bool:
+        return self.start is not None and self.start.attempt_id == attempt_id
+
+    def state(self, wall_ms: int) -> KeyState:
+        """What an arrival at `wall_ms` finds."""
+        if self.finish is not None:
+            return KeyState.FINISHED
+        if self.start is None:
+            return KeyState.FREE
+        if wall_ms > self.start.deadline_at_ms:
+            return KeyState.ABANDONED
+        return KeyState.RUNNING
--- a/postvalve/emulator/engine_model.py
+++ b/postvalve/emulator/engine_model.py
@@ -61,6 +61,15 @@
     finished: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ExportedKv:
+    """The cache of one sequence, as another engine can take it."""
+
+    cache_salt: str
+    prompt_text: str
+    position: int
+
+
 @dataclass(frozen=True, slots=True)
 class CacheEvent:
     """A block that came into the prefix cache or left it."""
@@ -178,6 +187,19 @@
         waiting = len(self._sequences) - running
         return LoadReport(running, waiting, self.parameters.slots, len(self.cache))
 
+    def export_kv(self, attempt_id: str) -> ExportedKv | None:
+        """The cache of a sequence; None when it is not here."""
+        sequence = self._sequences.get(attempt_id)
+        if sequence is None:
+            return None
+        text = sequence.request.prompt_text
+        return ExportedKv(sequence.cache_salt, text, sequence.position)
+
+    def import_kv(self, exported: ExportedKv) -> int:
+        """Take another engine's cache in; returns the number of blocks held then."""
+        self.cache.admit(exported.cache_salt, exported.prompt_text)
+        return len(self.cache)
+
     def step(self) -> StepResult:
         """Run one step of the batch, after choosing it by priority and arrival."""
         self._running = sorted(self._sequences.values(), key=lambda one: one.order)
--- a/postvalve/emulator/engine_service.py
+++ b/postvalve/emulator/engine_service.py
@@ -6,17 +6,21 @@
 
 from __future__ import annotations
 
+import enum
 import time
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field
+from urllib.parse import quote
 
 import gevent
 from gevent.event import Event
 from gevent.queue import Queue
+from geventhttpclient import HTTPClient
+from geventhttpclient.url import URL
 from pydantic import ValidationError
 from werkzeug.wrappers import Request, Response
 
-from postvalve.emulator.engine_model import EngineModel, EngineParameters, LoadReport
+from postvalve.emulator.engine_model import EngineModel, EngineParameters, ExportedKv, LoadReport
 from postvalve.emulator.service import EmulatorApplication, json_response
 from postvalve.emulator.tokens import (
     DONE_EVENT,
@@ -35,6 +39,17 @@
     SALT_HEADER,
 )
 
+WEIGHTS_TIMEOUT = 600.0
+"""Seconds of silence until a fetch of weights counts as failed."""
+
+
+class EngineRole(enum.StrEnum):
+    """Which part of a request an engine runs."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
 
 @dataclass(frozen=True, slots=True)
 class EngineEmulation:
@@ -68,8 +83,12 @@
 class EngineServiceShell:
     """Steps the model in real time and carries its tokens to HTTP streams."""
 
-    def __init__(self, models: dict[str, str], emulation: EngineEmulation) -> None:
+    def __init__(
+        self, models: dict[str, str], emulation: EngineEmulation, weights_url: str = ""
+    ) -> None:
         self._models = models
+        self._weights_url = weights_url
+        self._role = EngineRole.MIXED
         self._emulation = emulation
         self._model = EngineModel(emulation.parameters)
         self._queues: dict[str, Queue] = {}
@@ -88,6 +107,8 @@
                 "GET /v1/load": self._load,
                 "GET /v1/cache-events": self._cache_events,
                 "POST /v1/orders": self._order,
+                "GET /v1/kv/<attempt_id>": self._export_kv,
+                "POST /v1/kv": self._import_kv,
                 "PUT /faults": self._set_faults,
                 "GET /statistics": self._statistics,
             }
@@ -206,7 +227,7 @@
     def _load(self, request: Request) -> Response:
         lagged = self._lagged(self._emulation.load_lag)
         load = asdict(lagged.report) if lagged else asdict(LoadReport(0, 0, self._slots, 0))
-        return json_response({**load, "models": self._models})
+        return json_response({**load, "models": self._models, "role": self._role})
 
     @property
     def _slots(self) -> int:
@@ -230,13 +251,34 @@
         if fencing_token < self._fencing_token:
             return json_response({"error": "older fencing token"}, 409)
         self._fencing_token = fencing_token
-        if order["action"] == "load":
-            self._models[str(order["model"])] = str(order["version"])
-        elif order["action"] == "unload":
+        action = order["action"]
+        if action == "load":
+            gevent.spawn(self._load_model, str(order["model"]), str(order["version"]))
+        elif action == "unload":
             self._models.pop(str(order["model"]), None)
+        elif action == "set_role":
+            self._role = EngineRole(order["role"])
         else:
-            return json_response({"error": f"unknown action {order['action']!r}"}, 400)
-        return json_response({"models": self._models})
+            return json_response({"error": f"unknown action {action!r}"}, 400)
+        return json_response({"models": self._models, "role": self._role})
+
+    def _load_model(self, model: str, version: str) -> None:
+        if self._weights_url:
+            url = URL(self._weights_url)
+            client = HTTPClient(url.host, port=url.port, network_timeout=WEIGHTS_TIMEOUT)
+            client.get(f"/weights/{quote(model, safe='')}/{quote(version, safe='')}").read()
+            client.close()
+        self._models[model] = version
+
+    def _export_kv(self, request: Request, attempt_id: str) -> Response:
+        exported = self._model.export_kv(attempt_id)
+        if exported is None:
+            return json_response({"error": f"no attempt {attempt_id!r} is here"}, 404)
+        return json_response(asdict(exported))
+
+    def _import_kv(self, request: Request) -> Response:
+        blocks = self._model.import_kv(ExportedKv(**request.get_json()))
+        return json_response({"blocks": blocks})
 
     def _set_faults(self, request: Request) -> Response:
         document = request.get_json()
--- a/postvalve/emulator/virtual_engine.py
+++ b/postvalve/emulator/virtual_engine.py
@@ -28,6 +28,9 @@
 from postvalve.exceptions import AttemptError, EngineRejectedError, PlatformError, Verdict
 from postvalve.platform.engine import CONNECT_TIMEOUT, TOKEN_TIMEOUT, EngineAttempt, EngineLoad
 
+LOAD_SECONDS = 5.0
+"""Seconds that loading a model takes."""
+
 
 @dataclass(frozen=True, slots=True)
 class LaggedLoad:
@@ -81,7 +84,8 @@
         self.faults = EngineFaults(deque())
         self.attempts: list[AttemptRecord] = []
         self.alive = True
-        self.busy_until = 0.0
+        self.orders: list[str] = []
+        self.fencing_token = 0
         self._load_lag = load_lag
         self._reports: deque[LaggedLoad] = deque()
         self._streams: dict[str, VirtualEngineStream] = {}
@@ -176,6 +180,22 @@
         while len(self._reports) > 1 and self._reports[1].taken_at <= now - self._load_lag:
             self._reports.popleft()
 
+    def order(self, action: str, model: str, version: str, fencing_token: int) -> None:
+        """Load or unload a model; a load takes a while.
+
+        Raises:
+            PlatformError: the fencing token is older than one seen before.
+        """
+        if fencing_token < self.fencing_token:
+            raise PlatformError("older fencing token")
+        self.fencing_token = fencing_token
+        self.orders.append(f"{action} {model}={version}")
+        if action == "unload":
+            self.models.pop(model, None)
+        else:
+            owner = self.place.owner
+            self.loop.call_for(owner, LOAD_SECONDS, self.models.__setitem__, model, version)
+
     def load(self) -> EngineLoad:
         """The report, as old as the lag."""
         report = LoadReport(0, 0, self.model.parameters.slots, 0)
@@ -326,6 +346,11 @@
         self._control()
         self._engine.cancel(attempt_id)
 
+    def order(self, action: str, model: str, version: str, fencing_token: int) -> None:
+        """See `Engine`."""
+        self._control()
+        self._engine.order(action, model, version, fencing_token)
+
     def load(self) -> EngineLoad:
         """See `Engine`."""
         self._control()
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -35,6 +35,8 @@
     ENGINE_DISOWNED = (404, "info", "engine no longer owned by this node")
     PEER_UNREACHABLE = (406, "warning", "datagram could not be sent to a peer")
     ENGINE_UNREACHABLE = (405, "warning", "engine unreachable")
+    ENGINE_ORDERED = (407, "info", "order sent to an engine")
+    ENGINE_ORDER_FAILED = (408, "warning", "order to an engine failed and is planned anew")
     SHARD_LEASED = (500, "info", "shard leased by this node")
     SHARD_LOST = (501, "warning", "shard no longer leased by this node")
     JOB_LOADED = (502, "info", "job loaded by its holder")
--- a/postvalve/node/batch/file_store.py
+++ b/postvalve/node/batch/file_store.py
@@ -9,7 +9,12 @@
 
 from postvalve.clock import milliseconds
 from postvalve.core.batch.identity import file_stream, tenant_stream
-from postvalve.exceptions import InvalidRequestError, NotFoundError, RequestTooLargeError
+from postvalve.exceptions import (
+    InvalidRequestError,
+    LogUnavailableError,
+    NotFoundError,
+    RequestTooLargeError,
+)
 from postvalve.messages.generated import records
 from postvalve.messages.records_codec import parse_record
 from postvalve.node.batch.input_lines import CHAT_ENDPOINT, MAX_LINE_BYTES, InputChecker
@@ -39,6 +44,14 @@
     sha256: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """A description, and the end of the stream that it was read from."""
+
+    description: FileDescription
+    end_offset: int
+
+
 class FileUpload:
     """Takes a file's bytes as they come, checks each line and appends chunks.
 
@@ -130,7 +143,7 @@
         self._writer = context.writer
         self._clock = context.clock
         self._new_id = context.new_id
-        self._descriptions: OrderedDict[str, FileDescription] = OrderedDict()
+        self._descriptions: OrderedDict[str, _Known] = OrderedDict()
 
     def begin(self, max_bytes: int, max_items: int) -> tuple[str, FileUpload]:
         """Start an upload; returns the file's id and where its bytes go."""
@@ -165,15 +178,24 @@
         Raises:
             NotFoundError: there is none that the tenant may see.
         """
-        description = self._descriptions.get(file_id) or self._read_description(file_id)
-        if description is None or description.tenant != tenant:
+        known = self._descriptions.get(file_id)
+        if known is None or self._end_of(file_id, known.end_offset) != known.end_offset:
+            known = self._read_description(file_id)
+        if known is None or known.description.tenant != tenant:
             raise NotFoundError(f"there is no file {file_id!r}")
-        self._descriptions[file_id] = description
+        self._descriptions[file_id] = known
         while len(self._descriptions) > CACHED_DESCRIPTIONS:
             self._descriptions.popitem(last=False)
-        return description
+        return known.description
+
+    def _end_of(self, file_id: str, offset: int) -> int:
+        # A file that is known stays readable while the log is not; a delete shows later.
+        try:
+            return self._log.read(file_stream(file_id), offset, limit=1).end_offset
+        except LogUnavailableError:
+            return offset
 
-    def _read_description(self, file_id: str) -> FileDescription | None:
+    def _read_description(self, file_id: str) -> _Known | None:
         stream = file_stream(file_id)
         end = self._log.read(stream, 0, limit=1).end_offset
         # Chunks come first; what describes the file stands in the last records. Repeats
@@ -192,7 +214,7 @@
                 sealed = record.file_sealed
             if record.file_chunk.content and created is None:
                 return None
-        return _describe(created, sealed) if created and sealed else None
+        return _Known(_describe(created, sealed), end) if created and sealed else None
 
     def delete(self, tenant: str, file_id: str) -> None:
         """Hide a file from its tenant; jobs that were accepted still read it.
--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -152,7 +152,7 @@
     def _served_models(self, engine: OwnedEngine) -> list[str]:
         pools = self._registry.pools_of(engine.machine)
         allowed = set(pools[0].models) if pools else set()
-        return sorted(allowed & set(engine.load.models))
+        return sorted(model for model in engine.load.models if model.partition(":")[0] in allowed)
 
     def _holders_with_work(self, models: set[str]) -> list[str]:
         """Peer addresses of holders, this node first as the empty address."""
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -14,6 +14,7 @@
 )
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.membership.view import StateChanged
+from postvalve.core.placement.plan import EngineView
 from postvalve.core.routing.router import EngineCandidate
 from postvalve.events import Event
 from postvalve.exceptions import PlatformError
@@ -45,12 +46,15 @@
     load: EngineLoad
     failed_reads: int = 0
     disowned: bool = False
+    changing: bool = False
+    """Whether it is about to load or unload models."""
 
     @property
     def usable(self) -> bool:
         """Whether it takes new work."""
         live = self.machine.state is MachineState.LIVE
-        return live and not self.disowned and self.failed_reads < UNREACHABLE_AFTER
+        steady = not self.disowned and not self.changing
+        return live and steady and self.failed_reads < UNREACHABLE_AFTER
 
 
 class EngineRegistry:
@@ -179,6 +183,24 @@
         """Engines that this node owns and that take new work."""
         return [engine for engine in self._owned.values() if engine.usable]
 
+    def owned_engine(self, engine_id: str) -> OwnedEngine | None:
+        """An engine that this node owns, usable or not."""
+        engine = self._owned.get(engine_id)
+        return engine if engine is not None and not engine.disowned else None
+
+    def engine_views(self) -> list[EngineView]:
+        """Live engines of the fleet and what they hold, by their owners' summaries."""
+        views: dict[str, EngineView] = {}
+        for member in self._membership.view.members():
+            for summary in self._engine_summaries(member.node_id, member.summary):
+                machine = self._machines.get(summary.engine_id)
+                if machine is not None and machine.state is MachineState.LIVE:
+                    held = dict(parse_held_model(text) for text in summary.models)
+                    views[summary.engine_id] = EngineView(
+                        summary.engine_id, engine_labels(machine), held
+                    )
+        return list(views.values())
+
     def summaries(self) -> list[peer.EngineSummary]:
         """What heartbeats tell of the owned engines."""
         return [
@@ -186,10 +208,13 @@
                 engine_id=engine.machine.machine_id,
                 in_flight_online=engine.slots.online_count,
                 in_flight_batch=engine.slots.batch_count,
-                slots=engine.slots.slots,
-                models=sorted(engine.load.models),
+                slots=engine.slots.slots if engine.usable else 0,
+                models=[
+                    f"{name}={version}" for name, version in sorted(engine.load.models.items())
+                ],
             )
-            for engine in self.owned()
+            for engine in self._owned.values()
+            if not engine.disowned
         ]
 
     def pools_of(self, machine: Machine) -> list[PoolSpec]:
@@ -207,7 +232,10 @@
                 machine = self._machines.get(summary.engine_id)
                 if machine is None or summary.engine_id in skipped:
                     continue
-                if model in summary.models and self._may_serve(machine, tenant, model):
+                held = {parse_held_model(text)[0] for text in summary.models}
+                if not summary.slots or model not in held:
+                    continue
+                if self._may_serve(machine, tenant, model):
                     found[summary.engine_id] = EngineCandidate(
                         summary.engine_id,
                         member.node_id,
@@ -256,6 +284,16 @@
             del self._owned[engine_id]
 
 
+def _held_models(load: EngineLoad) -> list[str]:
+    return [f"{name}={version}" for name, version in sorted(load.models.items())]
+
+
+def parse_held_model(text: str) -> tuple[str, str]:
+    """Model and version of NAME=VERSION, as summaries carry them."""
+    name, _, version = text.rpartition("=")
+    return name, version
+
+
 def engine_labels(machine: Machine) -> dict[str, str]:
     """Labels of an engine, with its zone as `zone` and its kind as `kind`."""
     return {**machine.labels, "zone": machine.zone, "kind": machine.kind.value}
--- a/postvalve/node/http/batches.py
+++ b/postvalve/node/http/batches.py
@@ -96,7 +96,7 @@
         return json_response(batch_document(self._jobs.submit(submission)))
 
     def _check_model(self, file: FileDescription) -> None:
-        if file.model not in self._configuration.current.model_by_name:
+        if not self._configuration.current.serves(file.model):
             raise NotFoundError(f"there is no model {file.model!r}", parameter="body.model")
 
     def show(self, request: Request, tenant: TenantSpec, job_id: str) -> Response:
--- a/postvalve/node/http/chat.py
+++ b/postvalve/node/http/chat.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 from werkzeug.wrappers import Request, Response
 
 from postvalve.core.configuration.resolution import resolve_workload
@@ -11,8 +13,15 @@
 from postvalve.node.configuration_service import ConfigurationService
 from postvalve.node.context import NodeContext
 from postvalve.node.http.errors import VERDICT_HEADER
-from postvalve.node.http.headers import at_most_once, deadline_seconds, workload_name
+from postvalve.node.http.headers import (
+    REPLAYED_HEADER,
+    at_most_once,
+    deadline_seconds,
+    idempotency_key,
+    workload_name,
+)
 from postvalve.node.http.json_answers import json_response
+from postvalve.node.keyed_requests import KeyedRequests
 from postvalve.node.online import OnlineDispatcher, OnlineRequest
 from postvalve.platform.engine import REQUEST_HEADER
 from postvalve.settings.fleet import TenantSpec
@@ -27,12 +36,14 @@
         context: NodeContext,
         configuration: ConfigurationService,
         dispatcher: OnlineDispatcher,
+        keyed_requests: KeyedRequests,
     ) -> None:
         self._settings = context.settings.http
         self._clock = context.clock
         self._new_id = context.new_id
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._keyed_requests = keyed_requests
 
     def complete(self, request: Request, tenant: TenantSpec) -> Response:
         """Run one chat completion."""
@@ -40,8 +51,11 @@
         content = request.get_data()
         body = check_chat_body(content)
         online = self._online_request(request, tenant, body, content, arrived_at)
-        answer = self._dispatcher.run(online)
         headers = {VERDICT_HEADER: Verdict.RAN.value, REQUEST_HEADER: online.request_id}
+        key = idempotency_key(request)
+        if key is not None:
+            return self._complete_once(online, key, headers)
+        answer = self._dispatcher.run(online)
         if online.streamed:
             return Response(
                 answer.events(),
@@ -51,6 +65,17 @@
             )
         return Response(answer.whole(), headers=headers, content_type="application/json")
 
+    def _complete_once(self, online: OnlineRequest, key: str, headers: dict[str, str]) -> Response:
+        digest = hashlib.sha256(online.workload.name.encode() + b"\0" + online.body).hexdigest()
+        answer = self._keyed_requests.run(online, key, digest)
+        headers[REPLAYED_HEADER] = str(answer.replayed).lower()
+        return Response(
+            answer.blocks,
+            headers=headers,
+            content_type=answer.content_type,
+            direct_passthrough=True,
+        )
+
     def _online_request(
         self,
         request: Request,
@@ -80,12 +105,12 @@
         )
 
     def _check_model(self, model: str) -> None:
-        if model not in self._configuration.current.model_by_name:
+        if not self._configuration.current.serves(model):
             raise NotFoundError(f"there is no model {model!r}", parameter="model")
 
     def list_models(self, request: Request, tenant: TenantSpec) -> Response:
         """List the models."""
-        models = [self._model_document(name) for name in self._configuration.current.model_by_name]
+        models = [self._model_document(name) for name in self._configuration.current.served_names]
         return json_response({"object": "list", "data": models})
 
     def show_model(self, request: Request, tenant: TenantSpec, model: str) -> Response:
--- a/postvalve/node/http/headers.py
+++ b/postvalve/node/http/headers.py
@@ -12,6 +12,7 @@
 DEADLINE_HEADER = "X-Postvalve-Deadline"
 AT_MOST_ONCE_HEADER = "X-Postvalve-At-Most-Once"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "X-Postvalve-Replayed"
 MAX_KEY_LENGTH = 255
 
 
--- a/postvalve/node/http/server.py
+++ b/postvalve/node/http/server.py
@@ -16,6 +16,8 @@
 class _Handler(WSGIHandler):
     """Ends connections that stay silent."""
 
+    code: int
+
     def __init__(self, connection: Any, address: Any, server: _Server, rfile: Any = None) -> None:
         # Covers idle keep-alive, slow headers, slow bodies and clients that don't read.
         connection.settimeout(server.idle_timeout)
--- /dev/null
+++ b/postvalve/node/keyed_requests.py
@@ -0,0 +1,162 @@
+"""Online requests with an idempotency key: decided on the log before they run.
+
+A resend gets the stored answer. While the first one runs, or when its outcome is unknown,
+a resend is refused as *may have run*, and nothing runs twice. During a log outage such a
+request is refused as not run; requests without a key don't need the log.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from postvalve.clock import milliseconds
+from postvalve.core.batch.identity import request_stream
+from postvalve.core.routing.keyed_request import KeyedRequest, KeyState
+from postvalve.events import Event
+from postvalve.exceptions import ConflictError, LogUnavailableError, PostvalveError, Verdict
+from postvalve.messages.generated import records
+from postvalve.messages.records_codec import parse_record
+from postvalve.node.context import NodeContext
+from postvalve.node.online import OnlineDispatcher, OnlineRequest
+from postvalve.platform.engine import DONE_EVENT
+from postvalve.platform.log import read_all
+
+IN_PROGRESS_RETRY_AFTER = 1.0
+"""Seconds told to a resend while the first one runs."""
+EVENT_STREAM = "text/event-stream"
+JSON = "application/json"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedAnswer:
+    """An answer, new or stored."""
+
+    content_type: str
+    blocks: Iterator[bytes]
+    replayed: bool
+
+
+class RequestInProgressError(ConflictError):
+    """The key's request runs, or its outcome is unknown."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+    code = "request_in_progress"
+
+
+class KeyedRequests:
+    """Runs requests that carry an idempotency key."""
+
+    def __init__(self, context: NodeContext, dispatcher: OnlineDispatcher) -> None:
+        self._log = context.log
+        self._writer = context.writer
+        self._clock = context.clock
+        self._events = context.events
+        self._new_id = context.new_id
+        self._dispatcher = dispatcher
+
+    def run(self, request: OnlineRequest, key: str, digest: str) -> KeyedAnswer:
+        """Run a request once, or give the stored answer.
+
+        Raises:
+            ConflictError: the key was used for another request.
+            RequestInProgressError: the first one runs, or its outcome is unknown.
+            LogUnavailableError: NOT_RUN, since nothing was dispatched.
+        """
+        stream = request_stream(request.tenant.name, key)
+        known = self._read(stream, KeyedRequest())
+        stored = self._stored(known, digest)
+        if stored is not None:
+            return stored
+        attempt_id = self._start(stream, known, request, digest)
+        return self._dispatch(stream, attempt_id, request)
+
+    def _read(self, stream: str, known: KeyedRequest) -> KeyedRequest:
+        try:
+            for entry in read_all(self._log, stream, known.next_offset):
+                known.observe(entry.offset, parse_record(entry.payload))
+        except LogUnavailableError as error:
+            # Nothing is dispatched before the key is decided.
+            error.verdict = Verdict.NOT_RUN
+            raise
+        return known
+
+    def _stored(self, known: KeyedRequest, digest: str) -> KeyedAnswer | None:
+        if known.request_digest and known.request_digest != digest:
+            raise ConflictError(
+                "this idempotency key was used for another request",
+                parameter="Idempotency-Key",
+                code="idempotency_key_reused",
+            )
+        state = known.state(milliseconds(self._clock.wall()))
+        if state is KeyState.RUNNING:
+            raise RequestInProgressError(
+                "the request with this key is in progress", retry_after=IN_PROGRESS_RETRY_AFTER
+            )
+        if state is KeyState.ABANDONED and known.start and known.start.at_most_once:
+            raise RequestInProgressError("the request may have run and is not repeated")
+        if known.finish is None:
+            return None
+        content = known.finish.response_body
+        return KeyedAnswer(known.finish.content_type, iter((content,)), True)
+
+    def _start(self, stream: str, known: KeyedRequest, request: OnlineRequest, digest: str) -> str:
+        attempt_id = self._new_id()
+        remaining = request.deadline - self._clock.monotonic()
+        started = records.RequestStarted(
+            attempt_id=attempt_id,
+            request_digest=digest,
+            deadline_at_ms=milliseconds(self._clock.wall() + remaining),
+            at_most_once=request.at_most_once,
+            replaces_attempt_id=known.start.attempt_id if known.start else "",
+        )
+        try:
+            self._writer.append(stream, records.Record(request_started=started))
+        except LogUnavailableError as error:
+            error.verdict = Verdict.NOT_RUN
+            raise
+        self._read(stream, known)
+        if known.start is None or known.start.attempt_id != attempt_id:
+            raise RequestInProgressError(
+                "the request with this key is in progress", retry_after=IN_PROGRESS_RETRY_AFTER
+            )
+        return attempt_id
+
+    def _dispatch(self, stream: str, attempt_id: str, request: OnlineRequest) -> KeyedAnswer:
+        try:
+            answer = self._dispatcher.run(request)
+            if request.streamed:
+                blocks = self._stored_events(stream, attempt_id, answer.events())
+                return KeyedAnswer(EVENT_STREAM, blocks, False)
+            content = answer.whole()
+        except PostvalveError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                released = records.RequestReleased(attempt_id=attempt_id)
+                self._append(stream, records.Record(request_released=released))
+            raise
+        self._finish(stream, attempt_id, JSON, content)
+        return KeyedAnswer(JSON, iter((content,)), False)
+
+    def _stored_events(
+        self, stream: str, attempt_id: str, events: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        kept: list[bytes] = []
+        for event in events:
+            kept.append(event)
+            if event == DONE_EVENT:
+                # Stored before the caller knows that it is whole.
+                self._finish(stream, attempt_id, EVENT_STREAM, b"".join(kept))
+            yield event
+
+    def _finish(self, stream: str, attempt_id: str, content_type: str, content: bytes) -> None:
+        finished = records.RequestFinished(
+            attempt_id=attempt_id, content_type=content_type, response_body=content
+        )
+        self._append(stream, records.Record(request_finished=finished))
+
+    def _append(self, stream: str, record: records.Record) -> None:
+        try:
+            self._writer.append(stream, record)
+        except LogUnavailableError as error:
+            # The caller has the answer all the same; a resend is refused as may have run.
+            self._events.emit(Event.LOG_UNAVAILABLE, stream=stream, error=error.message)
--- a/postvalve/node/node.py
+++ b/postvalve/node/node.py
@@ -24,8 +24,10 @@
 from postvalve.node.http.chat import ChatEndpoint
 from postvalve.node.http.files import FilesEndpoint
 from postvalve.node.http.operations import OperationsEndpoint
+from postvalve.node.keyed_requests import KeyedRequests
 from postvalve.node.membership_service import MembershipService
 from postvalve.node.online import OnlineDispatcher
+from postvalve.node.placement_service import PlacementService
 from postvalve.settings.fleet import FleetConfiguration
 
 DRAIN_CHECK_INTERVAL = 0.05
@@ -48,6 +50,7 @@
         self._membership = MembershipService(context)
         self._configuration = ConfigurationService(context, self._membership)
         self._registry = EngineRegistry(context, self._membership, self._configuration)
+        self._placement = PlacementService(context, self._configuration, self._registry)
         self._files = FileStore(context)
         self._jobs = JobStore(context.log, context.writer, self._clock, self._settings.shards)
         self._holder = BatchHolder(context, self._membership, self._jobs)
@@ -65,7 +68,12 @@
             context,
             self._configuration,
             self,
-            ChatEndpoint(context, self._configuration, self._dispatcher),
+            ChatEndpoint(
+                context,
+                self._configuration,
+                self._dispatcher,
+                KeyedRequests(context, self._dispatcher),
+            ),
             FilesEndpoint(self._settings.http, self._files, self._jobs),
             BatchesEndpoint(context, self._configuration, self._files, self._jobs),
             OperationsEndpoint(self, self._configuration, context.metrics),
@@ -87,6 +95,7 @@
         self._membership.start(self._tasks)
         self._configuration.start(self._tasks)
         self._registry.start(self._tasks)
+        self._placement.start(self._tasks)
         self._holder.start(self._tasks)
         self._runner.start(self._tasks)
         self._events.emit(Event.NODE_STARTED, listen=self._settings.listen)
--- a/postvalve/platform/engine.py
+++ b/postvalve/platform/engine.py
@@ -129,6 +129,14 @@
         """
         ...
 
+    def order(self, action: str, model: str, version: str, fencing_token: int) -> None:
+        """Order to load or unload a model; the load report tells when it is done.
+
+        Raises:
+            PlatformError: refused, as an older fencing token is, or not answered.
+        """
+        ...
+
     def load(self) -> EngineLoad:
         """Read the load report.
 
@@ -241,6 +249,16 @@
         path = f"/v1/attempts/{quote(attempt_id, safe='')}"
         self._control_call("DELETE", path, b"")
 
+    def order(self, action: str, model: str, version: str, fencing_token: int) -> None:
+        """See `Engine`."""
+        document = {
+            "action": action,
+            "model": model,
+            "version": version,
+            "fencing_token": fencing_token,
+        }
+        self._control_call("POST", "/v1/orders", json.dumps(document).encode("utf-8"))
+
     def load(self) -> EngineLoad:
         """See `Engine`."""
         document = self._control_call("GET", "/v1/load", b"")
@@ -258,9 +276,12 @@
         try:
             with self._control.request(method, path, body=body) as response:
                 content = response.read()
-            return json.loads(content)
+            document = json.loads(content)
         except Exception as error:  # sockets, parser and pool raise unrelated types
             raise PlatformError(f"engine {self.address}: {error!r}") from error
+        if response.status_code != 200:
+            raise PlatformError(f"engine {self.address} refused: {_error_text(content)}")
+        return document
 
 
 def _cut(error: Exception) -> AttemptError:
--- a/postvalve/settings/fleet.py
+++ b/postvalve/settings/fleet.py
@@ -92,6 +92,16 @@
     online_headroom_slots: int = Field(2, ge=0, description="engine slots kept free of batch")
 
 
+class PlacementSpec(StrictModel):
+    """What engines hold, found by selector, and how a change of it is rolled out."""
+
+    name: Name
+    engines: SelectorText = ""
+    models: list[Name] = Field(min_length=1)
+    precedence: int = 0
+    max_unavailable: int = Field(1, ge=1, description="engines that change at once")
+
+
 class LimitSpec(StrictModel):
     """Limits of each tenant and workload covered; every tenant has its own bucket."""
 
@@ -111,6 +121,7 @@
     workloads: list[WorkloadSpec] = []
     models: list[ModelSpec] = []
     pools: list[PoolSpec] = []
+    placements: list[PlacementSpec] = []
     limits: list[LimitSpec] = []
     drains: list[DrainSpec] = []
     operators: list[OperatorSpec] = []
@@ -132,10 +143,11 @@
 
     def _unknown_models(self) -> Iterable[str]:
         known = {model.name for model in self.models}
-        for pool in self.pools:
-            for model in pool.models:
-                if model not in known:
-                    yield f"pools.{pool.name}.models: no model is named {model!r}"
+        for kind, rules in (("pools", self.pools), ("placements", self.placements)):
+            for rule in rules:
+                for model in rule.models:
+                    if model.partition(":")[0] not in known:
+                        yield f"{kind}.{rule.name}.models: no model is named {model!r}"
 
     def _shared_keys(self) -> Iterable[str]:
         holder: dict[str, str] = {}
@@ -154,6 +166,23 @@
         """Model name to its specification."""
         return {model.name: model for model in self.models}
 
+    def serves(self, name: str) -> bool:
+        """Whether callers may name this model, or adapter as MODEL:ADAPTER."""
+        model_name, separator, adapter = name.partition(":")
+        model = self.model_by_name.get(model_name)
+        if model is None:
+            return False
+        return adapter in model.adapters if separator else True
+
+    @cached_property
+    def served_names(self) -> list[str]:
+        """Every model, and every adapter as MODEL:ADAPTER."""
+        names: list[str] = []
+        for model in self.models:
+            names.append(model.name)
+            names += [f"{model.name}:{adapter}" for adapter in model.adapters]
+        return names
+
     @cached_property
     def workload_by_name(self) -> dict[str, WorkloadSpec]:
         """Workload name to its specification."""
