--- a/postvalve/cli/connection.py
+++ b/postvalve/cli/connection.py
@@ -43,4 +43,6 @@
     clock = SystemClock()
     log = HttpLog(arguments.log_url, arguments.zone)
     writer = LogWriter(log, clock, random_id)
-    return LogAccess(ConfigurationStore(log, writer, clock), JobStore(log, writer, clock, shards))
+    return LogAccess(
+        ConfigurationStore(log, writer, clock, random_id), JobStore(log, writer, clock, shards)
+    )
--- a/postvalve/core/batch/job_ledger.py
+++ b/postvalve/core/batch/job_ledger.py
@@ -12,9 +12,8 @@
 import enum
 from collections.abc import Iterator
 
-import betterproto
-
 from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record
 from postvalve.states import JobState
 
 
@@ -57,21 +56,22 @@
         """Items without a result."""
         return len(self._finished) - self.completed - self.failed
 
-    def observe(self, offset: int, record: records.Record) -> list[records.ItemResult]:
+    def observe(self, offset: int, record: Record) -> list[records.ItemResult]:
         """Take the record at `offset` in; returns the results in it that count."""
         if offset != self.next_offset:
             raise ValueError(f"offset {offset} follows {self.next_offset - 1}")
         self.next_offset = offset + 1
-        kind, body = betterproto.which_one_of(record, "body")
-        if kind == "job_submitted":
+        body = record.body
+        if isinstance(body, records.JobSubmitted):
             self._submit(body)
-        elif kind == "item_started":
-            self._starts.setdefault(body.item_index, body.attempt_id)
-        elif kind == "items_finished":
+        elif isinstance(body, records.ItemsStarted):
+            for start in body.starts:
+                self._starts.setdefault(start.item_index, start.attempt_id)
+        elif isinstance(body, records.ItemsFinished):
             return self._finish_items(body)
-        elif kind == "job_cancelled":
+        elif isinstance(body, records.JobCancelled):
             self._end(JobState.CANCELLED, body.cancelled_at_ms)
-        elif kind == "job_finished":
+        elif isinstance(body, records.JobFinished):
             self._note_finish(body)
         return []
 
--- a/postvalve/core/batch/lease.py
+++ b/postvalve/core/batch/lease.py
@@ -10,9 +10,8 @@
 import enum
 from dataclasses import dataclass
 
-import betterproto
-
 from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record
 from postvalve.states import LeaseState
 
 
@@ -46,19 +45,19 @@
         self._heard_at = float("-inf")
         self._asked_at = float("-inf")
 
-    def observe(self, record: records.Record, now: float) -> None:
+    def observe(self, record: Record, now: float) -> None:
         """Take a record of the shard's stream in."""
-        kind, body = betterproto.which_one_of(record, "body")
-        if kind == "lease_claimed" and body.epoch == self.epoch + 1:
+        body = record.body
+        if isinstance(body, records.LeaseClaimed) and body.epoch == self.epoch + 1:
             self.epoch = body.epoch
             self.holder = body.node_id
             self.holder_incarnation = body.incarnation
             self._heard_at = now
-        elif kind == "lease_renewed" and body.epoch == self.epoch:
+        elif isinstance(body, records.LeaseRenewed) and body.epoch == self.epoch:
             self._heard_at = now
-        elif kind == "lease_released" and body.epoch == self.epoch:
+        elif isinstance(body, records.LeaseReleased) and body.epoch == self.epoch:
             self.holder = ""
-        elif kind == "shard_checkpoint" and body.epoch > self.epoch:
+        elif isinstance(body, records.ShardCheckpoint) and body.epoch > self.epoch:
             self.epoch = body.epoch
             self.holder = body.node_id
             self.holder_incarnation = body.incarnation
--- a/postvalve/core/batch/scheduler.py
+++ b/postvalve/core/batch/scheduler.py
@@ -176,6 +176,13 @@
         if job is not None:
             job.returned.append(key.item_index)
 
+    def hold_back(self, key: ItemKey) -> None:
+        """Keep a taken item from being handed out: an earlier start of it may still run."""
+        self._uncount(key)
+        job = self._jobs.get(key.job_id)
+        if job is not None:
+            job.held_back.add(key.item_index)
+
     def _forget(self, dispatch: Dispatch) -> None:
         del self._dispatches[dispatch.key]
         self._uncount(dispatch.key)
--- a/postvalve/core/batch/shard_state.py
+++ b/postvalve/core/batch/shard_state.py
@@ -4,10 +4,9 @@
 
 from dataclasses import dataclass
 
-import betterproto
-
 from postvalve.core.batch.lease import LeaseTiming, ShardLease
 from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record
 
 CHECKPOINT_EVERY = 256
 """Records after which a holder writes the next checkpoint."""
@@ -51,18 +50,18 @@
         """Whether the holder should write a checkpoint."""
         return self._since_checkpoint >= CHECKPOINT_EVERY
 
-    def observe(self, record: records.Record, now: float) -> list[ShardEffect]:
+    def observe(self, record: Record, now: float) -> list[ShardEffect]:
         """Take one record in."""
         self._since_checkpoint += 1
         self.lease.observe(record, now)
-        kind, body = betterproto.which_one_of(record, "body")
-        if kind == "job_announced":
+        body = record.body
+        if isinstance(body, records.JobAnnounced):
             return self._open(body.job_id)
-        if kind == "job_closed":
+        if isinstance(body, records.JobClosed):
             self._close(body.job_id)
-        elif kind == "job_cancel_requested" and body.job_id in self._open_jobs:
+        elif isinstance(body, records.JobCancelRequested) and body.job_id in self._open_jobs:
             return [JobCancelAsked(body.job_id)]
-        elif kind == "shard_checkpoint":
+        elif isinstance(body, records.ShardCheckpoint):
             return self._restore(body)
         return []
 
--- a/postvalve/core/configuration/history.py
+++ b/postvalve/core/configuration/history.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record
 
 NO_REVISION = -1
 """Number before the first accepted change; its base is this."""
@@ -21,6 +22,8 @@
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
     REPEATED = "repeated"
+    IGNORED = "ignored"
+    """No change at all."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +58,13 @@
         """Its number, or NO_REVISION."""
         return self._newest.number if self._newest else NO_REVISION
 
-    def observe(self, offset: int, record: records.Record) -> ChangeOutcome:
+    def observe(self, offset: int, record: Record) -> ChangeOutcome:
         """Decide the record at `offset`; offsets must come in order."""
         if record.record_id in self._outcomes:
             return ChangeOutcome.REPEATED
-        change = record.configuration_change
+        change = record.body
+        if not isinstance(change, records.ConfigurationChange):
+            return ChangeOutcome.IGNORED
         outcome = ChangeOutcome.CONFLICT
         if change.base_revision == self._decided:
             outcome = ChangeOutcome.ACCEPTED
--- a/postvalve/core/routing/keyed_request.py
+++ b/postvalve/core/routing/keyed_request.py
@@ -10,9 +10,8 @@
 
 import enum
 
-import betterproto
-
 from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record
 
 
 class KeyState(enum.StrEnum):
@@ -34,15 +33,15 @@
         self.request_digest = ""
         self.next_offset = 0
 
-    def observe(self, offset: int, record: records.Record) -> None:
+    def observe(self, offset: int, record: Record) -> None:
         """Take the record at `offset` in; offsets must come in order."""
         self.next_offset = offset + 1
-        kind, body = betterproto.which_one_of(record, "body")
-        if kind == "request_started":
+        body = record.body
+        if isinstance(body, records.RequestStarted):
             self._observe_start(body)
-        elif kind == "request_finished" and self._is_current(body.attempt_id):
+        elif isinstance(body, records.RequestFinished) and self._is_current(body.attempt_id):
             self.finish = self.finish or body
-        elif kind == "request_released" and self._is_current(body.attempt_id):
+        elif isinstance(body, records.RequestReleased) and self._is_current(body.attempt_id):
             self.start = None
 
     def _observe_start(self, body: records.RequestStarted) -> None:
--- a/postvalve/emulator/virtual_fleet.py
+++ b/postvalve/emulator/virtual_fleet.py
@@ -32,6 +32,7 @@
 from postvalve.emulator.virtual_time import EPOCH, VirtualClock, VirtualLoop
 from postvalve.events import Event, EventLog
 from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record, encode_record
 from postvalve.node.context import NodeContext
 from postvalve.node.node import Node
 from postvalve.platform.machines import Machine
@@ -170,8 +171,7 @@
             author="start",
             document=configuration.model_dump_json().encode("utf-8"),
         )
-        record = records.Record(record_id="start", configuration_change=change)
-        self.log.model.append(CONFIGURATION_STREAM, bytes(record))
+        self.log.model.append(CONFIGURATION_STREAM, encode_record(Record("start", change)))
 
     def _add_engines(self) -> None:
         for number in range(self.shape.engines):
--- a/postvalve/node/batch/file_store.py
+++ b/postvalve/node/batch/file_store.py
@@ -109,7 +109,7 @@
             content=bytes(self._chunk),
             first_line=self._chunk_first_line,
         )
-        self._writer.append(self._stream, records.Record(file_chunk=chunk))
+        self._writer.append(self._stream, chunk)
         self._chunks += 1
         self._chunk_first_line = self._checker.lines
         self._chunk.clear()
@@ -166,10 +166,10 @@
             created_at_ms=milliseconds(self._clock.wall()),
         )
         stream = file_stream(file_id)
-        self._writer.append(stream, records.Record(file_created=created))
-        self._writer.append(stream, records.Record(file_sealed=sealed))
+        self._writer.append(stream, created)
+        self._writer.append(stream, sealed)
         indexed = records.FileIndexed(file_id=file_id)
-        self._writer.append(tenant_stream(tenant), records.Record(file_indexed=indexed))
+        self._writer.append(tenant_stream(tenant), indexed)
         return _describe(created, sealed)
 
     def describe(self, tenant: str, file_id: str) -> FileDescription:
@@ -205,14 +205,12 @@
         start = end
         while start > 0 and (created is None or sealed is None):
             start -= 1
-            record = parse_record(self._log.read(stream, start, limit=1).entries[0].payload)
-            if record.file_deleted.tenant:
-                return None
-            if record.file_created.file_id:
-                created = record.file_created
-            if record.file_sealed.chunks:
-                sealed = record.file_sealed
-            if record.file_chunk.content and created is None:
+            body = parse_record(self._log.read(stream, start, limit=1).entries[0].payload).body
+            if isinstance(body, records.FileCreated):
+                created = body
+            elif isinstance(body, records.FileSealed):
+                sealed = body
+            elif isinstance(body, records.FileDeleted) or created is None:
                 return None
         return _Known(_describe(created, sealed), end) if created and sealed else None
 
@@ -223,7 +221,7 @@
             NotFoundError: there is none that the tenant may see.
         """
         self.describe(tenant, file_id)
-        deleted = records.Record(file_deleted=records.FileDeleted(tenant=tenant))
+        deleted = records.FileDeleted(tenant=tenant)
         self._writer.append(file_stream(file_id), deleted)
         self._descriptions.pop(file_id, None)
 
@@ -236,8 +234,10 @@
         """Yield the chunk records of a file; repeats are dropped."""
         expected: int | None = None
         for entry in read_all(self._log, file_stream(file_id), offset):
-            chunk = parse_record(entry.payload).file_chunk
-            if not chunk.content or (expected is not None and chunk.sequence < expected):
+            chunk = parse_record(entry.payload).body
+            if not isinstance(chunk, records.FileChunk):
+                continue
+            if expected is not None and chunk.sequence < expected:
                 continue
             expected = chunk.sequence + 1
             yield chunk
--- a/postvalve/node/batch/holder.py
+++ b/postvalve/node/batch/holder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import gevent
 
 from postvalve.clock import milliseconds
@@ -17,8 +19,9 @@
 from postvalve.events import Event
 from postvalve.exceptions import LogUnavailableError, PeerUnavailableError, PostvalveError
 from postvalve.messages.generated import peer, records
+from postvalve.messages.records_codec import Record
 from postvalve.node.background import BackgroundTasks
-from postvalve.node.batch.item_bodies import ItemBodies
+from postvalve.node.batch.item_bodies import ItemBodies, ItemBody
 from postvalve.node.batch.job_store import JobStore
 from postvalve.node.batch.result_committer import ResultCommitter
 from postvalve.node.batch.shard_leases import ShardLeases
@@ -56,6 +59,7 @@
         self._scheduler = BatchScheduler()
         self._bodies = ItemBodies(context.log)
         self._custom_ids: dict[ItemKey, str] = {}
+        self._undecided_starts: dict[ItemKey, str] = {}
         self._loading: set[str] = set()
         self._closing: set[str] = set()
         self.committer = ResultCommitter(context.writer, context.events, self._committed)
@@ -121,8 +125,11 @@
     def _settle_unknown_starts(self, job: ScheduledJob) -> None:
         """End items that an earlier holder started, unless their result still comes."""
         for item_index in list(job.held_back):
-            key = ItemKey(job.ledger.job_id, item_index)
-            gevent.spawn_later(self._settings.timing.lease_duration, self._end_as_may_have_run, key)
+            self._settle_later(ItemKey(job.ledger.job_id, item_index))
+
+    def _settle_later(self, key: ItemKey) -> None:
+        patience = self._settings.timing.lease_duration
+        gevent.spawn_later(patience, self._end_as_may_have_run, key)
 
     # Requests of engine owners
 
@@ -132,31 +139,50 @@
             request.models, min(request.slots, MAX_PULL), self._clock.wall()
         )
         assignments: list[peer.ItemAssignment] = []
-        for position, key in enumerate(keys):
-            try:
-                assignment = self._assign(request, key)
-            except LogUnavailableError:
-                for remaining in keys[position:]:
-                    self._scheduler.give_back(remaining)
-                break
-            if assignment is not None:
-                assignments.append(assignment)
+        for job_id, job_keys in itertools.groupby(keys, key=lambda key: key.job_id):
+            assignments += self._assign_items(request, job_id, list(job_keys))
         return assignments
 
-    def _assign(self, request: peer.ItemPull, key: ItemKey) -> peer.ItemAssignment | None:
-        job = self._scheduler.job(key.job_id)
-        if job is None or not self._holds(key.job_id):
+    def _assign_items(
+        self, request: peer.ItemPull, job_id: str, keys: list[ItemKey]
+    ) -> list[peer.ItemAssignment]:
+        job = self._scheduler.job(job_id)
+        if job is None or not self._holds(job_id):
+            return self._give_back(keys)
+        attempts = {key: self._attempt_for(key) for key in keys}
+        try:
+            file_id = job.ledger.accepted.input_file_id
+            bodies = {key: self._bodies.get(file_id, key.item_index) for key in keys}
+            if job.ledger.accepted.at_most_once:
+                attempts = self._start_once(job, attempts)
+        except LogUnavailableError:
+            return self._give_back(keys)
+        return [
+            self._assign(request, job, key, attempt_id, bodies[key])
+            for key, attempt_id in attempts.items()
+        ]
+
+    def _attempt_for(self, key: ItemKey) -> str:
+        return self._undecided_starts.pop(key, None) or self._new_id()
+
+    def _give_back(self, keys: list[ItemKey]) -> list[peer.ItemAssignment]:
+        for key in keys:
             self._scheduler.give_back(key)
-            return None
+        return []
+
+    def _assign(
+        self,
+        request: peer.ItemPull,
+        job: ScheduledJob,
+        key: ItemKey,
+        attempt_id: str,
+        item: ItemBody,
+    ) -> peer.ItemAssignment:
         submission = job.ledger.accepted
-        attempt_id = self._new_id()
-        item = self._bodies.get(submission.input_file_id, key.item_index)
-        if submission.at_most_once and not self._start_once(job, key, attempt_id):
-            self._scheduler.give_back(key)
-            return None
+        now = self._clock.monotonic()
         self._custom_ids[key] = item.custom_id
         self._scheduler.dispatched(
-            Dispatch(key, attempt_id, request.node_id, request.incarnation, self._clock.monotonic())
+            Dispatch(key, attempt_id, request.node_id, request.incarnation, now)
         )
         return peer.ItemAssignment(
             job_id=key.job_id,
@@ -168,17 +194,39 @@
             at_most_once=submission.at_most_once,
         )
 
-    def _start_once(self, job: ScheduledJob, key: ItemKey, attempt_id: str) -> bool:
-        """Record the start of an at-most-once item; whether this attempt alone may run it."""
-        started = records.ItemStarted(item_index=key.item_index, attempt_id=attempt_id)
-        record = records.Record(item_started=started)
-        self._writer.append(job_stream(key.job_id), record)
-        self._store.catch_up(job.ledger)
+    def _start_once(self, job: ScheduledJob, attempts: dict[ItemKey, str]) -> dict[ItemKey, str]:
+        """Record the starts of at-most-once items; returns those that alone may run.
+
+        Raises:
+            LogUnavailableError: the starts may stand. They are of attempts that were
+                dispatched nowhere, so the next try goes on with the same attempts.
+        """
+        body = records.ItemsStarted(
+            starts=[
+                records.ItemStarted(item_index=key.item_index, attempt_id=attempt_id)
+                for key, attempt_id in attempts.items()
+            ]
+        )
+        try:
+            self._writer.append(job_stream(job.ledger.job_id), body)
+            self._store.catch_up(job.ledger)
+        except LogUnavailableError:
+            self._undecided_starts.update(attempts)
+            raise
+        return {
+            key: attempt_id
+            for key, attempt_id in attempts.items()
+            if self._may_run(job, key, attempt_id)
+        }
+
+    def _may_run(self, job: ScheduledJob, key: ItemKey, attempt_id: str) -> bool:
         won = job.ledger.start_of(key.item_index) == attempt_id
         ended = job.ledger.state.is_terminal or job.ledger.is_finished(key.item_index)
-        if not won:
-            job.held_back.add(key.item_index)
-        return won and not ended and self._holds(key.job_id)
+        if won and not ended and self._holds(key.job_id):
+            return True
+        self._scheduler.hold_back(key)
+        self._settle_later(key)
+        return False
 
     def _holds(self, job_id: str) -> bool:
         return self.leases.holds(shard_of(job_id, self._settings.shards))
@@ -267,18 +315,18 @@
 
     # What became durable
 
-    def _committed(self, job_id: str, offset: int, record: records.Record) -> None:
+    def _committed(self, job_id: str, offset: int, body: records.ItemsFinished) -> None:
         job = self._scheduler.job(job_id)
         if job is None:
             return
         ledger = job.ledger
         if offset == ledger.next_offset:
             # Nobody else wrote in between, so there is nothing to read back.
-            ledger.observe(offset, record)
+            ledger.observe(offset, Record("", body))
         else:
             self._store.catch_up(ledger)
         now = self._clock.monotonic()
-        for result in record.items_finished.results:
+        for result in body.results:
             key = ItemKey(job_id, result.item_index)
             self._observe_duration(ledger.accepted.model, key, now)
             self._scheduler.finished(key, now)
@@ -321,9 +369,7 @@
         try:
             if ledger.state is JobState.COMPLETED and not ledger.ended_at_ms:
                 finished = records.JobFinished(finished_at_ms=milliseconds(self._clock.wall()))
-                self._writer.append(
-                    job_stream(ledger.job_id), records.Record(job_finished=finished)
-                )
+                self._writer.append(job_stream(ledger.job_id), finished)
             shard = shard_of(ledger.job_id, self._settings.shards)
             self.leases.append_closed(shard, ledger.job_id)
         except LogUnavailableError as error:
--- a/postvalve/node/batch/item_bodies.py
+++ b/postvalve/node/batch/item_bodies.py
@@ -6,6 +6,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+import betterproto
+
 from postvalve.core.batch.identity import file_stream
 from postvalve.exceptions import NotFoundError
 from postvalve.messages.generated import records
@@ -74,19 +76,19 @@
             if not part.entries:
                 raise NotFoundError(f"file {file_id} has no line {line + 1}")
             record = parse_record(part.entries[0].payload)
-            chunk = self._keep(file_id, offset, record.file_chunk)
+            chunk = self._keep(file_id, offset, record.body)
             if chunk and chunk.first_line <= line < chunk.first_line + len(chunk.lines):
                 return chunk
             offset += 1
 
-    def _keep(self, file_id: str, offset: int, record: records.FileChunk) -> _Chunk | None:
+    def _keep(self, file_id: str, offset: int, body: betterproto.Message | None) -> _Chunk | None:
         known = self._first_lines.setdefault(file_id, [])
         while len(known) <= offset:
             known.append(-1)
-        if not record.content:
+        if not isinstance(body, records.FileChunk):
             return None
-        chunk = _Chunk(record.first_line, record.content.splitlines())
-        known[offset] = record.first_line
+        chunk = _Chunk(body.first_line, body.content.splitlines())
+        known[offset] = body.first_line
         self._chunks[file_id, offset] = chunk
         while len(self._chunks) > CACHED_CHUNKS:
             self._chunks.popitem(last=False)
--- a/postvalve/node/batch/job_store.py
+++ b/postvalve/node/batch/job_store.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterator
-
-import betterproto
+from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 from postvalve.clock import Clock, milliseconds
 from postvalve.core.batch.identity import (
@@ -23,10 +22,12 @@
 )
 from postvalve.messages.framing import FrameError
 from postvalve.messages.generated import records
-from postvalve.messages.records_codec import parse_record
+from postvalve.messages.records_codec import Record, parse_record
 from postvalve.node.log_writer import LogWriter
 from postvalve.platform.log import LogService, read_all
 
+Indexed = TypeVar("Indexed", records.JobAnnounced, records.FileIndexed)
+
 CACHED_LEDGERS = 256
 """Ledgers that a node keeps for its readers."""
 
@@ -50,8 +51,7 @@
         """
         ledger = self.refresh(submission.job_id)
         if not ledger.exists:
-            record = records.Record(job_submitted=submission)
-            self._writer.append(job_stream(submission.job_id), record)
+            self._writer.append(job_stream(submission.job_id), submission)
             ledger = self.refresh(submission.job_id)
         outcome = ledger.submission_outcome(submission.request_digest)
         if outcome is SubmissionOutcome.CONFLICT:
@@ -68,7 +68,7 @@
         shard = shard_of(submission.job_id, self._shards)
         for stream in (tenant_stream(submission.tenant), shard_stream(shard)):
             try:
-                self._writer.append(stream, records.Record(job_announced=announcement))
+                self._writer.append(stream, announcement)
             except LogUnavailableError as error:
                 # The job's record stands, so a later resend may still start it.
                 raise LogUnavailableError(
@@ -109,7 +109,7 @@
         try:
             record = parse_record(payload)
         except FrameError:
-            record = records.Record()
+            record = Record("", None)
         ledger.observe(offset, record)
 
     def cancel(self, tenant: str, job_id: str) -> JobLedger:
@@ -124,10 +124,10 @@
             return ledger
         cancelled_at = milliseconds(self._clock.wall())
         body = records.JobCancelled(cancelled_at_ms=cancelled_at)
-        self._writer.append(job_stream(job_id), records.Record(job_cancelled=body))
+        self._writer.append(job_stream(job_id), body)
         request = records.JobCancelRequested(job_id=job_id)
         shard = shard_of(job_id, self._shards)
-        self._writer.append(shard_stream(shard), records.Record(job_cancel_requested=request))
+        self._writer.append(shard_stream(shard), request)
         return self.refresh(job_id)
 
     def results(self, job_id: str) -> Iterator[records.ItemResult]:
@@ -138,24 +138,34 @@
 
     def tenant_jobs(self, tenant: str) -> list[str]:
         """Ids of a tenant's jobs, the newest first."""
-        return self._index(tenant_stream(tenant), "job_announced")
+        return self._index(tenant_stream(tenant), records.JobAnnounced, _job_name)
 
     def tenant_files(self, tenant: str) -> list[str]:
         """Ids of a tenant's uploaded files, the newest first."""
-        return self._index(tenant_stream(tenant), "file_indexed")
+        return self._index(tenant_stream(tenant), records.FileIndexed, _file_name)
 
     def announced_jobs(self) -> list[str]:
         """Ids of the jobs of all tenants, by shard."""
         found: dict[str, None] = {}
         for shard in range(self._shards):
-            for job_id in self._index(shard_stream(shard), "job_announced"):
+            for job_id in self._index(shard_stream(shard), records.JobAnnounced, _job_name):
                 found[job_id] = None
         return list(found)
 
-    def _index(self, stream: str, wanted: str) -> list[str]:
+    def _index(
+        self, stream: str, wanted: type[Indexed], name: Callable[[Indexed], str]
+    ) -> list[str]:
         found: dict[str, None] = {}
         for entry in read_all(self._log, stream):
-            kind, body = betterproto.which_one_of(parse_record(entry.payload), "body")
-            if kind == wanted:
-                found[body.job_id if wanted == "job_announced" else body.file_id] = None
+            body = parse_record(entry.payload).body
+            if isinstance(body, wanted):
+                found[name(body)] = None
         return list(reversed(found))
+
+
+def _job_name(body: records.JobAnnounced) -> str:
+    return body.job_id
+
+
+def _file_name(body: records.FileIndexed) -> str:
+    return body.file_id
--- a/postvalve/node/batch/result_committer.py
+++ b/postvalve/node/batch/result_committer.py
@@ -26,7 +26,7 @@
 REPEAT_PATIENCE = 30.0
 """Seconds of repetition until an outage is logged; then it is repeated again."""
 
-CommitListener = Callable[[str, int, records.Record], None]
+CommitListener = Callable[[str, int, records.ItemsFinished], None]
 
 
 @dataclass(slots=True)
@@ -93,15 +93,14 @@
 
     def _append(self, job_id: str, batch: list[_Waiting]) -> None:
         body = records.ItemsFinished(results=[waiting.result for waiting in batch])
-        record = records.Record(items_finished=body)
-        offset = self._append_until_acknowledged(job_id, record)
-        self._on_commit(job_id, offset, record)
+        offset = self._append_until_acknowledged(job_id, body)
+        self._on_commit(job_id, offset, body)
         for waiting in batch:
             waiting.committed.set(None)
 
-    def _append_until_acknowledged(self, job_id: str, record: records.Record) -> int:
+    def _append_until_acknowledged(self, job_id: str, body: records.ItemsFinished) -> int:
         while True:
             try:
-                return self._writer.append(job_stream(job_id), record, REPEAT_PATIENCE)
+                return self._writer.append(job_stream(job_id), body, REPEAT_PATIENCE)
             except LogUnavailableError as error:
                 self._events.emit(Event.LOG_UNAVAILABLE, job=job_id, error=error.message)
--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -102,22 +102,29 @@
     def pull_all(self) -> None:
         """Fill the free slots of every owned engine."""
         for engine in self._registry.owned():
-            engine_id = engine.machine.machine_id
-            if engine_id not in self._pulling:
-                self._pulling.add(engine_id)
-                gevent.spawn(self._fill, engine)
+            self._fill_soon(engine)
         self._return_orphans()
 
-    def _fill(self, engine: OwnedEngine) -> None:
+    def _fill_soon(self, engine: OwnedEngine) -> None:
         engine_id = engine.machine.machine_id
+        if engine_id not in self._pulling:
+            self._pulling.add(engine_id)
+            gevent.spawn(self._fill, engine)
+
+    def _fill(self, engine: OwnedEngine) -> None:
         try:
             self._resume_paused(engine)
-            now = self._clock.monotonic()
-            rested = self._resting.get(engine_id, 0.0) <= now
-            if not self._draining and rested and self._unreported < MAX_UNREPORTED:
-                self._pull(engine)
+            # Slots that come free while a pull is under way are filled by the next one.
+            while self._may_pull(engine) and self._pull(engine):
+                pass
         finally:
-            self._pulling.discard(engine_id)
+            self._pulling.discard(engine.machine.machine_id)
+
+    def _may_pull(self, engine: OwnedEngine) -> bool:
+        now = self._clock.monotonic()
+        rested = self._resting.get(engine.machine.machine_id, 0.0) <= now
+        in_memory = self._unreported < MAX_UNREPORTED
+        return engine.usable and rested and in_memory and not self._draining
 
     def _resume_paused(self, engine: OwnedEngine) -> None:
         waiting = self._paused.get(engine.machine.machine_id, [])
@@ -131,10 +138,11 @@
             for item in self._paused.pop(engine_id):
                 self._spawn_report(item, _interrupted(item), 0, b"")
 
-    def _pull(self, engine: OwnedEngine) -> None:
+    def _pull(self, engine: OwnedEngine) -> bool:
+        """Start items of the first holder that has some; whether there were any."""
         room = engine.slots.batch_room(self._clock.monotonic())
         if room < 1:
-            return
+            return False
         request = peer.ItemPull(
             node_id=self._settings.node_id,
             incarnation=self._membership.incarnation,
@@ -147,7 +155,8 @@
             for assignment in assignments:
                 self._launch(engine, RunningItem(assignment))
             if assignments:
-                return
+                return True
+        return False
 
     def _served_models(self, engine: OwnedEngine) -> list[str]:
         pools = self._registry.pools_of(engine.machine)
@@ -206,6 +215,7 @@
                 item.stream.close()
             self._running.pop(attempt_id, None)
             self._registry.release(engine.machine.machine_id, attempt_id)
+            self._fill_soon(engine)
 
     def _read_stream(self, engine: OwnedEngine, item: RunningItem) -> None:
         assignment = item.assignment
--- a/postvalve/node/batch/shard_leases.py
+++ b/postvalve/node/batch/shard_leases.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+import betterproto
 import gevent
 from gevent.event import Event as GeventEvent
 
@@ -81,6 +82,8 @@
         self._listener = listener
         self._followers: dict[int, _Follower] = {}
         self._releasing = False
+        self._ranked_nodes: tuple[str, ...] = ()
+        self._preferences: list[list[str]] = []
         self._started_at = self._clock.monotonic()
         timing = self._settings.timing
         self._timing = LeaseTiming(timing.lease_duration, timing.lease_renewal)
@@ -117,9 +120,14 @@
         """Follow the right shards and take the due steps on their leases."""
         if self._releasing or not self._view_settled():
             return
-        nodes = self._membership.view.alive_ids()
-        for shard in range(self._settings.shards):
-            order = rank_owners(f"shard.{shard}", nodes)
+        nodes = tuple(self._membership.view.alive_ids())
+        if nodes != self._ranked_nodes:
+            self._ranked_nodes = nodes
+            self._preferences = [
+                rank_owners(f"shard.{shard}", nodes)[:FOLLOWERS_PER_SHARD]
+                for shard in range(self._settings.shards)
+            ]
+        for shard, order in enumerate(self._preferences):
             self._step_shard(shard, order)
 
     def _view_settled(self) -> bool:
@@ -130,7 +138,7 @@
     def _step_shard(self, shard: int, order: list[str]) -> None:
         node_id = self._settings.node_id
         follower = self._followers.get(shard)
-        if node_id not in order[:FOLLOWERS_PER_SHARD]:
+        if node_id not in order:
             if follower is not None and not follower.held:
                 follower.stopped.set()
                 del self._followers[shard]
@@ -186,26 +194,26 @@
                 node_id=self._settings.node_id,
                 incarnation=self._membership.incarnation,
             )
-            self._append(follower, records.Record(lease_claimed=claim))
+            self._append(follower, claim)
         elif step is LeaseStep.RENEW:
             renewal = records.LeaseRenewed(epoch=lease.epoch)
-            self._append(follower, records.Record(lease_renewed=renewal))
+            self._append(follower, renewal)
         else:
             release = records.LeaseReleased(epoch=lease.epoch)
-            self._append(follower, records.Record(lease_released=release))
+            self._append(follower, release)
 
     def _append_checkpoint(self, follower: _Follower) -> None:
         checkpoint = follower.state.checkpoint()
-        self._append(follower, records.Record(shard_checkpoint=checkpoint))
+        self._append(follower, checkpoint)
 
     def append_closed(self, shard: int, job_id: str) -> None:
         """Note that a job ended, so that later holders pass it over."""
-        closed = records.Record(job_closed=records.JobClosed(job_id=job_id))
+        closed = records.JobClosed(job_id=job_id)
         self._writer.append(shard_stream(shard), closed)
 
-    def _append(self, follower: _Follower, record: records.Record) -> None:
+    def _append(self, follower: _Follower, body: betterproto.Message) -> None:
         try:
-            self._writer.append(shard_stream(follower.shard), record, patience=1.0)
+            self._writer.append(shard_stream(follower.shard), body, patience=1.0)
         except LogUnavailableError as error:
             self._events.emit(Event.LOG_UNAVAILABLE, shard=follower.shard, error=error.message)
 
@@ -234,7 +242,7 @@
             for entry in reversed(part.entries):
                 if start == 0:
                     return 0
-                if parse_record(entry.payload).shard_checkpoint.epoch:
+                if isinstance(parse_record(entry.payload).body, records.ShardCheckpoint):
                     return entry.offset
             if start == 0:
                 return 0
--- a/postvalve/node/configuration_service.py
+++ b/postvalve/node/configuration_service.py
@@ -15,7 +15,9 @@
 )
 from postvalve.events import Event
 from postvalve.exceptions import LogUnavailableError, NotReadyError, PeerUnavailableError
-from postvalve.messages.generated import peer, records
+from postvalve.messages.framing import FrameError
+from postvalve.messages.generated import peer
+from postvalve.messages.records_codec import parse_record
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.context import NodeContext
 from postvalve.node.membership_service import MembershipService
@@ -101,8 +103,8 @@
 
     def _observe(self, offset: int, payload: bytes) -> None:
         try:
-            record = records.Record().parse(payload)
-        except Exception as error:  # the codec raises whatever its inner calls raise
+            record = parse_record(payload)
+        except FrameError as error:
             self._events.emit(Event.LOG_RECORD_INVALID, offset=offset, error=repr(error))
             return
         outcome = self._history.observe(offset, record)
--- a/postvalve/node/configuration_store.py
+++ b/postvalve/node/configuration_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from postvalve.clock import Clock, milliseconds
@@ -34,8 +35,11 @@
 class ConfigurationStore:
     """Reads and publishes revisions."""
 
-    def __init__(self, log: LogService, writer: LogWriter, clock: Clock) -> None:
+    def __init__(
+        self, log: LogService, writer: LogWriter, clock: Clock, new_id: Callable[[], str]
+    ) -> None:
         self._log = log
+        self._new_id = new_id
         self._writer = writer
         self._clock = clock
 
@@ -61,7 +65,9 @@
         for entry in read_all(self._log, CONFIGURATION_STREAM):
             record = parse_record(entry.payload)
             outcome = history.observe(entry.offset, record)
-            change = record.configuration_change
+            change = record.body
+            if not isinstance(change, records.ConfigurationChange):
+                continue
             entries.append(
                 HistoryEntry(
                     entry.offset,
@@ -96,9 +102,9 @@
             document=configuration.model_dump_json().encode("utf-8"),
             written_at_ms=milliseconds(self._clock.wall()),
         )
-        record = records.Record(configuration_change=change)
-        self._writer.append(CONFIGURATION_STREAM, record)
-        return self._decided(record.record_id, base_revision)
+        record_id = self._new_id()
+        self._writer.append(CONFIGURATION_STREAM, change, record_id=record_id)
+        return self._decided(record_id, base_revision)
 
     def _decided(self, record_id: str, base_revision: int) -> int:
         # An acknowledged append is not decided before everything up to it was read.
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+import gevent
+
 from postvalve.clock import milliseconds
 from postvalve.core.admission.engine_slots import EngineSlots
 from postvalve.core.configuration.resolution import (
@@ -75,6 +77,7 @@
         self._connections: dict[str, Engine] = {}
         self._owned: dict[str, OwnedEngine] = {}
         self._machines: dict[str, Machine] = {}
+        self._connecting: set[str] = set()
         self._preemption_listeners: list[PreemptionListener] = []
         membership.listen(self._node_changed)
 
@@ -116,8 +119,10 @@
         known = self._owned.get(machine.machine_id)
         if owned and known is not None and known.disowned:
             known.disowned = False
-        elif owned and known is None:
-            self._own(machine)
+        elif owned and known is None and machine.machine_id not in self._connecting:
+            # Listeners must not block, and the first load read does.
+            self._connecting.add(machine.machine_id)
+            gevent.spawn(self._own, machine)
         elif not owned and known is not None and not known.disowned:
             self._disown(machine.machine_id)
 
@@ -130,6 +135,10 @@
                 Event.ENGINE_UNREACHABLE, engine=machine.machine_id, error=error.message
             )
             return
+        finally:
+            self._connecting.discard(machine.machine_id)
+        if self._owner_of(machine) != self._settings.node_id:
+            return
         slots = EngineSlots(load.slots, self._minimum_headroom(machine))
         self._owned[machine.machine_id] = OwnedEngine(machine, connection, slots, load)
         self._events.emit(Event.ENGINE_OWNED, engine=machine.machine_id)
--- a/postvalve/node/keyed_requests.py
+++ b/postvalve/node/keyed_requests.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import betterproto
+
 from postvalve.clock import milliseconds
 from postvalve.core.batch.identity import request_stream
 from postvalve.core.routing.keyed_request import KeyedRequest, KeyState
@@ -111,7 +113,7 @@
             replaces_attempt_id=known.start.attempt_id if known.start else "",
         )
         try:
-            self._writer.append(stream, records.Record(request_started=started))
+            self._writer.append(stream, started)
         except LogUnavailableError as error:
             error.verdict = Verdict.NOT_RUN
             raise
@@ -132,7 +134,7 @@
         except PostvalveError as error:
             if error.verdict is Verdict.NOT_RUN:
                 released = records.RequestReleased(attempt_id=attempt_id)
-                self._append(stream, records.Record(request_released=released))
+                self._append(stream, released)
             raise
         self._finish(stream, attempt_id, JSON, content)
         return KeyedAnswer(JSON, iter((content,)), False)
@@ -152,11 +154,11 @@
         finished = records.RequestFinished(
             attempt_id=attempt_id, content_type=content_type, response_body=content
         )
-        self._append(stream, records.Record(request_finished=finished))
+        self._append(stream, finished)
 
-    def _append(self, stream: str, record: records.Record) -> None:
+    def _append(self, stream: str, body: betterproto.Message) -> None:
         try:
-            self._writer.append(stream, record)
+            self._writer.append(stream, body)
         except LogUnavailableError as error:
             # The caller has the answer all the same; a resend is refused as may have run.
             self._events.emit(Event.LOG_UNAVAILABLE, stream=stream, error=error.message)
--- a/postvalve/node/log_writer.py
+++ b/postvalve/node/log_writer.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
+import betterproto
 import gevent
 
 from postvalve.clock import Clock
 from postvalve.exceptions import LogUnavailableError, Verdict
-from postvalve.messages.generated import records
+from postvalve.messages.records_codec import Record, encode_record
 from postvalve.platform.log import LogService
 
 REPEAT_PAUSE = 0.1
@@ -27,7 +28,11 @@
         self._new_id = new_id
 
     def append(
-        self, stream: str, record: records.Record, patience: float = DEFAULT_PATIENCE
+        self,
+        stream: str,
+        body: betterproto.Message,
+        patience: float = DEFAULT_PATIENCE,
+        record_id: str | None = None,
     ) -> int:
         """Append a record, repeating it until it is acknowledged; returns its offset.
 
@@ -35,10 +40,7 @@
             LogUnavailableError: after `patience` seconds; NOT_RUN only when no repetition
                 may have taken effect.
         """
-        if not record.record_id:
-            # Readers drop repeats by this id.
-            record.record_id = self._new_id()
-        payload = bytes(record)
+        payload = encode_record(Record(record_id or self._new_id(), body))
         deadline = self._clock.monotonic() + patience
         verdict = Verdict.NOT_RUN
         pause = REPEAT_PAUSE
--- a/postvalve/node/node.py
+++ b/postvalve/node/node.py
@@ -84,6 +84,11 @@
         """Whether the node takes no new work."""
         return self._draining
 
+    @property
+    def batch_in_progress(self) -> int:
+        """Batch items that this node runs, pauses or has yet to report."""
+        return self._runner.in_progress
+
     @property
     def ready(self) -> bool:
         """Whether the node serves callers."""
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,4 +1,4 @@
-"""Runs all tests. Failures that KNOWN-RED.txt names are printed and passed over.
+"""Runs all tests, some modules at once. Failures that KNOWN-RED.txt names are passed over.
 
 Each line of KNOWN-RED.txt is `test id, cause, issue`; three at most. A listed test that
 passes again fails the run, so that the list stays true.
@@ -6,13 +6,40 @@
 
 from __future__ import annotations
 
+import io
 import sys
 import unittest
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
+MODULES_AT_ONCE = 4
+
+
+@dataclass(frozen=True)
+class ModuleResult:
+    """Outcome of one test module."""
+
+    name: str
+    ran: int
+    skipped: int
+    red: frozenset[str]
+    output: str
+
+
+def run_module(name: str) -> ModuleResult:
+    """Run the tests of one module."""
+    output = io.StringIO()
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    result = unittest.TextTestRunner(stream=output, verbosity=1).run(suite)
+    red = {test.id() for test, _ in [*result.failures, *result.errors]}
+    red |= {test.id() for test in result.unexpectedSuccesses}
+    return ModuleResult(
+        name, result.testsRun, len(result.skipped), frozenset(red), output.getvalue()
+    )
 
 
 def known_red() -> dict[str, str]:
@@ -29,19 +56,23 @@
     if len(known) > MAX_KNOWN_RED:
         print(f"KNOWN-RED.txt has {len(known)} lines; {MAX_KNOWN_RED} at most")
         return 1
-    suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    red = {test.id() for test, _ in [*result.failures, *result.errors]}
-    red |= {test.id() for test in result.unexpectedSuccesses}
+    names = [f"tests.{path.stem}" for path in sorted((ROOT / "tests").glob("test_*.py"))]
+    results = []
+    with ProcessPoolExecutor(MODULES_AT_ONCE) as pool:
+        for result in pool.map(run_module, names):
+            results.append(result)
+            print(f"{result.name}: {result.ran} ran, {len(result.red)} failed", flush=True)
+            if result.red:
+                print(result.output)
+    red = frozenset().union(*(result.red for result in results))
     for test_id in sorted(red & known.keys()):
         print(f"known red: {known[test_id]}")
     for test_id in sorted(known.keys() - red):
         print(f"listed in KNOWN-RED.txt, but it passes: {test_id}")
-    failed = len(red)
-    skipped = len(result.skipped)
-    passed = result.testsRun - failed - skipped
-    print(f"{passed} passed, {failed} failed, {skipped} skipped")
-    return 0 if red == known.keys() and result.testsRun else 1
+    ran = sum(result.ran for result in results)
+    skipped = sum(result.skipped for result in results)
+    print(f"{ran - len(red) - skipped} passed, {len(red)} failed, {skipped} skipped")
+    return 0 if red == known.keys() and ran else 1
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_batch_failures.py
@@ -0,0 +1,346 @@
+"""Items complete exactly once and results stay readable, under failures."""
+
+import unittest
+
+import gevent
+
+from postvalve.emulator.log_model import LogFault
+from postvalve.emulator.virtual_fleet import (
+    ConnectionResetByNodeError,
+    FleetShape,
+    VirtualFleet,
+)
+from postvalve.emulator.virtual_time import run_virtual
+from postvalve.events import Event
+from tests.checks import check_job, engine_runs, running_nodes, views_agree
+from tests.support import batch_lines, create_batch, submit_batch, upload
+
+AT_MOST_ONCE = {"X-Postvalve-At-Most-Once": "true"}
+
+
+class BatchSessionCase(unittest.TestCase):
+    """Sessions with a batch on four nodes in two zones."""
+
+    def session(self, function, **shape):
+        def run(loop):
+            fleet = VirtualFleet(loop, FleetShape(**{"zones": 2, "engines": 4, **shape}))
+            fleet.start()
+            return function(fleet)
+
+        return run_virtual(run)
+
+    def holder_of(self, fleet, job_id):
+        loaded = [
+            one.node_id
+            for one in fleet.events
+            if one.event is Event.JOB_LOADED and one.fields["job"] == job_id
+        ]
+        return loaded[-1]
+
+    def owner_with_items(self, fleet, excluded=()):
+        for _ in range(100):
+            running = [
+                node_id
+                for node_id in running_nodes(fleet)
+                if fleet.nodes[node_id].node.batch_in_progress
+            ]
+            if running:
+                return min(running, key=lambda node_id: node_id in excluded)
+            gevent.sleep(0.01)
+        raise AssertionError("no node runs items")
+
+
+class BatchFailureTest(BatchSessionCase):
+    """Items that may be repeated."""
+
+    def test_engine_dies_with_items(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 200)
+            gevent.sleep(0.2)
+            victim = max(fleet.engines.values(), key=lambda one: one.model.load().running)
+            self.assertGreater(victim.model.load().running, 0)
+            fleet.kill_engine(victim.place.owner)
+            check_job(self, fleet, job_id, 200)
+
+        self.session(run)
+
+    def test_owner_dies_with_items(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 300)
+            gevent.sleep(0.2)
+            holder = self.holder_of(fleet, job_id)
+            fleet.kill_node(self.owner_with_items(fleet, {holder}))
+            check_job(self, fleet, job_id, 300)
+
+        self.session(run)
+
+    def test_holder_dies(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 300)
+            gevent.sleep(0.3)
+            fleet.kill_node(self.holder_of(fleet, job_id))
+            check_job(self, fleet, job_id, 300)
+
+        self.session(run)
+
+    def test_node_is_lost_right_after_it_acknowledged(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 20)
+            fleet.kill_node("node-0-0")
+            check_job(self, fleet, job_id, 20)
+
+        self.session(run)
+
+    def test_append_answers_are_lost(self):
+        def run(fleet):
+            file_id = upload(fleet, "node-0-0", batch_lines("m", 30))
+            fleet.log.model.faults.fault = LogFault.LOSE_ANSWERS
+            key = {"Idempotency-Key": "k"}
+            answer = create_batch(fleet, "node-0-0", file_id, headers=key)
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(answer.document["error"]["verdict"], "may_have_run")
+            fleet.log.model.faults.fault = LogFault.NONE
+            again = create_batch(fleet, "node-1-0", file_id, headers=key)
+            self.assertEqual(again.status, 200)
+            check_job(self, fleet, again.document["id"], 30)
+
+        self.session(run)
+
+    def test_answers_are_lost_while_results_are_written(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 100)
+            gevent.sleep(0.1)
+            fleet.log.model.faults.fault = LogFault.LOSE_ANSWERS
+            gevent.sleep(20)
+            fleet.log.model.faults.fault = LogFault.NONE
+            check_job(self, fleet, job_id, 100)
+
+        self.session(run)
+
+    def test_job_is_sent_to_two_zones_at_once(self):
+        def run(fleet):
+            key = {"Idempotency-Key": "k"}
+            file_id = upload(fleet, "node-0-0", batch_lines("m", 30))
+            both = [
+                gevent.spawn(create_batch, fleet, node_id, file_id, None, key)
+                for node_id in ("node-0-0", "node-1-0")
+            ]
+            answers = [one.get() for one in both]
+            self.assertEqual({one.status for one in answers}, {200})
+            self.assertEqual(len({one.document["id"] for one in answers}), 1)
+            check_job(self, fleet, answers[0].document["id"], 30)
+            self.assertEqual(set(engine_runs(fleet).values()), {1})
+
+        self.session(run)
+
+    def test_two_bodies_under_one_key_at_once_have_one_winner(self):
+        def run(fleet):
+            key = {"Idempotency-Key": "k"}
+            files = [upload(fleet, "node-0-0", batch_lines("m", count)) for count in (10, 11)]
+            both = [
+                gevent.spawn(create_batch, fleet, node_id, file_id, None, key)
+                for node_id, file_id in zip(("node-0-0", "node-1-0"), files, strict=True)
+            ]
+            answers = [one.get() for one in both]
+            self.assertEqual(sorted(one.status for one in answers), [200, 409])
+            winner = next(one for one in answers if one.status == 200)
+            count = winner.document["request_counts"]["total"]
+            check_job(self, fleet, winner.document["id"], count)
+
+        self.session(run)
+
+    def test_log_is_down_for_minutes(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 300)
+            gevent.sleep(0.3)
+            fleet.log.model.faults.fault = LogFault.DOWN
+            gevent.sleep(1)
+            refused = fleet.request("node-0-0", "GET", f"/v1/batches/{job_id}")
+            self.assertEqual(refused.status, 503)
+            self.assertIn("Retry-After", refused.headers)
+            gevent.sleep(120)
+            fleet.log.model.faults.fault = LogFault.NONE
+            check_job(self, fleet, job_id, 300)
+
+        self.session(run)
+
+    def test_log_is_slow(self):
+        def run(fleet):
+            fleet.log.model.faults.fault = LogFault.SLOW
+            fleet.log.model.faults.delay = 1.0
+            job_id = submit_batch(fleet, "node-0-0", 100)
+            check_job(self, fleet, job_id, 100)
+
+        self.session(run)
+
+    def test_log_is_so_slow_that_appends_take_effect_unanswered(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 100)
+            gevent.sleep(0.1)
+            fleet.log.model.faults.fault = LogFault.SLOW
+            fleet.log.model.faults.delay = 8.0
+            gevent.sleep(60)
+            fleet.log.model.faults.fault = LogFault.NONE
+            check_job(self, fleet, job_id, 100)
+
+        self.session(run)
+
+    def test_every_node_is_replaced_one_after_the_other(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 2000)
+            for node_id in list(fleet.nodes):
+                gevent.sleep(0.5)
+                fleet.kill_node(node_id)
+                gevent.sleep(8)
+                fleet.restart_node(node_id)
+                gevent.sleep(4)
+            check_job(self, fleet, job_id, 2000)
+
+        self.session(run)
+
+    def test_every_node_is_replaced_at_once(self):
+        def run(fleet):
+            done_id = submit_batch(fleet, "node-0-0", 20, name="done")
+            check_job(self, fleet, done_id, 20, name="done")
+            job_id = submit_batch(fleet, "node-0-0", 500)
+            gevent.sleep(0.5)
+            for node_id in list(fleet.nodes):
+                fleet.kill_node(node_id)
+            gevent.sleep(1)
+            for node_id in list(fleet.nodes):
+                fleet.restart_node(node_id)
+            gevent.sleep(fleet.settling_time)
+            check_job(self, fleet, done_id, 20, name="done")
+            check_job(self, fleet, job_id, 500)
+
+        self.session(run)
+
+    def test_holder_wakes_after_its_lease_lapsed(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 600)
+            gevent.sleep(0.3)
+            holder = self.holder_of(fleet, job_id)
+            fleet.freeze_node(holder)
+            gevent.sleep(40)
+            self.assertNotEqual(self.holder_of(fleet, job_id), holder)
+            fleet.thaw_node(holder)
+            check_job(self, fleet, job_id, 600)
+            views_agree(self, fleet, job_id)
+
+        self.session(run)
+
+    def test_submitter_dies_between_its_records(self):
+        def run(fleet):
+            key = {"Idempotency-Key": "k"}
+            file_id = upload(fleet, "node-0-0", batch_lines("m", 10))
+            first = gevent.spawn(create_batch, fleet, "node-0-0", file_id, None, key)
+            gevent.sleep(0.012)
+            fleet.kill_node("node-0-0")
+            with self.assertRaises(ConnectionResetByNodeError):
+                first.get()
+            again = create_batch(fleet, "node-1-0", file_id, headers=key)
+            check_job(self, fleet, again.document["id"], 10)
+
+        self.session(run)
+
+    def test_cancel_races_with_completion(self):
+        for delay in (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4):
+            with self.subTest(delay=delay):
+                self.session(lambda fleet, delay=delay: self.race(fleet, delay))
+
+    def race(self, fleet, delay):
+        job_id = submit_batch(fleet, "node-0-0", 60)
+        gevent.sleep(delay)
+        answer = fleet.request("node-1-0", "POST", f"/v1/batches/{job_id}/cancel")
+        self.assertEqual(answer.status, 200)
+        self.assertIn(answer.document["status"], ("cancelled", "completed"))
+        gevent.sleep(5)
+        document = views_agree(self, fleet, job_id)
+        self.assertEqual(document["status"], answer.document["status"])
+        running = [engine.model.load().running for engine in fleet.engines.values()]
+        self.assertEqual(running, [0] * len(running))
+
+
+class AtMostOnceTest(BatchSessionCase):
+    """Items that must not be repeated, under the same failures."""
+
+    def test_nothing_fails(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 100, headers=AT_MOST_ONCE)
+            _, failed = check_job(self, fleet, job_id, 100, at_most_once=True)
+            self.assertEqual(failed, [])
+
+        self.session(run)
+
+    def test_engine_dies_with_items(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 200, headers=AT_MOST_ONCE)
+            gevent.sleep(0.3)
+            victim = max(fleet.engines.values(), key=lambda one: one.model.load().running)
+            fleet.kill_engine(victim.place.owner)
+            _, failed = check_job(self, fleet, job_id, 200, at_most_once=True)
+            self.assertGreater(len(failed), 0)
+
+        self.session(run)
+
+    def test_owner_dies_with_items(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 300, headers=AT_MOST_ONCE)
+            gevent.sleep(0.3)
+            holder = self.holder_of(fleet, job_id)
+            fleet.kill_node(self.owner_with_items(fleet, {holder}))
+            check_job(self, fleet, job_id, 300, at_most_once=True)
+
+        self.session(run)
+
+    def test_holder_dies(self):
+        for delay in (0.12, 0.15, 0.2, 0.5):
+            with self.subTest(delay=delay):
+                self.session(lambda fleet, delay=delay: self.kill_holder(fleet, delay))
+
+    def kill_holder(self, fleet, delay):
+        job_id = submit_batch(fleet, "node-0-0", 300, headers=AT_MOST_ONCE)
+        gevent.sleep(delay)
+        fleet.kill_node(self.holder_of(fleet, job_id))
+        check_job(self, fleet, job_id, 300, at_most_once=True)
+
+    def test_holder_wakes_after_its_lease_lapsed(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 600, headers=AT_MOST_ONCE)
+            gevent.sleep(0.3)
+            holder = self.holder_of(fleet, job_id)
+            fleet.freeze_node(holder)
+            gevent.sleep(40)
+            fleet.thaw_node(holder)
+            check_job(self, fleet, job_id, 600, at_most_once=True)
+
+        self.session(run)
+
+    def test_answers_are_lost_while_results_are_written(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 100, headers=AT_MOST_ONCE)
+            gevent.sleep(0.1)
+            fleet.log.model.faults.fault = LogFault.LOSE_ANSWERS
+            gevent.sleep(20)
+            fleet.log.model.faults.fault = LogFault.NONE
+            check_job(self, fleet, job_id, 100, at_most_once=True)
+
+        self.session(run)
+
+    def test_log_is_down_for_minutes(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 300, headers=AT_MOST_ONCE)
+            gevent.sleep(0.3)
+            fleet.log.model.faults.fault = LogFault.DOWN
+            gevent.sleep(60)
+            before = sum(engine_runs(fleet).values())
+            gevent.sleep(60)
+            self.assertEqual(sum(engine_runs(fleet).values()), before)
+            fleet.log.model.faults.fault = LogFault.NONE
+            check_job(self, fleet, job_id, 300, at_most_once=True)
+
+        self.session(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
