Online, configuration, membership, stops and placement under failure

With two allowed, both last engines of a model could change at once. - a request whose engines had all failed once was refused though they worked again: failed engines were excluded for good. - the virtual engine raised KeyError when a cut cancelled an attempt in the step that finished it.

Change: the plan chooses greedily against the engines that still serve, counts those that change already, and takes first those that serve nothing; failed engines are taken again when there are no others.

Ruled out: marking a change in the machine list; it lags and is not ours.

--- a/postvalve/core/placement/plan.py
+++ b/postvalve/core/placement/plan.py
@@ -31,6 +31,8 @@
     labels: Mapping[str, str]
     models: Mapping[str, str]
     """Model to version."""
+    serving: bool = True
+    """Whether it takes work; one that is changing does not."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,24 +71,41 @@
 ) -> list[EngineOrder]:
     """The orders that may be carried out now."""
     orders: list[EngineOrder] = []
+    serving = [engine for engine in engines if engine.serving]
     for rule in configuration.placements:
-        covered = [
-            engine for engine in engines if placement_of(configuration, engine.labels) is rule
-        ]
         desired = desired_models(configuration, rule)
-        changing = sorted(
-            (engine for engine in covered if dict(engine.models) != desired),
-            key=lambda engine: engine.engine_id,
-        )
-        for engine in changing[: rule.max_unavailable]:
-            if not _is_last(engine, desired, engines):
-                orders += _orders_for(engine, desired)
+        changing = [
+            engine
+            for engine in engines
+            if placement_of(configuration, engine.labels) is rule and dict(engine.models) != desired
+        ]
+        for engine in _choose(changing, desired, serving, rule.max_unavailable):
+            orders += _orders_for(engine, desired)
     return orders
 
 
-def _is_last(engine: EngineView, desired: Mapping[str, str], engines: Sequence[EngineView]) -> bool:
+def _choose(
+    changing: Sequence[EngineView],
+    desired: Mapping[str, str],
+    serving: list[EngineView],
+    max_unavailable: int,
+) -> list[EngineView]:
+    """Engines that change now; takes them out of `serving`."""
+    chosen: list[EngineView] = []
+    # Those that change already, or serve nothing, come first: they cost no capacity.
+    for engine in sorted(changing, key=lambda one: (one.serving, bool(one.models), one.engine_id)):
+        if len(chosen) == max_unavailable:
+            break
+        others = [one for one in serving if one.engine_id != engine.engine_id]
+        if engine.serving and _is_last(engine, desired, others):
+            continue
+        chosen.append(engine)
+        serving[:] = others
+    return chosen
+
+
+def _is_last(engine: EngineView, desired: Mapping[str, str], others: Sequence[EngineView]) -> bool:
     changed = {model for model, version in engine.models.items() if desired.get(model) != version}
-    others = [one for one in engines if one.engine_id != engine.engine_id]
     return any(not any(model in one.models for one in others) for model in changed)
 
 
--- a/postvalve/emulator/virtual_engine.py
+++ b/postvalve/emulator/virtual_engine.py
@@ -153,7 +153,7 @@
             if stream is not None:
                 stream.emit(emission)
                 if emission.finished:
-                    del self._streams[emission.attempt_id]
+                    self._streams.pop(emission.attempt_id, None)
         self._start_step()
 
     def cancel(self, attempt_id: str) -> None:
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -206,7 +206,7 @@
                 if machine is not None and machine.state is MachineState.LIVE:
                     held = dict(parse_held_model(text) for text in summary.models)
                     views[summary.engine_id] = EngineView(
-                        summary.engine_id, engine_labels(machine), held
+                        summary.engine_id, engine_labels(machine), held, summary.slots > 0
                     )
         return list(views.values())
 
--- a/postvalve/node/node.py
+++ b/postvalve/node/node.py
@@ -9,6 +9,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.core.configuration.resolution import compiled_selector
+from postvalve.core.membership.view import MembershipView
 from postvalve.events import Event
 from postvalve.messages.generated import peer
 from postvalve.node.background import BackgroundTasks
@@ -84,6 +85,11 @@
         """Whether the node takes no new work."""
         return self._draining
 
+    @property
+    def membership_view(self) -> MembershipView:
+        """This node's view of the others."""
+        return self._membership.view
+
     @property
     def batch_in_progress(self) -> int:
         """Batch items that this node runs, pauses or has yet to report."""
--- a/postvalve/node/online.py
+++ b/postvalve/node/online.py
@@ -141,6 +141,9 @@
             RefusedError: no engine has room, or none serves the model.
         """
         candidates = self._registry.candidates(request.tenant, request.model, failed_engines)
+        if not candidates:
+            # Better an engine that failed before than none.
+            candidates = self._registry.candidates(request.tenant, request.model, ())
         retry_after = OVERLOAD_RETRY_AFTER
         order = self._router.order(candidates, request.prefix_key)
         for candidate in order[:MAX_ADMISSION_ROUNDS]:
--- a/tests/support.py
+++ b/tests/support.py
@@ -112,3 +112,12 @@
 def answer_text(line):
     """The text of one line of an output file."""
     return line["response"]["body"]["choices"][0]["message"]["content"]
+
+
+def answer_tokens(answer):
+    """The tokens of a streamed answer; None when it is not whole."""
+    events = [event for event in answer.body.split(b"\n\n") if event]
+    if not events or events[-1] != b"data: [DONE]":
+        return None
+    chunks = [json.loads(event.removeprefix(b"data: ")) for event in events[:-1]]
+    return [chunk["choices"][0]["delta"]["content"] for chunk in chunks]
