--- a/postvalve/emulator/virtual_engine.py
+++ b/postvalve/emulator/virtual_engine.py
@@ -174,6 +174,14 @@
             stream.deliver(None)
         self._streams.clear()
 
+    def restart(self, owner: str) -> None:
+        """Come back empty, under a new owner; what was seen of attempts is kept."""
+        self.place = Place(owner, self.place.zone)
+        self.model = EngineModel(self.model.parameters)
+        self._reports.clear()
+        self._stepping = False
+        self.alive = True
+
     def _note_load(self) -> None:
         now = self.loop.now()
         self._reports.append(LaggedLoad(now, self.model.load()))
--- a/postvalve/emulator/virtual_fleet.py
+++ b/postvalve/emulator/virtual_fleet.py
@@ -292,8 +292,13 @@
 
     def kill_engine(self, engine_id: str) -> None:
         """End an engine at once."""
-        self.loop.kill(engine_id)
-        self.engines[engine_id].die()
+        engine = self.engines[engine_id]
+        self.loop.kill(engine.place.owner)
+        engine.die()
+
+    def restart_engine(self, engine_id: str) -> None:
+        """Start a killed engine anew, at its address."""
+        self.engines[engine_id].restart(f"{engine_id}#{next(self._lives)}")
 
     def mark_leaving(self, machine_id: str) -> None:
         """Let the platform's list say that a machine is leaving."""
--- a/postvalve/emulator/virtual_platform.py
+++ b/postvalve/emulator/virtual_platform.py
@@ -118,4 +118,4 @@
         gevent.sleep(ZONE_DELAY)
         if self.down:
             raise PlatformError("machine list is down")
-        return [one.model_copy() for one in self.model.visible(self._loop.now())]
+        return self.model.visible(self._loop.now())
--- a/postvalve/node/batch/shard_leases.py
+++ b/postvalve/node/batch/shard_leases.py
@@ -82,6 +82,7 @@
         self._listener = listener
         self._followers: dict[int, _Follower] = {}
         self._releasing = False
+        self._settled = False
         self._ranked_nodes: tuple[str, ...] = ()
         self._preferences: list[list[str]] = []
         self._started_at = self._clock.monotonic()
@@ -131,9 +132,13 @@
             self._step_shard(shard, order)
 
     def _view_settled(self) -> bool:
-        # A node that just started must hear its peers before it knows what it is preferred for.
-        settling = 2 * self._settings.timing.heartbeat_interval
-        return self._clock.monotonic() - self._started_at >= settling
+        # Before a node that just started has heard the others, it would be the preferred
+        # holder of every shard, and claim them all.
+        if self._settled or self._membership.heard_all_listed():
+            self._settled = True
+        timing = self._settings.timing
+        patience = timing.machine_list_interval + timing.dead_after + timing.digest_interval
+        return self._settled or self._clock.monotonic() - self._started_at >= patience
 
     def _step_shard(self, shard: int, order: list[str]) -> None:
         node_id = self._settings.node_id
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -78,6 +79,8 @@
         self._owned: dict[str, OwnedEngine] = {}
         self._machines: dict[str, Machine] = {}
         self._connecting: set[str] = set()
+        self._candidates: dict[str, list[str]] = {}
+        self._owners: dict[str, str | None] = {}
         self._preemption_listeners: list[PreemptionListener] = []
         membership.listen(self._node_changed)
 
@@ -95,25 +98,46 @@
         self._machines = {one.machine_id: one for one in self._membership.engines()}
         if not self._configuration.ready:
             return
-        for machine in self._machines.values():
-            if self._drained(machine):
-                machine.state = MachineState.LEAVING
+        self._mark_drained()
+        self._rank_owners()
         for engine_id, machine in self._machines.items():
-            self._set_owned(machine, self._owner_of(machine) == self._settings.node_id)
+            owned = self._owner_of(machine) == self._settings.node_id
+            self._set_owned(machine, owned)
             if engine_id in self._owned:
                 self._owned[engine_id].machine = machine
         for engine_id in [one for one in self._owned if one not in self._machines]:
             self._disown(engine_id)
 
-    def _drained(self, machine: Machine) -> bool:
-        labels = engine_labels(machine)
-        drains = self._configuration.current.drains
-        return any(compiled_selector(drain.machines).matches(labels) for drain in drains)
+    def _mark_drained(self) -> None:
+        for drain in self._configuration.current.drains:
+            selector = compiled_selector(drain.machines)
+            for engine_id, machine in self._machines.items():
+                if selector.matches(engine_labels(machine)):
+                    leaving = machine.model_copy(update={"state": MachineState.LEAVING})
+                    self._machines[engine_id] = leaving
+
+    def _rank_owners(self) -> None:
+        """Forget owners when the live nodes of a zone change; others stay as they are."""
+        alive: dict[str, list[str]] = defaultdict(list)
+        for member in self._membership.view.alive():
+            alive[member.zone].append(member.node_id)
+        everywhere = [node_id for nodes in alive.values() for node_id in nodes]
+        # A zone without nodes is served by those of the others.
+        candidates = {
+            machine.zone: alive.get(machine.zone, everywhere) for machine in self._machines.values()
+        }
+        for engine_id, machine in self._machines.items():
+            if self._candidates.get(machine.zone) != candidates[machine.zone]:
+                self._owners.pop(engine_id, None)
+        self._candidates = candidates
 
     def _owner_of(self, machine: Machine) -> str | None:
-        view = self._membership.view
-        nodes = view.alive_ids(machine.zone) or view.alive_ids()
-        return preferred_owner(machine.machine_id, nodes)
+        nodes = self._candidates.get(machine.zone, [])
+        if self._settings.node_id not in nodes:
+            return None
+        if machine.machine_id not in self._owners:
+            self._owners[machine.machine_id] = preferred_owner(machine.machine_id, nodes)
+        return self._owners[machine.machine_id]
 
     def _set_owned(self, machine: Machine, owned: bool) -> None:
         known = self._owned.get(machine.machine_id)
@@ -175,7 +199,6 @@
             now = self._clock.monotonic()
             for engine in self._owned.values():
                 engine.slots.release_gateway(change.node_id, now)
-        self.refresh()
 
     def connection(self, machine: Machine) -> Engine:
         """Connections to an engine."""
--- a/postvalve/node/membership_service.py
+++ b/postvalve/node/membership_service.py
@@ -79,6 +79,17 @@
         """What is known of a node."""
         return self.view.get(node_id)
 
+    def heard_all_listed(self) -> bool:
+        """Whether this node is on the machine list and every node there was heard."""
+        listed = {
+            machine.machine_id
+            for machine in self._machines.values()
+            if machine.kind is MachineKind.NODE
+        }
+        if self._settings.node_id not in listed:
+            return False
+        return all(self.view.get(node_id) is not None for node_id in listed)
+
     def announce_leaving(self) -> None:
         """Tell everybody at once that this node takes no new work."""
         self.leaving = True
@@ -92,19 +103,15 @@
         except PlatformError as error:
             self._events.emit(Event.MACHINE_LIST_UNAVAILABLE, error=error.message)
             return
-        fresh = {machine.machine_id: machine for machine in machines}
-        for machine in machines:
-            self._keep_leaving(machine)
-        self._machines = fresh
+        self._machines = {machine.machine_id: self._still_leaving(machine) for machine in machines}
 
-    def _keep_leaving(self, machine: Machine) -> None:
+    def _still_leaving(self, machine: Machine) -> Machine:
         known = self._machines.get(machine.machine_id)
         if known is not None and known.state is MachineState.LEAVING:
-            machine.state = MachineState.LEAVING
-        if machine.state is not MachineState.LEAVING:
-            return
-        if machine.kind is MachineKind.NODE:
+            machine = machine.model_copy(update={"state": MachineState.LEAVING})
+        if machine.state is MachineState.LEAVING and machine.kind is MachineKind.NODE:
             self._publish(self.view.mark_leaving(machine.machine_id))
+        return machine
 
     def beat(self) -> None:
         """Send one heartbeat to the zone, and expire silent nodes."""
--- a/postvalve/platform/machines.py
+++ b/postvalve/platform/machines.py
@@ -7,7 +7,7 @@
 
 from geventhttpclient import HTTPClient
 from geventhttpclient.url import URL
-from pydantic import BaseModel, TypeAdapter, ValidationError
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
 from postvalve.exceptions import PlatformError
 from postvalve.states import MachineKind, MachineState
@@ -22,6 +22,8 @@
     `address` is IP:port, of the peer interface for a node and of HTTP for an engine.
     """
 
+    model_config = ConfigDict(frozen=True)
+
     machine_id: str
     kind: MachineKind
     address: str
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -13,6 +13,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -75,6 +76,9 @@
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     nodes: list[NodeAddress] = field(default_factory=list)
     engines: dict[str, str] = field(default_factory=dict)
+    settings_directory: tempfile.TemporaryDirectory[str] = field(
+        default_factory=tempfile.TemporaryDirectory
+    )
     log_url: str = ""
     machines_url: str = ""
 
@@ -171,8 +175,7 @@
             *("--machine-list-url", self.machines_url),
         ]
         if self.node_settings:
-            directory = self.log_directory or Path("/tmp")
-            path = directory / f"{node.node_id}.toml"
+            path = Path(self.settings_directory.name) / f"{node.node_id}.toml"
             path.write_text(self.node_settings, encoding="utf-8")
             flags += ["--config", str(path)]
         self.spawn(node.node_id, "node", *flags)
@@ -236,6 +239,7 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        self.settings_directory.cleanup()
 
     def description(self) -> dict[str, Any]:
         """What callers of the fleet need."""
