--- /dev/null
+++ b/postvalve/bench/slopes.py
@@ -0,0 +1,262 @@
+"""Slopes of cost: processor time and bytes for each unit of work, of the code that runs.
+
+In-process slopes time the state machines and the codec; the slopes of an online request
+and of a token chunk come from a running node's processor time.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, replace
+
+from postvalve.bench.relay import cpu_seconds
+from postvalve.bench.streams import StreamLoad, run_streams
+from postvalve.core.admission.engine_slots import EngineSlots
+from postvalve.core.batch.job_ledger import JobLedger
+from postvalve.core.batch.scheduler import BatchScheduler, Dispatch, ScheduledJob
+from postvalve.core.membership.ownership import preferred_owner
+from postvalve.core.membership.view import MembershipTiming, MembershipView
+from postvalve.messages.framing import decode_datagram, encode_frame
+from postvalve.messages.generated import peer, records
+from postvalve.messages.records_codec import Record, encode_record, parse_record
+from postvalve.settings.fleet import FleetConfiguration, parse_fleet_configuration
+
+REPEATS = 200
+ITEMS = 2_000
+TENANTS = 300
+ENGINES_PER_NODE = 6
+NODES_PER_ZONE = 48
+RESULT_BYTES = 400
+"""Body of one result in these measurements."""
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Cost of one unit of work."""
+
+    name: str
+    microseconds: float
+    """Processor time."""
+    bytes: float
+    """On the wire, in the log or in memory, as the name says."""
+
+    def row(self) -> dict[str, str | float]:
+        """The slope as a row."""
+        return {name: _rounded(value) for name, value in asdict(self).items()}
+
+
+def _rounded(value: str | float) -> str | float:
+    return value if isinstance(value, str) else round(value, 2)
+
+
+def measure_slopes() -> list[Slope]:
+    """Measure everything that needs no other process."""
+    return [
+        _heartbeat_received(full=False),
+        _heartbeat_received(full=True),
+        _heartbeat_sent(),
+        _admission_message(),
+        _admission_decision(),
+        _ownership_of_engine(),
+        *_configuration_per_tenant(),
+        *_batch_item(),
+        *_results_in_log(),
+    ]
+
+
+def _time(function: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Microseconds of processor time of one call."""
+    started = time.process_time()
+    for _ in range(repeats):
+        function()
+    return (time.process_time() - started) / repeats * 1e6
+
+
+def _heartbeat(sequence: int, *, full: bool) -> peer.Heartbeat:
+    summary = peer.NodeSummary(
+        engines=[
+            peer.EngineSummary(
+                engine_id=f"engine-{number:04}",
+                in_flight_online=7,
+                in_flight_batch=5,
+                slots=16,
+                models=["price-analysis=1"],
+            )
+            for number in range(ENGINES_PER_NODE)
+        ],
+        shards=[1, 2],
+        pending=[peer.PendingBatch(model="price-analysis", items=1000)],
+    )
+    return peer.Heartbeat(
+        node_id="node-000",
+        incarnation=1_800_000_000_000,
+        sequence=sequence,
+        zone="zone-0",
+        peer_address="127.0.0.1:8081",
+        configuration_revision=5000,
+        summary_version=sequence,
+        summary=bytes(summary) if full else b"",
+    )
+
+
+def _heartbeat_received(*, full: bool) -> Slope:
+    view = MembershipView(MembershipTiming(4.0, 5.0))
+    frames = [encode_frame(_heartbeat(sequence + 1, full=full), 0) for sequence in range(REPEATS)]
+    pending = iter(frames)
+
+    def receive() -> None:
+        message = decode_datagram(next(pending))
+        assert isinstance(message, peer.Heartbeat)
+        view.observe(message, 1.0)
+
+    name = "heartbeat received, with summary" if full else "heartbeat received, unchanged"
+    return Slope(name, _time(receive), len(frames[0]))
+
+
+def _heartbeat_sent() -> Slope:
+    heartbeat = _heartbeat(1, full=True)
+    frame = encode_frame(heartbeat, 0)
+    return Slope(
+        "heartbeat made, once for all peers", _time(lambda: encode_frame(heartbeat, 0)), len(frame)
+    )
+
+
+def _admission_message() -> Slope:
+    request = peer.AdmissionRequest(
+        attempt_id="0" * 32,
+        engine_id="engine-0001",
+        tenant="tenant-0001",
+        model="price-analysis",
+        gateway_id="node-000",
+    )
+    reply = peer.AdmissionReply(outcome=peer.AdmissionOutcome.ADMISSION_OUTCOME_GRANTED)
+
+    def exchange() -> None:
+        for message in (request, reply):
+            decode_datagram(encode_frame(message, 1))
+
+    size = len(encode_frame(request, 1)) + len(encode_frame(reply, 1))
+    return Slope("admission asked of another node, both ends", _time(exchange), size)
+
+
+def _admission_decision() -> Slope:
+    slots = EngineSlots(16, 2)
+    numbers = iter(range(REPEATS))
+
+    def decide() -> None:
+        attempt_id = str(next(numbers))
+        slots.admit_online(attempt_id, "node-000", 1.0)
+        slots.release(attempt_id, 1.0)
+
+    return Slope("admission decided and released", _time(decide), 0)
+
+
+def _ownership_of_engine() -> Slope:
+    nodes = [f"node-{number:03}" for number in range(NODES_PER_ZONE)]
+    return Slope(
+        "owner of an engine among 48 nodes", _time(lambda: preferred_owner("engine", nodes)), 0
+    )
+
+
+def _configuration(tenants: int) -> bytes:
+    document = FleetConfiguration.model_validate(
+        {
+            "tenants": [
+                {
+                    "name": f"tenant-{number}",
+                    "labels": {"kind": "desk"},
+                    "api_key_sha256": [hashlib.sha256(str(number).encode()).hexdigest()],
+                }
+                for number in range(tenants)
+            ]
+        }
+    )
+    return document.model_dump_json().encode("utf-8")
+
+
+def _configuration_per_tenant() -> list[Slope]:
+    document = _configuration(TENANTS)
+    duration = _time(lambda: parse_fleet_configuration(document, "bench"), 20)
+    tracemalloc.start()
+    kept = parse_fleet_configuration(document, "bench")
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert kept.tenant_by_key_digest
+    return [
+        Slope(
+            "configuration revision, for each tenant", duration / TENANTS, len(document) / TENANTS
+        ),
+        Slope("configuration in memory, for each tenant", 0, memory / TENANTS),
+    ]
+
+
+def _job(items: int) -> ScheduledJob:
+    ledger = JobLedger("batch_x")
+    submission = records.JobSubmitted(job_id="batch_x", tenant="t", items=items, model="m")
+    ledger.observe(0, Record("", submission))
+    return ScheduledJob(ledger, deadline=1e9)
+
+
+def _batch_item() -> list[Slope]:
+    scheduler = BatchScheduler()
+    tracemalloc.start()
+    scheduler.add(_job(ITEMS))
+    job_memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+
+    def hand_out() -> None:
+        for key in scheduler.take(["m"], 10, 0.0):
+            scheduler.dispatched(Dispatch(key, "a" * 32, "node-000", 1, 0.0))
+            scheduler.finished(key, 1.0)
+
+    duration = _time(hand_out, ITEMS // 10) / 10
+    return [
+        Slope("batch item scheduled and finished", duration, 0),
+        Slope("held job in memory, for each item", 0, job_memory / ITEMS),
+    ]
+
+
+def _results_in_log() -> list[Slope]:
+    body = records.ItemsFinished(
+        results=[
+            records.ItemResult(
+                item_index=number,
+                attempt_id="a" * 32,
+                custom_id=f"item-{number}",
+                status_code=200,
+                response_body=b"x" * RESULT_BYTES,
+            )
+            for number in range(50)
+        ]
+    )
+    payload = encode_record(Record("0" * 32, body))
+    written = _time(lambda: encode_record(Record("0" * 32, body)), 20) / 50
+    read = _time(lambda: parse_record(payload), 20) / 50
+    return [
+        Slope("item result written to the log", written, len(payload) / 50),
+        Slope("item result read from the log", read, len(payload) / 50),
+    ]
+
+
+def measure_node(load: StreamLoad, pid: int) -> list[Slope]:
+    """Slopes of a running node: an online request, and a token chunk of it.
+
+    Two loads that differ only in the length of answers give a line through both.
+    """
+    short = _cpu_per_request(replace(load, tokens=2, name="short"), pid)
+    long = _cpu_per_request(replace(load, tokens=102, name="long"), pid)
+    chunk = (long - short) / 100
+    return [
+        Slope("online request at a node, without its chunks", short - 2 * chunk, 0),
+        Slope("token chunk through a node", chunk, 0),
+    ]
+
+
+def _cpu_per_request(load: StreamLoad, pid: int) -> float:
+    before = cpu_seconds(pid)
+    times = run_streams(load)
+    requests = load.streams * load.requests_per_stream - times.failures
+    return (cpu_seconds(pid) - before) * 1e6 / max(1, requests)
--- a/postvalve/cli/bench.py
+++ b/postvalve/cli/bench.py
@@ -6,14 +6,16 @@
 from typing import Any
 
 from postvalve.bench.relay import RelayTargets, measure_relay
+from postvalve.bench.slopes import measure_node, measure_slopes
 from postvalve.bench.streams import StreamLoad
-from postvalve.cli.output import ExitCode, add_output_flag, print_document
+from postvalve.cli.output import ExitCode, add_output_flag, print_document, print_rows
 
 EXAMPLES = """`make bench` starts the processes that the measurements need and runs them all.
 
 examples:
   postvalve bench relay --engine http://127.0.0.1:7100 --relay http://127.0.0.1:7200 \\
       --relay-pid 101 --node http://127.0.0.1:8080 --node-pid 102 --key KEY --model m
+  postvalve bench slopes
 """
 
 
@@ -30,16 +32,35 @@
     relay.add_argument("--engine", required=True, help="URL of the engine itself")
     relay.add_argument("--relay", required=True, help="URL of the bare relay before it")
     relay.add_argument("--relay-pid", type=int, required=True)
-    relay.add_argument("--node", required=True, help="URL of the node before it")
-    relay.add_argument("--node-pid", type=int, required=True)
-    relay.add_argument("--key", required=True)
-    relay.add_argument("--model", required=True)
-    relay.add_argument("--streams", type=int, default=64)
-    relay.add_argument("--requests", type=int, default=3, help="requests of each stream")
+    _add_node_flags(relay, required=True)
     relay.add_argument("--tokens", type=int, default=100, help="tokens of each answer")
     relay.add_argument("--rounds", type=int, default=3)
-    add_output_flag(relay)
     relay.set_defaults(run=run_relay)
+    slopes = kinds.add_parser("slopes", help="cost of each unit of work; of a node too, if given")
+    _add_node_flags(slopes, required=False)
+    slopes.set_defaults(run=run_slopes)
+    for kind in (relay, slopes):
+        add_output_flag(kind)
+
+
+def _add_node_flags(parser: argparse.ArgumentParser, *, required: bool) -> None:
+    parser.add_argument("--node", required=required, help="URL of a node")
+    parser.add_argument("--node-pid", type=int, required=required)
+    parser.add_argument("--key", required=required)
+    parser.add_argument("--model", required=required)
+    parser.add_argument("--streams", type=int, default=64)
+    parser.add_argument("--requests", type=int, default=3, help="requests of each stream")
+
+
+def _load(arguments: argparse.Namespace, tokens: int) -> StreamLoad:
+    return StreamLoad(
+        url=arguments.node,
+        api_key=arguments.key,
+        model=arguments.model,
+        streams=arguments.streams,
+        requests_per_stream=arguments.requests,
+        tokens=tokens,
+    )
 
 
 def run_relay(arguments: argparse.Namespace) -> int:
@@ -51,14 +72,16 @@
         node_url=arguments.node,
         node_pid=arguments.node_pid,
     )
-    load = StreamLoad(
-        url="",
-        api_key=arguments.key,
-        model=arguments.model,
-        streams=arguments.streams,
-        requests_per_stream=arguments.requests,
-        tokens=arguments.tokens,
-    )
-    report = measure_relay(targets, load, arguments.rounds)
+    report = measure_relay(targets, _load(arguments, arguments.tokens), arguments.rounds)
     print_document(report.document(), arguments.output)
     return ExitCode.OK if not report.failures else ExitCode.FAILED
+
+
+def run_slopes(arguments: argparse.Namespace) -> int:
+    """Measure the slopes."""
+    slopes = measure_slopes()
+    if arguments.node:
+        slopes += measure_node(_load(arguments, 0), arguments.node_pid)
+    rows = [slope.row() for slope in slopes]
+    print_rows(rows, ("name", "microseconds", "bytes"), arguments.output)
+    return ExitCode.OK
--- a/postvalve/emulator/virtual_engine.py
+++ b/postvalve/emulator/virtual_engine.py
@@ -25,7 +25,13 @@
     prompt_token_count,
 )
 from postvalve.emulator.virtual_network import Place, VirtualNetwork
-from postvalve.exceptions import AttemptError, EngineRejectedError, PlatformError, Verdict
+from postvalve.exceptions import (
+    AttemptError,
+    CrossedAnswerError,
+    EngineRejectedError,
+    PlatformError,
+    Verdict,
+)
 from postvalve.platform.engine import CONNECT_TIMEOUT, TOKEN_TIMEOUT, EngineAttempt, EngineLoad
 
 LOAD_SECONDS = 5.0
@@ -337,7 +343,7 @@
         if self._engine.faults.crossed_answers > 0:
             self._engine.faults.crossed_answers -= 1
             stream.close()
-            raise AttemptError("the engine answered for another attempt", Verdict.MAY_HAVE_RUN)
+            raise CrossedAnswerError
         return stream
 
     def _travel(self, error: AttemptError) -> None:
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -148,6 +148,15 @@
         self.verdict = verdict
 
 
+class CrossedAnswerError(AttemptError):
+    """The engine answered for another attempt; the answer was dropped."""
+
+    code = "crossed_answer"
+
+    def __init__(self) -> None:
+        super().__init__("the engine answered for another attempt", Verdict.MAY_HAVE_RUN)
+
+
 class EngineRejectedError(PostvalveError):
     """The engine refused the request as invalid: it did not run, and would not elsewhere."""
 
--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -247,7 +247,7 @@
             self._pause(engine, item)
             return
         engine_id = engine.machine.machine_id
-        self._metrics.attempts.labels(TrafficClass.BATCH.value, error.verdict.value).inc()
+        self._metrics.note_failed_attempt(TrafficClass.BATCH, error)
         self._events.emit(
             Event.ATTEMPT_FAILED,
             engine=engine_id,
--- a/postvalve/node/configuration_service.py
+++ b/postvalve/node/configuration_service.py
@@ -115,6 +115,7 @@
         if revision is None or self._enforced_revision == revision.number:
             return
         self._enforced_revision = revision.number
+        first = self._current is None
         try:
             self._current = parse_fleet_configuration(
                 revision.document, f"revision {revision.number}"
@@ -126,6 +127,8 @@
             return
         self._metrics.configuration_revision.set(revision.number)
         self._events.emit(Event.CONFIGURATION_IN_FORCE, revision=revision.number)
+        if first:
+            self._events.emit(Event.NODE_READY)
         for listener in self._listeners:
             listener(self._current)
 
--- a/postvalve/node/metrics.py
+++ b/postvalve/node/metrics.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    Summary,
+    generate_latest,
+)
+
+from postvalve.exceptions import AttemptError, CrossedAnswerError
+from postvalve.states import TrafficClass
 
 SECONDS_BUCKETS = (
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.43, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
@@ -20,6 +30,12 @@
         self.first_token = self._histogram(
             "postvalve_first_token_seconds", "Arrival to first token", "workload"
         )
+        self.tenant_first_token = Summary(
+            "postvalve_tenant_first_token_seconds",
+            "Arrival to first token, as sum and count, since buckets for every tenant are many",
+            ["tenant"],
+            registry=self.registry,
+        )
         self.request_duration = self._histogram(
             "postvalve_request_seconds", "Arrival to end of the answer", "workload"
         )
@@ -58,6 +74,12 @@
     def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
         return Histogram(name, text, labels, buckets=SECONDS_BUCKETS, registry=self.registry)
 
+    def note_failed_attempt(self, traffic_class: TrafficClass, error: AttemptError) -> None:
+        """Count an attempt that failed at an engine."""
+        self.attempts.labels(traffic_class.value, error.verdict.value).inc()
+        if isinstance(error, CrossedAnswerError):
+            self.crossed_answers.inc()
+
     def exposition(self) -> bytes:
         """The metrics in Prometheus' text format."""
         return generate_latest(self.registry)
--- a/postvalve/node/node.py
+++ b/postvalve/node/node.py
@@ -164,6 +164,8 @@
 
     def _summary(self) -> peer.NodeSummary:
         waiting = self._holder.waiting_by_model()
+        for model, items in waiting.items():
+            self._context.metrics.items_waiting.labels(model).set(items)
         return peer.NodeSummary(
             engines=self._registry.summaries(),
             shards=self._holder.leases.held_shards(),
--- a/postvalve/node/online.py
+++ b/postvalve/node/online.py
@@ -248,7 +248,7 @@
 
     def note_failure(self, admission: _Admission, error: AttemptError) -> None:
         """Log and count a failed attempt."""
-        self._metrics.attempts.labels(TrafficClass.ONLINE.value, error.verdict.value).inc()
+        self._metrics.note_failed_attempt(TrafficClass.ONLINE, error)
         self._events.emit(
             Event.ATTEMPT_FAILED,
             engine=admission.candidate.engine_id,
@@ -262,10 +262,15 @@
         self._metrics.retries.labels("resume").inc()
         self._events.emit(Event.STREAM_RESUMED, request=request.request_id)
 
+    def note_early_end(self, request: OnlineRequest, error: PostvalveError) -> None:
+        """Log a stream that ends with an error."""
+        self._events.emit(Event.STREAM_ENDED_EARLY, request=request.request_id, error=error.message)
+
     def note_first_token(self, request: OnlineRequest) -> None:
         """Record the time to the first token."""
         waited = self._clock.monotonic() - request.arrived_at
         self._metrics.first_token.labels(request.workload.name).observe(waited)
+        self._metrics.tenant_first_token.labels(request.tenant.name).observe(waited)
 
     def end(self, request: OnlineRequest, limit_keys: list[LimitKey], outcome: str) -> None:
         """Count a request out."""
@@ -370,6 +375,7 @@
                     self._resume(error)
         except PostvalveError as error:
             error.verdict = Verdict.MAY_HAVE_RUN
+            self._dispatcher.note_early_end(self._request, error)
             yield error_event(error)
             self.finish("failed")
         finally:
--- a/postvalve/platform/engine.py
+++ b/postvalve/platform/engine.py
@@ -15,7 +15,13 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from postvalve.exceptions import AttemptError, EngineRejectedError, PlatformError, Verdict
+from postvalve.exceptions import (
+    AttemptError,
+    CrossedAnswerError,
+    EngineRejectedError,
+    PlatformError,
+    Verdict,
+)
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
@@ -222,7 +228,7 @@
             self._raise_refusal(response)
         if response.get(ATTEMPT_HEADER) != attempt.attempt_id:
             response.release()
-            raise AttemptError("the engine answered for another attempt", Verdict.MAY_HAVE_RUN)
+            raise CrossedAnswerError
         return HttpEngineStream(response)
 
     def _post(self, client: HTTPClient, attempt: EngineAttempt) -> HTTPSocketPoolResponse:
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -29,13 +29,24 @@
     return subprocess.run(command).returncode
 
 
+def bench_slopes(fleet: Fleet) -> int:
+    """Measure the slopes, those of a running node included."""
+    tenant = fleet.shape.tenants[0]
+    command = postvalve(
+        *("bench", "slopes", "--node", fleet.gateways[0], "--key", fleet.api_keys[tenant]),
+        *("--node-pid", str(fleet.processes[fleet.nodes[0].node_id].pid)),
+        *("--model", fleet.shape.model),
+    )
+    return subprocess.run(command).returncode
+
+
 def main() -> int:
     """Run all measurements."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     fleet = Fleet(SHAPES["bench"], engine_flags=ENGINE_FLAGS)
     try:
         fleet.start()
-        return bench_relay(fleet)
+        return bench_relay(fleet) or bench_slopes(fleet)
     finally:
         fleet.stop()
 
