--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -87,6 +87,7 @@
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Start to pull."""
+        self._membership.on_work(self.pull_all)
         tasks.every(self._settings.timing.pull_interval, self.pull_all)
 
     @property
--- a/postvalve/node/membership_service.py
+++ b/postvalve/node/membership_service.py
@@ -52,6 +52,7 @@
         self._summary_sent_at = -FULL_SUMMARY_EVERY
         self._machines: dict[str, Machine] = {}
         self._listeners: list[ChangeListener] = []
+        self._work_listeners: list[Callable[[], None]] = []
         self._summary_provider: Callable[[], peer.NodeSummary] = peer.NodeSummary
         self._revision_provider: Callable[[], int] = lambda: -1
 
@@ -64,6 +65,10 @@
         """Be told of changes of node states."""
         self._listeners.append(listener)
 
+    def on_work(self, listener: Callable[[], None]) -> None:
+        """Be told at once of a heartbeat, this node's own included, with items waiting."""
+        self._work_listeners.append(listener)
+
     def start(self, tasks: BackgroundTasks) -> None:
         """Start to send and receive."""
         timing = self._settings.timing
@@ -117,7 +122,7 @@
         """Send one heartbeat to the zone, and expire silent nodes."""
         now = self._clock.monotonic()
         heartbeat = self._heartbeat()
-        self._publish(self.view.observe(heartbeat, now))
+        self._take_in(heartbeat, now, direct=True)
         self._publish(self.view.expire(now))
         data = encode_frame(heartbeat, 0)
         for address in self._zone_addresses(self._settings.zone):
@@ -214,7 +219,14 @@
     def _observe(self, heartbeat: peer.Heartbeat, now: float, *, direct: bool) -> None:
         if heartbeat.node_id == self._settings.node_id:
             return
+        self._take_in(heartbeat, now, direct=direct)
+
+    def _take_in(self, heartbeat: peer.Heartbeat, now: float, *, direct: bool) -> None:
         self._publish(self.view.observe(heartbeat, now, direct=direct))
+        member = self.view.get(heartbeat.node_id)
+        if member is not None and member.summary.pending:
+            for listener in self._work_listeners:
+                listener()
 
     def _relay(self, digest: peer.ZoneDigest) -> None:
         digest.relayed = True
--- a/postvalve/settings/process.py
+++ b/postvalve/settings/process.py
@@ -48,7 +48,9 @@
     load_report_interval: float = Field(1.0, gt=0, description="seconds between load reads")
     lease_duration: float = Field(10.0, gt=0, description="seconds a shard lease lasts")
     lease_renewal: float = Field(3.0, gt=0, description="seconds between lease renewals")
-    pull_interval: float = Field(0.05, gt=0, description="seconds between pulls of batch items")
+    pull_interval: float = Field(
+        0.25, gt=0, description="seconds between looks for free slots that no event told of"
+    )
     drain_timeout: float = Field(600.0, gt=0, description="seconds a drain waits for streams")
     log_retry_after: float = Field(2.0, gt=0, description="seconds told to callers in an outage")
 
