Experiments: the users' two measures on whole nodes, in one command

Cause: neither the harm of batch to the online tail nor batch throughput could be seen before and after a change.

Change: `postvalve experiment run | compare | list`; scenarios for both users, also with an engine that dies and a zone that is cut; the same online trace with and without batch; first tokens and gaps by percentile, items offered, done, doubled and wrong, share of the idle token capacity.

--- a/postvalve/cli/main.py
+++ b/postvalve/cli/main.py
@@ -8,7 +8,7 @@
 from types import ModuleType
 
 from postvalve import __version__
-from postvalve.cli import bench, config, drain, emulate, jobs, node, request, status
+from postvalve.cli import bench, config, drain, emulate, experiment, jobs, node, request, status
 from postvalve.cli.output import ExitCode, print_error
 from postvalve.exceptions import (
     AuthenticationError,
@@ -20,7 +20,17 @@
     SettingsError,
 )
 
-COMMANDS: tuple[ModuleType, ...] = (node, config, status, jobs, drain, request, emulate, bench)
+COMMANDS: tuple[ModuleType, ...] = (
+    node,
+    config,
+    status,
+    jobs,
+    drain,
+    request,
+    emulate,
+    bench,
+    experiment,
+)
 
 EPILOG = """exit codes:
   0  done
--- /dev/null
+++ b/postvalve/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: users' scenarios on whole nodes under virtual time."""
--- a/postvalve/node/node.py
+++ b/postvalve/node/node.py
@@ -23,7 +23,7 @@
 from postvalve.node.http.application import NodeApplication
 from postvalve.node.http.batches import BatchesEndpoint
 from postvalve.node.http.chat import ChatEndpoint
-from postvalve.node.http.files import FilesEndpoint
+from postvalve.node.http.files import FilesEndpoint, result_line
 from postvalve.node.http.operations import OperationsEndpoint
 from postvalve.node.keyed_requests import KeyedRequests
 from postvalve.node.membership_service import MembershipService
@@ -192,6 +192,10 @@
             return self._configuration.answer_fetch()
         raise TypeError(f"no request of a peer: {type(message).__name__}")
 
+    def result_lines(self, job_id: str) -> list[bytes]:
+        """The results of a job so far, as lines of its output file."""
+        return [result_line(result) for result in self._jobs.results(job_id)]
+
     def status_document(self) -> dict[str, Any]:
         """See `StatusSource`."""
         return {
