Bound batch beside online work; keep online work to few engines

No request waited for a slot; the steps of an engine are 0.5 ms longer for each sequence that shares it.

Ruled out: engine priorities (they order work, and don't shorten a step that batch shares) and more headroom (it is for bursts, and costs batch everywhere).

--- a/postvalve/bench/slopes.py
+++ b/postvalve/bench/slopes.py
@@ -14,7 +14,7 @@
 
 from postvalve.bench.relay import cpu_seconds
 from postvalve.bench.streams import StreamLoad, run_streams
-from postvalve.core.admission.engine_slots import EngineSlots
+from postvalve.core.admission.engine_slots import EngineSlots, SlotPolicy
 from postvalve.core.batch.job_ledger import JobLedger
 from postvalve.core.batch.scheduler import BatchScheduler, Dispatch, ScheduledJob
 from postvalve.core.membership.ownership import preferred_owner
@@ -143,7 +143,7 @@
 
 
 def _admission_decision() -> Slope:
-    slots = EngineSlots(16, 2)
+    slots = EngineSlots(16, SlotPolicy(2))
     numbers = iter(range(REPEATS))
 
     def decide() -> None:
--- a/postvalve/core/admission/engine_slots.py
+++ b/postvalve/core/admission/engine_slots.py
@@ -13,6 +13,8 @@
 """Seconds over which the peak of online work is remembered."""
 MAX_HEADROOM_FRACTION = 0.5
 """Share of the slots that headroom never exceeds."""
+ONLINE_MEMORY = 2.0
+"""Seconds after its last online work that an engine still counts as serving it."""
 FULL_RETRY_AFTER = 0.5
 """Seconds told to a gateway when every slot runs online work."""
 
@@ -57,15 +59,25 @@
         return self._samples[0][1] if self._samples else 0
 
 
+@dataclass(frozen=True, slots=True)
+class SlotPolicy:
+    """How an engine's slots are shared, as its pool says."""
+
+    minimum_headroom: int = 0
+    batch_beside_online: int | None = None
+    """Batch items that may run beside online work; None for no bound."""
+
+
 class EngineSlots:
     """Occupants of one engine's slots."""
 
-    def __init__(self, slots: int, minimum_headroom: int) -> None:
+    def __init__(self, slots: int, policy: SlotPolicy) -> None:
         self.slots = slots
-        self.minimum_headroom = minimum_headroom
+        self.policy = policy
         self._online: dict[str, str] = {}
         self._batch: dict[str, BatchOccupant] = {}
         self._bursts = BurstTracker()
+        self._online_at = float("-inf")
 
     @property
     def online_count(self) -> int:
@@ -82,11 +94,15 @@
         if self.online_count >= self.slots:
             return OnlineDecision(False, retry_after=FULL_RETRY_AFTER)
         self._online[attempt_id] = gateway_id
+        self._online_at = now
         self._bursts.record(self.online_count, now)
         return OnlineDecision(True, preempted=self._preempt_excess())
 
     def _preempt_excess(self) -> tuple[str, ...]:
         excess = self.online_count + self.batch_count - self.slots
+        bound = self.policy.batch_beside_online
+        if bound is not None:
+            excess = max(excess, self.batch_count - bound)
         if excess <= 0:
             return ()
         victims = sorted(self._batch.values(), key=_cheapest_first)[:excess]
@@ -96,13 +112,17 @@
 
     def headroom(self, now: float) -> int:
         """Slots kept free of batch: the recent online peak above the present."""
-        expected = max(self.minimum_headroom, self._bursts.peak(now) - self.online_count)
+        expected = max(self.policy.minimum_headroom, self._bursts.peak(now) - self.online_count)
         return min(expected, int(self.slots * MAX_HEADROOM_FRACTION))
 
     def batch_room(self, now: float) -> int:
         """How many more batch items may start."""
         used = self.online_count + self.batch_count
-        return max(0, self.slots - self.headroom(now) - used)
+        room = self.slots - self.headroom(now) - used
+        bound = self.policy.batch_beside_online
+        if bound is not None and now - self._online_at < ONLINE_MEMORY:
+            room = min(room, bound - self.batch_count)
+        return max(0, room)
 
     def admit_batch(self, attempt_id: str, rank: int, now: float) -> bool:
         """Take a slot for a batch item, if there is room."""
@@ -114,6 +134,7 @@
     def release(self, attempt_id: str, now: float) -> None:
         """Free the slot of an attempt; unknown ones are passed over."""
         if self._online.pop(attempt_id, None) is not None:
+            self._online_at = now
             self._bursts.record(self.online_count, now)
         self._batch.pop(attempt_id, None)
 
--- a/postvalve/core/routing/router.py
+++ b/postvalve/core/routing/router.py
@@ -16,6 +16,10 @@
 """The affine engine is taken while its load is at most this many times the mean."""
 AFFINITY_LOAD_SLACK = 2.0
 """Requests above the bound that are still tolerated."""
+ACTIVE_LOAD = 0.5
+"""Share of an active engine's slots that online work is planned to take."""
+ACTIVE_RESERVE = 4
+"""Requests more than the present ones that the active engines have room for."""
 LOCAL_LOAD_LIMIT = 0.8
 """Engines of other zones are considered when all local ones are loaded above this."""
 
@@ -49,7 +53,7 @@
         """All candidates, the best first, then by zone and load."""
         if not candidates:
             return []
-        near = self._near(candidates)
+        near = self._active(self._near(candidates))
         first = self._affine(near, prefix_key) or self._less_loaded(near)
         others = [one for one in candidates if one is not first]
         others.sort(key=lambda one: (one.load >= 1.0, one.zone != self._zone, one.load))
@@ -61,6 +65,21 @@
         ]
         return local or candidates
 
+    @staticmethod
+    def _active(candidates: Sequence[EngineCandidate]) -> Sequence[EngineCandidate]:
+        """The fewest engines, in a fixed order, that carry the present load with room to spare.
+
+        Online work keeps to them, so the others can run batch without harm to it.
+        """
+        ordered = sorted(candidates, key=lambda one: one.engine_id)
+        in_flight = sum(one.online_in_flight for one in candidates)
+        room = 0.0
+        for number, candidate in enumerate(ordered, 1):
+            room += candidate.slots * ACTIVE_LOAD
+            if room >= in_flight + ACTIVE_RESERVE:
+                return ordered[:number]
+        return ordered
+
     def _affine(
         self, candidates: Sequence[EngineCandidate], prefix_key: str
     ) -> EngineCandidate | None:
--- a/postvalve/emulator/virtual_fleet.py
+++ b/postvalve/emulator/virtual_fleet.py
@@ -82,6 +82,7 @@
     shards: int = 16
     machine_lag: float = 1.0
     headroom: int = 2
+    batch_beside_online: int | None = None
 
 
 @dataclass(slots=True)
@@ -160,6 +161,7 @@
                         "name": "all",
                         "models": [self.shape.model],
                         "online_headroom_slots": self.shape.headroom,
+                        "batch_slots_beside_online": self.shape.batch_beside_online,
                     }
                 ],
             }
--- a/postvalve/experiment/run.py
+++ b/postvalve/experiment/run.py
@@ -87,6 +87,7 @@
             model=MODEL,
             parameters=EngineParameters(slots=scenario.slots),
             headroom=scenario.headroom,
+            batch_beside_online=scenario.batch_beside_online,
         )
         self._fleet = VirtualFleet(loop, shape, seed)
         self._end = 0.0
--- a/postvalve/experiment/scenario.py
+++ b/postvalve/experiment/scenario.py
@@ -50,6 +50,9 @@
     engines: int = Field(gt=0)
     slots: int = Field(16, gt=0, description="sequences that an engine runs at once")
     headroom: int = Field(2, ge=0, description="slots of an engine kept free of batch")
+    batch_beside_online: int | None = Field(
+        None, ge=0, description="batch items beside online work on one engine; None: no bound"
+    )
     duration: float = Field(gt=0, description="seconds of load, virtual")
     online: OnlineLoad
     batch: list[BatchLoad] = []
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -9,7 +9,7 @@
 import gevent
 
 from postvalve.clock import milliseconds
-from postvalve.core.admission.engine_slots import EngineSlots
+from postvalve.core.admission.engine_slots import EngineSlots, SlotPolicy
 from postvalve.core.configuration.resolution import (
     compiled_selector,
     matching_pools,
@@ -163,7 +163,7 @@
             self._connecting.discard(machine.machine_id)
         if self._owner_of(machine) != self._settings.node_id:
             return
-        slots = EngineSlots(load.slots, self._minimum_headroom(machine))
+        slots = EngineSlots(load.slots, self._slot_policy(machine))
         self._owned[machine.machine_id] = OwnedEngine(machine, connection, slots, load)
         self._events.emit(Event.ENGINE_OWNED, engine=machine.machine_id)
 
@@ -175,9 +175,11 @@
             del self._owned[engine_id]
         self._events.emit(Event.ENGINE_DISOWNED, engine=engine_id)
 
-    def _minimum_headroom(self, machine: Machine) -> int:
-        pools = matching_pools(self._configuration.current, engine_labels(machine))
-        return pools[0].online_headroom_slots if pools else 0
+    def _slot_policy(self, machine: Machine) -> SlotPolicy:
+        pools = self.pools_of(machine)
+        if not pools:
+            return SlotPolicy()
+        return SlotPolicy(pools[0].online_headroom_slots, pools[0].batch_slots_beside_online)
 
     def _read_loads(self) -> None:
         for engine in list(self._owned.values()):
@@ -185,7 +187,7 @@
                 engine.load = engine.connection.load()
                 engine.failed_reads = 0
                 engine.slots.slots = engine.load.slots
-                engine.slots.minimum_headroom = self._minimum_headroom(engine.machine)
+                engine.slots.policy = self._slot_policy(engine.machine)
             except PlatformError as error:
                 engine.failed_reads += 1
                 self._events.emit(
--- a/postvalve/settings/fleet.py
+++ b/postvalve/settings/fleet.py
@@ -89,6 +89,9 @@
     models: list[Name] = Field(min_length=1)
     tenants: SelectorText = Field("", description="tenants that may use these engines")
     precedence: int = 0
+    batch_slots_beside_online: int | None = Field(
+        None, ge=0, description="batch items beside online work on one engine; None: no bound"
+    )
     online_headroom_slots: int = Field(2, ge=0, description="engine slots kept free of batch")
 
 
