Lost pull answers, cancelled openings and malformed events strand no item

Ruled out: a time limit on dispatches; long items would run twice.

Change: an owner's pull names the attempts it holds for the engine, the holder takes back the others, and a pull that was not answered is settled on its own; engines end the stream of a cancelled attempt; events are parsed by a schema and fail as *may have run*. A holder that loads a job tells the other zones at once, which had waited for the next digest, up to 5 s.

Left: an item whose engine fails every time is run again without an end.

--- a/postvalve/bench/slopes.py
+++ b/postvalve/bench/slopes.py
@@ -209,7 +209,7 @@
 
     def hand_out() -> None:
         for key in scheduler.take(["m"], 10, 0.0):
-            scheduler.dispatched(Dispatch(key, "a" * 32, "node-000", 1, 0.0))
+            scheduler.dispatched(Dispatch(key, "a" * 32, "node-000", 1, "engine-0001", 0.0))
             scheduler.finished(key, 1.0)
 
     duration = _time(hand_out, ITEMS // 10) / 10
--- a/postvalve/core/batch/scheduler.py
+++ b/postvalve/core/batch/scheduler.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from postvalve.core.batch.job_ledger import JobLedger
@@ -38,6 +38,7 @@
     attempt_id: str
     owner_id: str
     owner_incarnation: int
+    engine_id: str
     dispatched_at: float
 
 
@@ -154,6 +155,23 @@
         """All items that are with owners."""
         return list(self._dispatches.values())
 
+    def lost_dispatches(
+        self, owner_id: str, incarnation: int, engine_id: str, held: Container[str]
+    ) -> list[Dispatch]:
+        """Items handed out for an engine whose owner has never got them.
+
+        An owner pulls for one engine at a time, so what it does not hold when it pulls again
+        was lost with an earlier answer.
+        """
+        return [
+            one
+            for one in self._dispatches.values()
+            if one.engine_id == engine_id
+            and one.owner_id == owner_id
+            and one.owner_incarnation == incarnation
+            and one.attempt_id not in held
+        ]
+
     def finished(self, key: ItemKey, now: float) -> None:
         """Note that an item has a result."""
         dispatch = self._dispatches.get(key)
--- a/postvalve/emulator/engine_service.py
+++ b/postvalve/emulator/engine_service.py
@@ -20,7 +20,13 @@
 from pydantic import ValidationError
 from werkzeug.wrappers import Request, Response
 
-from postvalve.emulator.engine_model import EngineModel, EngineParameters, ExportedKv, LoadReport
+from postvalve.emulator.engine_model import (
+    Emission,
+    EngineModel,
+    EngineParameters,
+    ExportedKv,
+    LoadReport,
+)
 from postvalve.emulator.service import EmulatorApplication, json_response
 from postvalve.emulator.tokens import (
     DONE_EVENT,
@@ -192,7 +198,7 @@
         sent = 0
         try:
             while True:
-                emission = queue.get()
+                emission = self._next_emission(queue)
                 yield chunk_event(request_id, chat.model, [emission.text], emission.finished)
                 sent += 1
                 if emission.finished:
@@ -208,7 +214,7 @@
     ) -> Iterator[bytes]:
         queue = self._queues[attempt_id]
         try:
-            while not queue.get().finished:
+            while not self._next_emission(queue).finished:
                 pass
             text = TokenSequence(chat, version).text()
             prompt_tokens = prompt_token_count(chat.prompt_text)
@@ -221,9 +227,20 @@
         self._model.cancel(attempt_id)
 
     def _cancel(self, request: Request, attempt_id: str) -> Response:
+        queue = self._queues.get(attempt_id)
+        if queue is not None:
+            queue.put(None)
         self._forget(attempt_id)
         return json_response({})
 
+    @staticmethod
+    def _next_emission(queue: Queue) -> Emission:
+        emission = queue.get()
+        if emission is None:
+            raise ConnectionAbortedError("cancelled")
+        assert isinstance(emission, Emission)
+        return emission
+
     def _load(self, request: Request) -> Response:
         lagged = self._lagged(self._emulation.load_lag)
         load = asdict(lagged.report) if lagged else asdict(LoadReport(0, 0, self._slots, 0))
--- a/postvalve/emulator/virtual_engine.py
+++ b/postvalve/emulator/virtual_engine.py
@@ -163,9 +163,11 @@
         self._start_step()
 
     def cancel(self, attempt_id: str) -> None:
-        """Drop an attempt."""
+        """Drop an attempt, and end its stream."""
         self.model.cancel(attempt_id)
-        self._streams.pop(attempt_id, None)
+        stream = self._streams.pop(attempt_id, None)
+        if stream is not None:
+            stream.deliver(None)
 
     def client_gone(self, owner: str) -> None:
         """Drop the attempts of a client that died."""
@@ -254,7 +256,6 @@
         record.finished = emission.finished
         self.deliver(emission)
         if self.cut_after is not None and record.tokens >= self.cut_after:
-            self.deliver(None)
             self._engine.cancel(self._attempt.attempt_id)
 
     def deliver(self, emission: Emission | None) -> None:
--- a/postvalve/emulator/virtual_network.py
+++ b/postvalve/emulator/virtual_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import betterproto
@@ -61,6 +62,8 @@
     def __init__(self, loop: VirtualLoop) -> None:
         self.loop = loop
         self.traffic: dict[str, Traffic] = {}
+        self.loses_reply: Callable[[betterproto.Message], bool] = lambda reply: False
+        """Says of each reply whether it is lost on its way."""
         self._endpoints: dict[str, Endpoint] = {}
         self._pending: list[PendingCall] = []
         self._cuts: set[frozenset[str]] = set()
@@ -155,7 +158,7 @@
         self, endpoint: Endpoint, pending: PendingCall, message: betterproto.Message
     ) -> None:
         reply = endpoint.handle_request(message)
-        if not self.connected(endpoint.place, pending.caller):
+        if not self.connected(endpoint.place, pending.caller) or self.loses_reply(reply):
             return
         copied = type(reply)().parse(bytes(reply))
         delay = self.delay(endpoint.place, pending.caller)
--- a/postvalve/node/batch/completion.py
+++ b/postvalve/node/batch/completion.py
@@ -6,41 +6,73 @@
 from collections.abc import Sequence
 from typing import Any
 
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from postvalve.exceptions import AttemptError, Verdict
 from postvalve.platform.engine import DONE_EVENT
 
 _DATA_PREFIX = b"data: "
 
 
+class _Lenient(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+
+class _Delta(_Lenient):
+    content: str | None = None
+
+
+class _Choice(_Lenient):
+    delta: _Delta
+    finish_reason: str | None = None
+
+
+class _Chunk(_Lenient):
+    id: str
+    created: int = 0
+    model: str
+    choices: list[_Choice] = Field(max_length=1)
+    usage: dict[str, Any] | None = None
+
+
 def join_events(events: Sequence[bytes]) -> bytes:
     """Build the answer that the engine would have given without streaming.
 
     Raises:
-        ValueError: when the events are no whole stream.
+        AttemptError: with MAY_HAVE_RUN, when the events are no whole stream.
     """
     if len(events) < 2 or events[-1] != DONE_EVENT:
-        raise ValueError("the stream is not whole")
-    chunks = [json.loads(event.removeprefix(_DATA_PREFIX)) for event in events[:-1]]
-    choices = [chunk["choices"][0] for chunk in chunks if chunk["choices"]]
-    text = "".join(choice["delta"].get("content") or "" for choice in choices)
+        raise AttemptError("the engine's stream is not whole", Verdict.MAY_HAVE_RUN)
+    chunks = [_parse(event) for event in events[:-1]]
+    choices = [choice for chunk in chunks for choice in chunk.choices]
+    text = "".join(choice.delta.content or "" for choice in choices)
+    usage = {
+        "prompt_tokens": 0,
+        "completion_tokens": len(choices),
+        "total_tokens": len(choices),
+    }
     document: dict[str, Any] = {
-        "id": chunks[0]["id"],
+        "id": chunks[0].id,
         "object": "chat.completion",
-        "created": chunks[0]["created"],
-        "model": chunks[0]["model"],
+        "created": chunks[0].created,
+        "model": chunks[0].model,
         "choices": [
             {
                 "index": 0,
                 "message": {"role": "assistant", "content": text},
-                "finish_reason": choices[-1]["finish_reason"],
+                "finish_reason": choices[-1].finish_reason if choices else None,
             }
         ],
-        "usage": {
-            "prompt_tokens": 0,
-            "completion_tokens": len(choices),
-            "total_tokens": len(choices),
-        },
+        "usage": chunks[-1].usage or usage,
     }
-    usage = chunks[-1].get("usage")
-    if usage:
-        document["usage"] = usage
     return json.dumps(document).encode("utf-8")
+
+
+def _parse(event: bytes) -> _Chunk:
+    try:
+        return _Chunk.model_validate_json(event.removeprefix(_DATA_PREFIX))
+    except ValidationError as error:
+        raise AttemptError(
+            f"the engine sent a malformed event: {error.error_count()} mistakes",
+            Verdict.MAY_HAVE_RUN,
+        ) from error
--- a/postvalve/node/batch/holder.py
+++ b/postvalve/node/batch/holder.py
@@ -119,8 +119,7 @@
         self._events.emit(Event.JOB_LOADED, job=job_id, remaining=ledger.remaining)
         self._settle_unknown_starts(job)
         self._close_if_ended(job)
-        # Owners learn of new work with the next heartbeat; this one comes at once.
-        self._membership.beat()
+        self._membership.announce()
 
     def _settle_unknown_starts(self, job: ScheduledJob) -> None:
         """End items that an earlier holder started, unless their result still comes."""
@@ -135,6 +134,7 @@
 
     def pull(self, request: peer.ItemPull) -> list[peer.ItemAssignment]:
         """Hand out items for an engine with room."""
+        self._recover_lost(request)
         keys = self._scheduler.take(
             request.models, min(request.slots, MAX_PULL), self._clock.wall()
         )
@@ -143,6 +143,13 @@
             assignments += self._assign_items(request, job_id, list(job_keys))
         return assignments
 
+    def _recover_lost(self, request: peer.ItemPull) -> None:
+        lost = self._scheduler.lost_dispatches(
+            request.node_id, request.incarnation, request.engine_id, set(request.held_attempts)
+        )
+        for dispatch in lost:
+            gevent.spawn(self._recover_safely, dispatch.key)
+
     def _assign_items(
         self, request: peer.ItemPull, job_id: str, keys: list[ItemKey]
     ) -> list[peer.ItemAssignment]:
@@ -182,7 +189,7 @@
         now = self._clock.monotonic()
         self._custom_ids[key] = item.custom_id
         self._scheduler.dispatched(
-            Dispatch(key, attempt_id, request.node_id, request.incarnation, now)
+            Dispatch(key, attempt_id, request.node_id, request.incarnation, request.engine_id, now)
         )
         return peer.ItemAssignment(
             job_id=key.job_id,
--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -41,11 +41,20 @@
 """Seconds without pulls for an engine after one of its attempts failed."""
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredPull:
+    """A pull whose answer did not come, and may have carried items."""
+
+    engine_id: str
+    holder_address: str
+
+
 @dataclass(slots=True)
 class RunningItem:
     """An item at this node, running or paused."""
 
     assignment: peer.ItemAssignment
+    engine_id: str
     events: list[bytes] = field(default_factory=list)
     model_version: str = ""
     attempts: int = 0
@@ -77,6 +86,9 @@
         self._membership = membership
         self._registry = registry
         self._holder = holder
+        self._held: dict[str, set[str]] = {}
+        """Attempts by engine, from the pull until the report is taken."""
+        self._unanswered: set[UnansweredPull] = set()
         self._running: dict[str, RunningItem] = {}
         self._paused: dict[str, list[RunningItem]] = {}
         self._pulling: set[str] = set()
@@ -102,10 +114,37 @@
 
     def pull_all(self) -> None:
         """Fill the free slots of every owned engine."""
+        for pull in list(self._unanswered):
+            if pull.engine_id not in self._pulling:
+                self._pulling.add(pull.engine_id)
+                gevent.spawn(self._settle, pull)
         for engine in self._registry.owned():
             self._fill_soon(engine)
         self._return_orphans()
 
+    def _settle(self, pull: UnansweredPull) -> None:
+        """Tell a holder what arrived, so that it takes back what did not."""
+        request = self._pull_request(pull.engine_id, [], 0)
+        addresses = {one.peer_address for one in self._membership.view.members()}
+        try:
+            if pull.holder_address in addresses:
+                self._transport.call(pull.holder_address, Channel.BATCH, request, PULL_TIMEOUT)
+            self._unanswered.discard(pull)
+        except PeerUnavailableError:
+            return
+        finally:
+            self._pulling.discard(pull.engine_id)
+
+    def _pull_request(self, engine_id: str, models: list[str], slots: int) -> peer.ItemPull:
+        return peer.ItemPull(
+            node_id=self._settings.node_id,
+            incarnation=self._membership.incarnation,
+            engine_id=engine_id,
+            models=models,
+            slots=slots,
+            held_attempts=sorted(self._held.get(engine_id, ())),
+        )
+
     def _fill_soon(self, engine: OwnedEngine) -> None:
         engine_id = engine.machine.machine_id
         if engine_id not in self._pulling:
@@ -144,17 +183,14 @@
         room = engine.slots.batch_room(self._clock.monotonic())
         if room < 1:
             return False
-        request = peer.ItemPull(
-            node_id=self._settings.node_id,
-            incarnation=self._membership.incarnation,
-            engine_id=engine.machine.machine_id,
-            models=self._served_models(engine),
-            slots=room,
-        )
+        engine_id = engine.machine.machine_id
+        request = self._pull_request(engine_id, self._served_models(engine), room)
         for address in self._holders_with_work(set(request.models)):
             assignments = self._ask_holder(address, request)
             for assignment in assignments:
-                self._launch(engine, RunningItem(assignment))
+                item = RunningItem(assignment, engine.machine.machine_id)
+                self._held.setdefault(item.engine_id, set()).add(assignment.attempt_id)
+                self._launch(engine, item)
             if assignments:
                 return True
         return False
@@ -182,6 +218,7 @@
         try:
             reply = self._transport.call(address, Channel.BATCH, request, PULL_TIMEOUT)
         except PeerUnavailableError:
+            self._unanswered.add(UnansweredPull(request.engine_id, address))
             return []
         return reply.items if isinstance(reply, peer.ItemPullReply) else []
 
@@ -288,6 +325,7 @@
                 gevent.sleep(REPORT_PAUSE)
         finally:
             self._unreported -= 1
+            self._forget(item)
 
     def _report_once(self, report: peer.ItemReport) -> bool:
         shard = shard_of(report.job_id, self._settings.shards)
@@ -308,6 +346,9 @@
                 return True
         return False
 
+    def _forget(self, item: RunningItem) -> None:
+        self._held.get(item.engine_id, set()).discard(item.assignment.attempt_id)
+
     def preempt(self, engine_id: str, attempt_ids: tuple[str, ...]) -> None:
         """Cancel attempts that lost their slot to online work, at once."""
         connection = None
@@ -328,10 +369,13 @@
     def cancel_job(self, job_id: str) -> None:
         """Stop the items of a cancelled job, running or paused."""
         for items in self._paused.values():
-            items[:] = [one for one in items if one.assignment.job_id != job_id]
+            for item in [one for one in items if one.assignment.job_id == job_id]:
+                items.remove(item)
+                self._forget(item)
         for item in list(self._running.values()):
             if item.assignment.job_id == job_id:
                 item.cancelled = True
+                self._forget(item)
                 self._stop_stream(item)
 
     @staticmethod
--- a/postvalve/node/membership_service.py
+++ b/postvalve/node/membership_service.py
@@ -98,6 +98,10 @@
     def announce_leaving(self) -> None:
         """Tell everybody at once that this node takes no new work."""
         self.leaving = True
+        self.announce()
+
+    def announce(self) -> None:
+        """Tell this node's zone and the others of its state now: it has work, or leaves."""
         self.beat()
         self.send_digest(force=True)
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -76,7 +76,7 @@
     return answer.document
 
 
-def wait_for_batch(fleet, job_id, *, node_id=None, tenant=None, patience=600.0):
+def wait_for_batch(fleet, job_id, *, node_id=None, tenant=None, patience=200.0):
     """Wait until a batch has ended; returns its document."""
     node_id = node_id or next(iter(fleet.nodes))
     deadline = fleet.loop.now() + patience
--- a/tests/test_batch_failures.py
+++ b/tests/test_batch_failures.py
@@ -12,6 +12,7 @@
 )
 from postvalve.emulator.virtual_time import run_virtual
 from postvalve.events import Event
+from postvalve.messages.generated import peer
 from tests.checks import check_job, engine_runs, running_nodes, views_agree
 from tests.support import batch_lines, create_batch, submit_batch, upload
 
@@ -37,6 +38,19 @@
         ]
         return loaded[-1]
 
+    def lose_item_replies(self, fleet, count):
+        """Lose the first replies to pulls that carry items; returns them as they are lost."""
+        lost = []
+
+        def loses_reply(reply):
+            if len(lost) < count and isinstance(reply, peer.ItemPullReply) and reply.items:
+                lost.append(reply)
+                return True
+            return False
+
+        fleet.network.loses_reply = loses_reply
+        return lost
+
     def owner_with_items(self, fleet, excluded=()):
         for _ in range(100):
             running = [
@@ -91,6 +105,15 @@
 
         self.session(run)
 
+    def test_replies_to_pulls_are_lost(self):
+        def run(fleet):
+            lost = self.lose_item_replies(fleet, 2)
+            job_id = submit_batch(fleet, "node-0-0", 200)
+            check_job(self, fleet, job_id, 200)
+            self.assertEqual(len(lost), 2)
+
+        self.session(run, nodes_per_zone=3)
+
     def test_append_answers_are_lost(self):
         def run(fleet):
             file_id = upload(fleet, "node-0-0", batch_lines("m", 30))
@@ -272,6 +295,16 @@
 
         self.session(run)
 
+    def test_replies_to_pulls_are_lost(self):
+        def run(fleet):
+            lost = self.lose_item_replies(fleet, 2)
+            job_id = submit_batch(fleet, "node-0-0", 200, headers=AT_MOST_ONCE)
+            _, failed = check_job(self, fleet, job_id, 200, at_most_once=True)
+            # What nobody got did not run, but only its start is known.
+            self.assertEqual(len(failed), sum(len(reply.items) for reply in lost))
+
+        self.session(run, nodes_per_zone=3)
+
     def test_engine_dies_with_items(self):
         def run(fleet):
             job_id = submit_batch(fleet, "node-0-0", 200, headers=AT_MOST_ONCE)
--- /dev/null
+++ b/tests/test_engine_events.py
@@ -0,0 +1,61 @@
+"""Whatever an engine sends, joining its events gives an answer or a typed failure."""
+
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from postvalve.exceptions import AttemptError, Verdict
+from postvalve.messages.framing import FrameError, decode_datagram
+from postvalve.messages.records_codec import parse_record
+from postvalve.node.batch.completion import join_events
+from postvalve.platform.engine import DONE_EVENT
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["choices", "delta", "content", "id", "x"]), inner)
+    ),
+    max_leaves=12,
+)
+
+
+class EngineEventsTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300)
+    @given(st.lists(st.binary(max_size=30) | JSON.map(lambda one: json.dumps(one).encode())))
+    def test_any_events(self, bodies):
+        events = [b"data: " + body + b"\n\n" for body in bodies]
+        try:
+            self.assertIsInstance(join_events([*events, DONE_EVENT]), bytes)
+        except AttemptError as error:
+            self.assertIs(error.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_a_stream_without_its_end_is_a_failure(self):
+        with self.assertRaises(AttemptError):
+            join_events([b"data: {}\n\n"])
+
+
+class PeerBytesTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=500)
+    @given(st.binary(max_size=60))
+    def test_any_datagram_and_any_record(self, data):
+        for parse in (decode_datagram, parse_record):
+            try:
+                parse(data)
+            except FrameError:
+                continue
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.integers(0, 14), st.binary(max_size=40))
+    def test_any_body_of_a_known_kind(self, kind, body):
+        header = len(body).to_bytes(4, "big") + bytes([kind]) + bytes(8)
+        try:
+            decode_datagram(header + body)
+        except FrameError:
+            return
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_online_failures.py
+++ b/tests/test_online_failures.py
@@ -213,6 +213,20 @@
         # A step of a full batch is 14 ms; a wait behind a batch item would be 300 steps.
         self.assertLess(self.burst(with_batch=True), self.burst(with_batch=False) + 0.030)
 
+    def test_an_item_preempted_before_its_first_token_goes_on_soon(self):
+        def run(fleet):
+            job_id = submit_batch(fleet, "node-0-0", 16, max_tokens=6)
+            # The items are at the engines, whose first step has not ended.
+            while not any(engine.attempts for engine in fleet.engines.values()):
+                gevent.sleep(0.001)
+            self.first_token_times(fleet, 16)
+            started = fleet.loop.now()
+            check_job(self, fleet, job_id, 16)
+            return fleet.loop.now() - started
+
+        parameters = EngineParameters(slots=8, step_base=0.2)
+        self.assertLess(self.session(run, parameters=parameters, headroom=0), 20)
+
     def test_preempted_items_lose_nothing(self):
         def run(fleet):
             job_id = submit_batch(fleet, "node-0-0", 60, max_tokens=6)
