--- a/postvalve/node/batch/holder.py
+++ b/postvalve/node/batch/holder.py
@@ -19,24 +19,22 @@
 )
 from postvalve.core.membership.view import StateChanged
 from postvalve.events import Event
-from postvalve.exceptions import LogUnavailableError, PeerUnavailableError, PostvalveError
+from postvalve.exceptions import LogUnavailableError, PostvalveError
 from postvalve.messages.generated import peer, records
 from postvalve.messages.records_codec import Record
 from postvalve.node.background import BackgroundTasks
+from postvalve.node.batch.cancel_notices import CancelNotices
 from postvalve.node.batch.item_bodies import ItemBodies, ItemBody
 from postvalve.node.batch.job_store import JobStore
 from postvalve.node.batch.result_committer import ResultCommitter
 from postvalve.node.batch.shard_leases import ShardLeases
+from postvalve.node.batch.start_records import StartRecords
 from postvalve.node.context import NodeContext
 from postvalve.node.membership_service import MembershipService
-from postvalve.node.peer_link import Channel
 from postvalve.states import JobState, NodeState
 
 MAX_PULL = 64
 """Items handed out in one answer."""
-NOTICE_TIMEOUT = 1.0
-"""Seconds until a cancel notice to an owner is given up and repeated."""
-NOTICE_ATTEMPTS = 5
 LOAD_PAUSE = 1.0
 """Seconds between tries to load a job while the log does not answer."""
 ENGINE_FAILURE_STATUS = 502
@@ -55,15 +53,15 @@
         self._clock = context.clock
         self._events = context.events
         self._metrics = context.metrics
-        self._transport = context.transport
         self._writer = context.writer
         self._new_id = context.new_id
         self._membership = membership
         self._store = store
         self._scheduler = BatchScheduler()
+        self._starts = StartRecords(context, store)
+        self._notices = CancelNotices(context, membership)
         self._bodies = ItemBodies(context.log)
         self._custom_ids: dict[ItemKey, str] = {}
-        self._undecided_starts: dict[ItemKey, str] = {}
         self._recoveries: Counter[ItemKey] = Counter()
         self._loading: set[str] = set()
         self._closing: set[str] = set()
@@ -161,7 +159,7 @@
         job = self._scheduler.job(job_id)
         if job is None or not self._holds(job_id):
             return self._give_back(keys)
-        attempts = {key: self._attempt_for(key) for key in keys}
+        attempts = {key: self._starts.attempt_for(key) for key in keys}
         try:
             file_id = job.ledger.accepted.input_file_id
             bodies = {key: self._bodies.get(file_id, key.item_index) for key in keys}
@@ -174,9 +172,6 @@
             for key, attempt_id in attempts.items()
         ]
 
-    def _attempt_for(self, key: ItemKey) -> str:
-        return self._undecided_starts.pop(key, None) or self._new_id()
-
     def _give_back(self, keys: list[ItemKey]) -> list[peer.ItemAssignment]:
         for key in keys:
             self._scheduler.give_back(key)
@@ -210,35 +205,14 @@
         """Record the starts of at-most-once items; returns those that alone may run.
 
         Raises:
-            LogUnavailableError: the starts may stand. They are of attempts that were
-                dispatched nowhere, so the next try goes on with the same attempts.
+            LogUnavailableError: the starts are undecided; the next try settles them.
         """
-        body = records.ItemsStarted(
-            starts=[
-                records.ItemStarted(item_index=key.item_index, attempt_id=attempt_id)
-                for key, attempt_id in attempts.items()
-            ]
-        )
-        try:
-            self._writer.append(job_stream(job.ledger.job_id), body)
-            self._store.catch_up(job.ledger)
-        except LogUnavailableError:
-            self._undecided_starts.update(attempts)
-            raise
-        return {
-            key: attempt_id
-            for key, attempt_id in attempts.items()
-            if self._may_run(job, key, attempt_id)
-        }
-
-    def _may_run(self, job: ScheduledJob, key: ItemKey, attempt_id: str) -> bool:
-        won = job.ledger.start_of(key.item_index) == attempt_id
-        ended = job.ledger.state.is_terminal or job.ledger.is_finished(key.item_index)
-        if won and not ended and self._holds(key.job_id):
-            return True
-        self._scheduler.hold_back(key)
-        self._settle_later(key)
-        return False
+        won = self._starts.record(job.ledger, attempts)
+        may_run = won if self._holds(job.ledger.job_id) else {}
+        for key in [one for one in attempts if one not in may_run]:
+            self._scheduler.hold_back(key)
+            self._settle_later(key)
+        return may_run
 
     def _holds(self, job_id: str) -> bool:
         return self.leases.holds(shard_of(job_id, self._settings.shards))
@@ -390,7 +364,7 @@
         for dispatch in self._scheduler.remove(ledger.job_id):
             self._custom_ids.pop(dispatch.key, None)
         if ledger.state is JobState.CANCELLED:
-            self._notify_owners(ledger.job_id)
+            self._notices.send(ledger.job_id)
         self._bodies.forget(ledger.accepted.input_file_id)
         gevent.spawn(self._append_end, job)
 
@@ -410,19 +384,6 @@
 
     # Owners
 
-    def _notify_owners(self, job_id: str) -> None:
-        for member in self._membership.view.members():
-            gevent.spawn(self._notify_owner, member.peer_address, job_id)
-
-    def _notify_owner(self, address: str, job_id: str) -> None:
-        notice = peer.JobCancelNotice(job_id=job_id)
-        for attempt in range(NOTICE_ATTEMPTS):
-            try:
-                self._transport.call(address, Channel.BATCH, notice, NOTICE_TIMEOUT)
-                return
-            except PeerUnavailableError:
-                gevent.sleep(NOTICE_TIMEOUT * 2**attempt)
-
     def _node_changed(self, change: StateChanged) -> None:
         for dispatch in self._scheduler.dispatches():
             if dispatch.owner_id != change.node_id:
--- /dev/null
+++ b/postvalve/node/batch/item_reports.py
@@ -0,0 +1,74 @@
+"""Reports of items to the holder of their shard, whoever that is by now."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from postvalve.core.batch.identity import shard_of
+from postvalve.exceptions import PeerUnavailableError
+from postvalve.messages.generated import peer
+from postvalve.node.batch.holder import BatchHolder
+from postvalve.node.context import NodeContext
+from postvalve.node.membership_service import MembershipService
+from postvalve.node.peer_link import Channel
+
+REPORT_TIMEOUT = 60.0
+"""Seconds until a report is repeated; a holder answers once the result is durable."""
+REPORT_PAUSE = 0.5
+"""Seconds between repetitions of a report."""
+
+
+class ItemReports:
+    """Reports that are repeated until a holder has taken them."""
+
+    def __init__(
+        self, context: NodeContext, membership: MembershipService, holder: BatchHolder
+    ) -> None:
+        self._settings = context.settings
+        self._transport = context.transport
+        self._membership = membership
+        self._holder = holder
+        self.pending = 0
+
+    def send(
+        self, report: peer.ItemReport, *, wanted: Callable[[], bool], on_end: Callable[[], None]
+    ) -> None:
+        """Start to report; does not wait.
+
+        Args:
+            report: What became of the item.
+            wanted: Whether the report still matters; its job may be cancelled meanwhile.
+            on_end: Called when the report was taken, or is no longer wanted.
+        """
+        self.pending += 1
+        gevent.spawn(self._repeat, report, wanted, on_end)
+
+    def _repeat(
+        self, report: peer.ItemReport, wanted: Callable[[], bool], on_end: Callable[[], None]
+    ) -> None:
+        try:
+            while wanted() and not self._report_once(report):
+                gevent.sleep(REPORT_PAUSE)
+        finally:
+            self.pending -= 1
+            on_end()
+
+    def _report_once(self, report: peer.ItemReport) -> bool:
+        shard = shard_of(report.job_id, self._settings.shards)
+        if self._holder.leases.holds(shard):
+            return self._holder.report(report).accepted
+        holders = [
+            member.peer_address
+            for member in self._membership.view.members()
+            if shard in member.summary.shards and member.node_id != self._settings.node_id
+        ]
+        return any(self._is_taken(address, report) for address in holders)
+
+    def _is_taken(self, address: str, report: peer.ItemReport) -> bool:
+        try:
+            reply = self._transport.call(address, Channel.BATCH, report, REPORT_TIMEOUT)
+        except PeerUnavailableError:
+            return False
+        return isinstance(reply, peer.ItemReportReply) and reply.accepted
--- a/postvalve/node/batch/runner.py
+++ b/postvalve/node/batch/runner.py
@@ -7,7 +7,6 @@
 
 import gevent
 
-from postvalve.core.batch.identity import shard_of
 from postvalve.core.routing.prefix import cache_salt
 from postvalve.events import Event
 from postvalve.exceptions import (
@@ -21,6 +20,7 @@
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.batch.completion import join_events
 from postvalve.node.batch.holder import BatchHolder
+from postvalve.node.batch.item_reports import ItemReports
 from postvalve.node.context import NodeContext
 from postvalve.node.engine_registry import EngineRegistry, OwnedEngine
 from postvalve.node.membership_service import MembershipService
@@ -31,10 +31,6 @@
 
 PULL_TIMEOUT = 5.0
 """Seconds until a holder's answer to a pull is given up."""
-REPORT_TIMEOUT = 60.0
-"""Seconds until a report is repeated; a holder answers once the result is durable."""
-REPORT_PAUSE = 0.5
-"""Seconds between repetitions of a report."""
 MAX_UNREPORTED = 256
 """Finished items in memory at which this node stops to pull."""
 FAILED_ENGINE_PAUSE = 1.0
@@ -88,12 +84,12 @@
         self._holder = holder
         self._held: dict[str, set[str]] = {}
         """Attempts by engine, from the pull until the report is taken."""
-        self._unanswered: set[UnansweredPull] = set()
+        self._unanswered: dict[UnansweredPull, None] = {}
         self._running: dict[str, RunningItem] = {}
         self._paused: dict[str, list[RunningItem]] = {}
         self._pulling: set[str] = set()
         self._resting: dict[str, float] = {}
-        self._unreported = 0
+        self._reports = ItemReports(context, membership, holder)
         self._draining = False
         registry.on_preemption(self.preempt)
 
@@ -106,7 +102,7 @@
     def in_progress(self) -> int:
         """Items that run, pause or wait to be reported."""
         paused = sum(len(items) for items in self._paused.values())
-        return len(self._running) + paused + self._unreported
+        return len(self._running) + paused + self._reports.pending
 
     def drain(self) -> None:
         """Pull no more; paused items go on where there is room."""
@@ -129,7 +125,7 @@
         try:
             if pull.holder_address in addresses:
                 self._transport.call(pull.holder_address, Channel.BATCH, request, PULL_TIMEOUT)
-            self._unanswered.discard(pull)
+            self._unanswered.pop(pull, None)
         except PeerUnavailableError:
             return
         finally:
@@ -163,7 +159,7 @@
     def _may_pull(self, engine: OwnedEngine) -> bool:
         now = self._clock.monotonic()
         rested = self._resting.get(engine.machine.machine_id, 0.0) <= now
-        in_memory = self._unreported < MAX_UNREPORTED
+        in_memory = self._reports.pending < MAX_UNREPORTED
         return engine.usable and rested and in_memory and not self._draining
 
     def _resume_paused(self, engine: OwnedEngine) -> None:
@@ -176,7 +172,7 @@
         owned = {engine.machine.machine_id for engine in self._registry.owned()}
         for engine_id in [one for one in self._paused if one not in owned]:
             for item in self._paused.pop(engine_id):
-                self._spawn_report(item, _interrupted(item), 0, b"")
+                self._send_report(item, _interrupted(item), 0, b"")
 
     def _pull(self, engine: OwnedEngine) -> bool:
         """Start items of the first holder that has some; whether there were any."""
@@ -218,7 +214,7 @@
         try:
             reply = self._transport.call(address, Channel.BATCH, request, PULL_TIMEOUT)
         except PeerUnavailableError:
-            self._unanswered.add(UnansweredPull(request.engine_id, address))
+            self._unanswered[UnansweredPull(request.engine_id, address)] = None
             return []
         return reply.items if isinstance(reply, peer.ItemPullReply) else []
 
@@ -301,9 +297,9 @@
 
     def _end(self, item: RunningItem, outcome: peer.ItemOutcome, status: int, body: bytes) -> None:
         if not item.cancelled:
-            self._spawn_report(item, outcome, status, body)
+            self._send_report(item, outcome, status, body)
 
-    def _spawn_report(
+    def _send_report(
         self, item: RunningItem, outcome: peer.ItemOutcome, status: int, body: bytes
     ) -> None:
         report = peer.ItemReport(
@@ -314,37 +310,9 @@
             status_code=status,
             response_body=body,
         )
-        self._unreported += 1
-        gevent.spawn(self._report, item, report)
-
-    def _report(self, item: RunningItem, report: peer.ItemReport) -> None:
-        try:
-            while not item.cancelled:
-                if self._report_once(report):
-                    return
-                gevent.sleep(REPORT_PAUSE)
-        finally:
-            self._unreported -= 1
-            self._forget(item)
-
-    def _report_once(self, report: peer.ItemReport) -> bool:
-        shard = shard_of(report.job_id, self._settings.shards)
-        if self._holder.leases.holds(shard):
-            return self._holder.report(report).accepted
-        for member in self._membership.view.members():
-            if shard not in member.summary.shards:
-                continue
-            if member.node_id == self._settings.node_id:
-                continue
-            try:
-                reply = self._transport.call(
-                    member.peer_address, Channel.BATCH, report, REPORT_TIMEOUT
-                )
-            except PeerUnavailableError:
-                continue
-            if isinstance(reply, peer.ItemReportReply) and reply.accepted:
-                return True
-        return False
+        self._reports.send(
+            report, wanted=lambda: not item.cancelled, on_end=lambda: self._forget(item)
+        )
 
     def _forget(self, item: RunningItem) -> None:
         self._held.get(item.engine_id, set()).discard(item.assignment.attempt_id)
