A report that meets a log outage at its own node is repeated

Cause: read while splitting: the holder's errors ended the report's greenlet when holder and owner are one node, so a finished item ran again once the next pull showed that nobody held it.

Ruled out: swallowing the error in the holder; owners elsewhere need it to time out and repeat.

Change: such a report is repeated like one that a peer did not answer.

--- a/postvalve/node/batch/item_reports.py
+++ b/postvalve/node/batch/item_reports.py
@@ -7,7 +7,7 @@
 import gevent
 
 from postvalve.core.batch.identity import shard_of
-from postvalve.exceptions import PeerUnavailableError
+from postvalve.exceptions import LogUnavailableError, PeerUnavailableError
 from postvalve.messages.generated import peer
 from postvalve.node.batch.holder import BatchHolder
 from postvalve.node.context import NodeContext
@@ -58,7 +58,7 @@
     def _report_once(self, report: peer.ItemReport) -> bool:
         shard = shard_of(report.job_id, self._settings.shards)
         if self._holder.leases.holds(shard):
-            return self._holder.report(report).accepted
+            return self._is_taken_here(report)
         holders = [
             member.peer_address
             for member in self._membership.view.members()
@@ -66,6 +66,12 @@
         ]
         return any(self._is_taken(address, report) for address in holders)
 
+    def _is_taken_here(self, report: peer.ItemReport) -> bool:
+        try:
+            return self._holder.report(report).accepted
+        except LogUnavailableError:
+            return False
+
     def _is_taken(self, address: str, report: peer.ItemReport) -> bool:
         try:
             reply = self._transport.call(address, Channel.BATCH, report, REPORT_TIMEOUT)
