--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,8 @@
 from postvalve.emulator.log_model import LogFault
 from postvalve.emulator.virtual_fleet import FleetShape, VirtualFleet
 from postvalve.emulator.virtual_time import run_virtual
+from postvalve.exceptions import RequestTooLargeError
+from postvalve.node.batch.input_lines import MAX_LINE_BYTES, InputChecker, check_line
 from tests.support import (
     batch_document,
     batch_lines,
@@ -342,5 +344,17 @@
             self.assertTrue(text.startswith(expected_start(f"text of {line['custom_id']}")))
 
 
+class InputLimitsTest(unittest.TestCase):
+    def test_items_and_line_length(self):
+        checker = InputChecker(max_items=2)
+        lines = batch_lines("m", 3).splitlines()
+        checker.check(lines[0])
+        checker.check(lines[1])
+        with self.assertRaisesRegex(RequestTooLargeError, "over 2 lines"):
+            checker.check(lines[2])
+        with self.assertRaisesRegex(RequestTooLargeError, "line 7"):
+            check_line(b"x" * (MAX_LINE_BYTES + 1), 7)
+
+
 if __name__ == "__main__":
     unittest.main()
