Engines are chosen by the prompt tokens that they must read first

An engine reads prompts one after the other: a short request behind a dossier of 20,000 tokens waits for all of it, and counts of requests don't show that. Ruled out: slots (late ones with 3 to 7 in flight), our own processes (0.08 cores, placed after 0 ms), refusals (first attempts). Change: nodes count the prompt tokens of requests without a first token, tell them in their reports, and choose by cost in tokens: unread ones, those of shared parts that the engine does not keep, zone, load. One engine a zone keeps a shared part, not two. Tests failed before (the option had no such count) and pass now.

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -13,8 +13,11 @@
 
 import xxhash
 
-_ENTRY = struct.Struct("!IHH")
-"""Engine's hash, online requests, batch items."""
+_ENTRY = struct.Struct("!IHHH")
+"""Engine's hash, online requests, batch items, unread prompt tokens."""
+UNREAD_UNIT = 64
+"""Prompt tokens for each unit of a report."""
+MAX_UNITS = 0xFFFF
 MEAN_MEMORY = 4.0
 """Seconds in which a mean forgets all but a third."""
 RESERVE_FACTOR = 1.7
@@ -36,6 +39,8 @@
 
     online: int = 0
     batch: int = 0
+    unread: int = 0
+    """Prompt tokens of those that have no first token yet."""
 
     @property
     def total(self) -> int:
@@ -75,17 +80,26 @@
         self._totals: dict[int, UseCount] = {}
         self._online_means: dict[int, MeanTracker] = {}
 
-    def enter(self, engine_id: str, *, batch: bool, now: float) -> None:
-        """Count one request in."""
-        self._change(engine_id, 1, batch, now)
+    def enter(self, engine_id: str, *, batch: bool, now: float, unread: int = 0) -> None:
+        """Count one request in, with the prompt tokens that the engine must read for it."""
+        self._change(engine_id, 1, batch, now, unread)
 
-    def leave(self, engine_id: str, *, batch: bool, now: float) -> None:
-        """Count one request out."""
-        self._change(engine_id, -1, batch, now)
+    def leave(self, engine_id: str, *, batch: bool, now: float, unread: int = 0) -> None:
+        """Count one request out, with the prompt tokens that were not read."""
+        self._change(engine_id, -1, batch, now, -unread)
 
-    def _change(self, engine_id: str, difference: int, batch: bool, now: float) -> None:
+    def note_read(self, engine_id: str, tokens: int) -> None:
+        """A request's prompt was read: its first token came."""
         key = engine_hash(engine_id)
         for count in (self._own.setdefault(key, UseCount()), self._total(key)):
+            count.unread -= tokens
+
+    def _change(
+        self, engine_id: str, difference: int, batch: bool, now: float, unread: int
+    ) -> None:
+        key = engine_hash(engine_id)
+        for count in (self._own.setdefault(key, UseCount()), self._total(key)):
+            count.unread += unread
             if batch:
                 count.batch += difference
             else:
@@ -102,18 +116,21 @@
     def report(self) -> bytes:
         """This node's own counts, for its peers."""
         used = [(key, count) for key, count in self._own.items() if count.total > 0]
-        return b"".join(_ENTRY.pack(key, count.online, count.batch) for key, count in used)
+        return b"".join(
+            _ENTRY.pack(key, count.online, count.batch, _units(count.unread)) for key, count in used
+        )
 
     def observe(self, node_id: str, report: bytes, now: float) -> None:
         """Take the counts of a peer in, in place of its former ones."""
         self._subtract(self._peers.get(node_id, {}))
         counts: dict[int, UseCount] = {}
         whole = len(report) - len(report) % _ENTRY.size
-        for key, online, batch in _ENTRY.iter_unpack(report[:whole]):
-            counts[key] = UseCount(online, batch)
+        for key, online, batch, units in _ENTRY.iter_unpack(report[:whole]):
+            count = counts[key] = UseCount(online, batch, units * UNREAD_UNIT)
             total = self._total(key)
             total.online += online
             total.batch += batch
+            total.unread += count.unread
             self._note_online(key, now)
         self._peers[node_id] = counts
 
@@ -126,6 +143,7 @@
             total = self._total(key)
             total.online -= count.online
             total.batch -= count.batch
+            total.unread -= count.unread
 
     def total(self, engine_id: str) -> UseCount:
         """Requests of all nodes at an engine."""
@@ -155,3 +173,7 @@
         total = self.total(engine_id)
         allowed = slots + max(1, int(slots * QUEUE_FRACTION))
         return max(0, min(total.batch, total.total - allowed))
+
+
+def _units(tokens: int) -> int:
+    return min(MAX_UNITS, -(-max(0, tokens) // UNREAD_UNIT))
--- a/postvalve/core/routing/engine_choice.py
+++ b/postvalve/core/routing/engine_choice.py
@@ -1,21 +1,31 @@
-"""Choice of an engine for a routed request, by load, zone and kept prompt parts."""
+"""Choice of an engine for a routed request: what it must read first, load, zone, kept parts.
+
+An engine reads prompts one after the other, so a short request behind a long prompt waits for
+all of it, however many slots are free. Costs are therefore counted in prompt tokens: those
+that the engine must read before this request's first token, and what else is worth as much.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from postvalve.core.membership.ownership import rank_owners
+from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.randomness import RandomSource
 
 AFFINITY_TOKENS = 1_000
 """Shared prompt tokens from which it pays to go where they were read before."""
-AFFINITY_HEADROOM = 2
-"""Slots that an engine must have free to be chosen for its memory."""
-AFFINITY_CHOICES = 2
-"""Engines that keep one shared prompt part."""
-ZONE_FULL = 0.85
-"""Share of its slots at which the engines of the own zone count as full."""
+ZONE_TOKENS = 4_000
+"""Tokens that may wait at an engine of the own zone before another zone's is better."""
+FULL_TOKENS = 4_000
+"""Tokens that an almost full engine counts for: requests that are under way elsewhere, and
+that this node has not heard of yet, may take its last slots."""
+SLOT_TOKENS = 4_000
+"""Tokens that could be read while a request waits for a slot, for each that waits before it."""
+LOAD_TOKENS = 1_500
+"""Tokens by which a full engine is worse than an empty one, since each step takes longer."""
+ALMOST_FULL = 0.85
+"""Share of its slots from which an engine counts as almost full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +39,8 @@
     """Requests of all kinds and nodes."""
     suspect: bool = False
     """Whether it failed a moment ago."""
+    unread: int = 0
+    """Prompt tokens of requests in flight that have no first token yet."""
 
     @property
     def load(self) -> float:
@@ -36,6 +48,22 @@
         return self.in_flight / max(1, self.slots)
 
 
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """An option, and what it costs."""
+
+    option: EngineOption
+    shared_unread: int
+    """Tokens of the request's shared parts that this engine likely has to read."""
+    cost: float
+    """In prompt tokens."""
+
+    @property
+    def engine_id(self) -> str:
+        """The engine's id."""
+        return self.option.engine_id
+
+
 class EngineChooser:
     """Orders engines; the first is tried first."""
 
@@ -45,32 +73,35 @@
 
     def order(
         self, options: Sequence[EngineOption], prefix_key: str, shared_tokens: int
-    ) -> list[EngineOption]:
+    ) -> list[EngineChoice]:
         """All options, the best first.
 
         Args:
             options: Engines of the service.
-            prefix_key: Requests with the same key share the first part of their prompts.
+            prefix_key: Requests with the same key share the first parts of their prompts.
             shared_tokens: Tokens of those parts.
         """
-        ranked = sorted(options, key=self._rank)
-        kept = self._kept(options, prefix_key) if shared_tokens >= AFFINITY_TOKENS else None
-        if kept is not None:
-            ranked.remove(kept)
-            ranked.insert(0, kept)
-        return ranked
-
-    def _rank(self, option: EngineOption) -> tuple[bool, bool, float, float]:
-        foreign = option.zone != self._zone or option.load >= ZONE_FULL
+        holder = self._holder(options, prefix_key) if shared_tokens >= AFFINITY_TOKENS else None
+        choices = []
+        for option in options:
+            read = holder is None or option.engine_id == holder
+            unread = 0 if read else shared_tokens
+            choices.append(EngineChoice(option, unread, unread + self._cost(option)))
         # Nodes with the same view should not all take the same engine.
-        return (option.suspect, foreign, option.load, self._random.uniform(0, 1))
-
-    def _kept(self, options: Sequence[EngineOption], prefix_key: str) -> EngineOption | None:
-        """The engine that likely holds the shared part, while it has room."""
-        by_id = {option.engine_id: option for option in options if not option.suspect}
-        near = [key for key, option in by_id.items() if option.zone == self._zone]
-        for engine_id in rank_owners(prefix_key, near or by_id)[:AFFINITY_CHOICES]:
-            option = by_id[engine_id]
-            if option.in_flight + AFFINITY_HEADROOM <= option.slots:
-                return option
-        return None
+        return sorted(
+            choices, key=lambda one: (one.option.suspect, one.cost, self._random.uniform(0, 1))
+        )
+
+    def _cost(self, option: EngineOption) -> float:
+        cost = option.unread + LOAD_TOKENS * option.load
+        if option.zone != self._zone:
+            cost += ZONE_TOKENS
+        if option.load >= ALMOST_FULL:
+            cost += FULL_TOKENS
+        return cost + SLOT_TOKENS * max(0, option.in_flight - option.slots + 1)
+
+    def _holder(self, options: Sequence[EngineOption], prefix_key: str) -> str | None:
+        """The engine that likely keeps the shared parts; alike at all nodes of a zone."""
+        near = [one.engine_id for one in options if one.zone == self._zone and not one.suspect]
+        known = [one.engine_id for one in options if not one.suspect]
+        return preferred_owner(prefix_key, near or known)
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -33,6 +33,7 @@
     ROUTED_STREAM_RESUMED = (211, "info", "routed stream goes on at another engine")
     ROUTED_STREAM_CUT = (212, "warning", "routed stream ended without its end")
     ROUTED_REQUEST_FAILED = (213, "warning", "routed request answered with a failure")
+    ROUTED_REQUEST_SLOW = (214, "info", "first event of a routed stream came late")
     CONFIGURATION_IN_FORCE = (300, "info", "configuration revision in force")
     CONFIGURATION_UNREADABLE = (301, "error", "accepted configuration cannot be read")
     CONFIGURATION_FROM_PEER = (302, "info", "configuration revision taken from a peer")
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -29,12 +29,20 @@
     replaced: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Placement:
     """An engine chosen for one attempt, counted as used until it is left."""
 
     engine: EngineEntry
     batch: bool
+    online_seen: int = 0
+    """Online requests of all nodes at the engine, as this node knew before."""
+    batch_seen: int = 0
+    """Batch items likewise."""
+    unread_seen: int = 0
+    """Prompt tokens that the engine had to read before, likewise."""
+    unread: int = 0
+    """Prompt tokens of this attempt; 0 once its first token came."""
 
 
 class EngineFleet:
@@ -111,15 +119,18 @@
         if not options:
             return None
         best = self._chooser.order(options, terms.prefix_key, terms.shared_tokens)[0]
-        return self._enter(entries[best.engine_id], batch=False)
+        unread = terms.own_tokens + best.shared_unread
+        return self._enter(entries[best.engine_id], batch=False, unread=unread)
 
     def _option(self, entry: EngineEntry) -> EngineOption:
+        count = self.use.total(entry.engine_id)
         return EngineOption(
             entry.engine_id,
             entry.zone,
             entry.slots,
-            self.use.total(entry.engine_id).total,
+            count.total,
             self._is_suspect(entry.engine_id),
+            count.unread,
         )
 
     def batch_room(self, service: str) -> int:
@@ -132,8 +143,14 @@
         now = self._clock.monotonic()
         return self.use.batch_room(entry.engine_id, entry.slots, ONLINE_RESERVE, now)
 
-    def place_batch(self, service: str, excluded: Iterable[str]) -> Placement | None:
-        """Choose the engine with the most room for a batch item and count it in."""
+    def place_batch(self, service: str, unread: int, excluded: Iterable[str]) -> Placement | None:
+        """Choose the engine with the most room for a batch item and count it in.
+
+        Args:
+            service: The item's service.
+            unread: Prompt tokens of the item.
+            excluded: Engines that are passed over.
+        """
         skipped = set(excluded)
         rooms = [
             (self._room(entry), entry.zone == self._zone, self._random.uniform(0, 1), entry)
@@ -144,7 +161,7 @@
         if not free:
             return None
         near = [one for one in free if one[1]] or free
-        return self._enter(max(near, key=lambda one: one[:3])[3], batch=True)
+        return self._enter(max(near, key=lambda one: one[:3])[3], batch=True, unread=unread)
 
     def excess(self, engine_id: str) -> int:
         """Batch items of all nodes that should give way at an engine."""
@@ -153,17 +170,29 @@
             return 0
         return self.use.excess(engine_id, entry.slots)
 
-    def _enter(self, entry: EngineEntry, *, batch: bool) -> Placement:
-        self.use.enter(entry.engine_id, batch=batch, now=self._clock.monotonic())
+    def _enter(self, entry: EngineEntry, *, batch: bool, unread: int) -> Placement:
+        seen = self.use.total(entry.engine_id)
+        placement = Placement(entry, batch, seen.online, seen.batch, seen.unread, unread)
+        now = self._clock.monotonic()
+        self.use.enter(entry.engine_id, batch=batch, now=now, unread=unread)
         self.on_change()
-        return Placement(entry, batch)
+        return placement
 
     def leave(self, placement: Placement) -> None:
         """Count an attempt out."""
         now = self._clock.monotonic()
-        self.use.leave(placement.engine.engine_id, batch=placement.batch, now=now)
+        self.use.leave(
+            placement.engine.engine_id, batch=placement.batch, now=now, unread=placement.unread
+        )
         self.on_change()
 
+    def note_read(self, placement: Placement) -> None:
+        """An attempt's first token came: its prompt was read."""
+        if placement.unread:
+            self.use.note_read(placement.engine.engine_id, placement.unread)
+            placement.unread = 0
+            self.on_change()
+
     def note_success(self, engine_id: str) -> None:
         """An attempt went well."""
         self._standing_of(engine_id).failures = 0
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -26,6 +26,8 @@
     """Requests with the same key share the first parts of their prompts."""
     shared_tokens: int
     """Tokens of those parts."""
+    own_tokens: int
+    """Prompt tokens that no other request shares."""
     output_tokens: int
     """The most that the answer may have; 0 when it is not told."""
 
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -54,6 +54,7 @@
     index: int
     due_at_ms: int
     output_tokens: int = 0
+    prompt_tokens: int = 0
     events: list[bytes] = field(default_factory=list)
     last_event_id: int | None = None
     failures: int = 0
@@ -171,7 +172,9 @@
         items = {index: RunningItem(job.job_id, index, due) for index in job.unfinished()}
         for index, item in items.items():
             headers = [(one.name, one.value) for one in job.accepted.items[index].headers]
-            item.output_tokens = self._dialect.read_terms(headers).output_tokens
+            terms = self._dialect.read_terms(headers)
+            item.output_tokens = terms.output_tokens
+            item.prompt_tokens = terms.shared_tokens + terms.own_tokens
         self._items[job.job_id] = items
         self._reports.changed()
 
@@ -254,7 +257,7 @@
 
     def _start(self, item: RunningItem, service: str) -> bool:
         excluded = [item.failed_engine] if item.failed_engine else []
-        placement = self._fleet.place_batch(service, excluded)
+        placement = self._fleet.place_batch(service, item.prompt_tokens, excluded)
         if placement is None:
             return False
         item.running = True
@@ -342,6 +345,8 @@
             number = event_id_of(event)
             if number is None:
                 continue
+            if item.placement is not None:
+                self._fleet.note_read(item.placement)
             item.events.append(event_data(event))
             item.last_event_id = number
             if not answer.has_event():
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -102,6 +102,7 @@
         self._answer: EngineAnswer | None = None
         self._client_gone = False
         self._finished = False
+        self._placed_at = 0.0
         self._judged = False
         """Whether the attempt under way has a head, and was counted as a run."""
 
@@ -163,7 +164,7 @@
         self._progress.tries += 1
         self._judged = False
         self._progress.tried.add(placement.engine.engine_id)
-        now = self._clock.monotonic()
+        now = self._placed_at = self._clock.monotonic()
         headers = self._services.dialect.attempt_headers(
             request.headers,
             placement.engine.engine_id,
@@ -325,14 +326,35 @@
 
     def _note_event(self, event: bytes) -> None:
         progress = self._progress
+        if self._placement is not None:
+            self._fleet.note_read(self._placement)
         if not progress.events:
-            waited = self._clock.monotonic() - self._request.arrived_at
-            self._services.metrics.first_event.observe(waited)
+            self._note_first_event()
         progress.events += 1
         number = event_id_of(event)
         if number is not None:
             progress.last_event_id = number
 
+    def _note_first_event(self) -> None:
+        request, placement = self._request, self._placement
+        waited = self._clock.monotonic() - request.arrived_at
+        self._services.metrics.first_event.observe(waited)
+        if placement is None or waited <= request.route.target_latency:
+            return
+        self._services.events.emit(
+            Event.ROUTED_REQUEST_SLOW,
+            request=request.terms.request_id,
+            engine=self._engine_id,
+            slots=placement.engine.slots,
+            online=placement.online_seen,
+            batch=placement.batch_seen,
+            unread=placement.unread_seen,
+            attempt=self._progress.tries,
+            refused_rounds=self._progress.refused_rounds,
+            placed=round(self._placed_at - request.arrived_at, 3),
+            waited=round(waited, 3),
+        )
+
     def _resume(self, error: AttemptError) -> None:
         self._progress.runs -= 1  # counted when its head came
         self._fail_attempt(error)
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -32,14 +32,16 @@
         """See `Dialect`."""
         named = {name.lower(): value for name, value in headers}
         allowed = _number(named.get(DEADLINE.lower()))
-        key, shared = _shared_parts(named.get(PREFIX.lower(), ""))
+        key, shared, own = _prompt_parts(named.get(PREFIX.lower(), ""))
+        prompt, _, output = named.get(TOKENS.lower(), "").rpartition(",")
         return RequestTerms(
             request_id=named.get(REQUEST_ID.lower(), ""),
             allowed=allowed / 1000 if allowed is not None else None,
             last_event_id=_number(named.get(LAST_EVENT.lower())),
             prefix_key=key,
             shared_tokens=shared,
-            output_tokens=_number(named.get(TOKENS.lower(), "").rpartition(",")[2]) or 0,
+            own_tokens=own or max(0, (_number(prompt) or 0) - shared),
+            output_tokens=_number(output) or 0,
         )
 
     def attempt_headers(
@@ -84,8 +86,8 @@
     return int(stripped) if stripped.isdigit() else None
 
 
-def _shared_parts(text: str) -> tuple[str, int]:
-    """The parts but the last one, which is the request's own, and their tokens."""
-    parts = [part.strip() for part in text.split(",") if part.strip()][:-1]
-    tokens = sum(_number(part.rpartition(":")[2]) or 0 for part in parts)
-    return ",".join(part.partition(":")[0] for part in parts), tokens
+def _prompt_parts(text: str) -> tuple[str, int, int]:
+    """Key and tokens of the shared parts, and tokens of the last part, the request's own."""
+    parts = [part.strip().partition(":") for part in text.split(",") if part.strip()]
+    tokens = [_number(size) or 0 for _, _, size in parts]
+    return ",".join(name for name, _, _ in parts[:-1]), sum(tokens[:-1]), sum(tokens[-1:])
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -89,6 +89,26 @@
                 use.enter("e", batch=False, now=0)
             self.assertEqual(use.excess("e", 12), excess)
 
+    def test_prompt_tokens_count_until_they_are_read(self):
+        one, two = EngineUse(), EngineUse()
+        two.enter("e", batch=False, now=0, unread=6_000)
+        two.enter("e", batch=True, now=0, unread=1)
+        one.enter("e", batch=False, now=0, unread=500)
+        one.observe("two", two.report(), 1)
+        self.assertEqual(one.total("e").unread, 500 + 6_016)
+        two.note_read("e", 6_000)
+        one.observe("two", two.report(), 2)
+        self.assertEqual(one.total("e").unread, 500 + 64)
+        one.leave("e", batch=False, now=3, unread=500)
+        one.forget("two")
+        self.assertEqual(one.total("e").unread, 0)
+
+    def test_more_unread_tokens_than_a_report_can_tell(self):
+        one, two = EngineUse(), EngineUse()
+        two.enter("e", batch=False, now=0, unread=1 << 40)
+        one.observe("two", two.report(), 1)
+        self.assertEqual(one.total("e").unread, 0xFFFF * 64)
+
     def test_malformed_reports_are_cut(self):
         use = EngineUse()
         use.observe("p", b"\x00" * 11, 0)
@@ -105,8 +125,8 @@
         self.assertEqual(use.report(), b"")
 
 
-def option(engine_id, zone, in_flight, suspect=False):
-    return EngineOption(engine_id, zone, 10, in_flight, suspect)
+def option(engine_id, zone, in_flight, suspect=False, unread=0):
+    return EngineOption(engine_id, zone, 10, in_flight, suspect, unread)
 
 
 class EngineChoiceTest(unittest.TestCase):
@@ -118,6 +138,24 @@
         self.assertEqual(self.choose([option("n", "near", 7), option("f", "far", 0)]), "n")
         self.assertEqual(self.choose([option("n", "near", 9), option("f", "far", 0)]), "f")
 
+    def test_a_free_engine_that_reads_a_long_prompt_is_avoided(self):
+        reading = option("a", "near", 1, unread=20_000)
+        self.assertEqual(self.choose([reading, option("b", "near", 6)]), "b")
+        self.assertEqual(self.choose([reading, option("f", "far", 6)]), "f")
+        small = option("a", "near", 1, unread=2_000)
+        self.assertEqual(self.choose([small, option("f", "far", 0)]), "a")
+
+    def test_what_is_kept_is_left_where_reading_it_anew_costs_less(self):
+        keeper = EngineChooser("near", random.Random(1))
+        options = [option("a", "near", 0), option("b", "near", 0)]
+        best, other = keeper.order(options, "key", 5_000)
+        self.assertEqual((best.shared_unread, other.shared_unread), (0, 5_000))
+        busy = [
+            option(one.engine_id, "near", 0, unread=6_000 if one == best.option else 0)
+            for one in options
+        ]
+        self.assertEqual(keeper.order(busy, "key", 5_000)[0].engine_id, other.engine_id)
+
     def test_suspects_come_last(self):
         self.assertEqual(self.choose([option("n", "near", 0, True), option("f", "far", 9)]), "f")
 
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -174,6 +174,20 @@
         self.assertEqual((answer.status, answer.body), (200, whole_stream()))
         self.assertEqual(len(self.runs()), 1)
 
+    def test_a_late_first_event_is_told_with_what_the_node_believed(self):
+        self.fleet.configure(targetLatencyMs=50)
+        holder = self.fleet.nodes["n0"].configuration
+        wait_until(lambda: holder.table.route_named("stream").target_latency == 0.05)
+        self.plan(Behaviour(thinks=0.2))
+        headers = [("Prompt-Prefix", "aa:100,bb:40")]
+        self.assertTrue(self.fleet.request("n0", STREAM_PATH, headers=headers).whole)
+        self.fleet.request("n0", STREAM_PATH, request_id="r2")
+        (late,) = self.fleet.events("n0", Event.ROUTED_REQUEST_SLOW)
+        self.assertEqual((late["request"], late["online"], late["unread"]), ("r1", 0, 0))
+        self.assertGreater(late["waited"], 0.1)
+        use = self.fleet.nodes["n0"]._fleet.use
+        self.assertEqual([use.total(one.engine_id).unread for one in self.fleet.engines], [0, 0])
+
     def test_a_silent_engine_is_given_up_where_another_may_go_on(self):
         self.plan(Behaviour(thinks=3.0))
         with mock.patch.object(routed_run, "HEAD_SILENCE", 0.1):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -129,6 +129,7 @@
         )
         self.assertEqual((terms.request_id, terms.allowed, terms.last_event_id), ("r", 1.5, 12))
         self.assertEqual((terms.prefix_key, terms.shared_tokens), ("5c1e,91bd", 1210))
+        self.assertEqual(terms.own_tokens, 250)
         self.assertEqual(terms.output_tokens, 80)
         empty = self.dialect.read_terms([])
         self.assertEqual((empty.request_id, empty.allowed, empty.shared_tokens), ("", None, 0))
