Batch fills the gaps between heaps, and the least urgent items of all nodes give way

Ruled out: failed attempts (10), takeovers (14 claims, 12 of them after the kill of all). Change: batch takes all slots but a tenth beside what online work takes now; reports tell the urgencies of running items by engine, and each node stops those of its own that are among the least urgent of all; an item starts only where fewer than 2,500 prompt tokens wait.

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -18,13 +18,9 @@
 UNREAD_UNIT = 64
 """Prompt tokens for each unit of a report."""
 MAX_UNITS = 0xFFFF
-MEAN_MEMORY = 4.0
-"""Seconds in which a mean forgets all but a third."""
-RESERVE_FACTOR = 1.7
-"""Slots kept free of batch, for each slot that online work takes in the mean."""
-MAX_RESERVED_FRACTION = 0.7
-"""Share of an engine's slots that is kept free of batch at most."""
-QUEUE_FRACTION = 0.12
+RESERVED_FRACTION = 0.1
+"""Share of an engine's slots that batch leaves free beside what online work takes now."""
+QUEUE_FRACTION = 0.05
 """Requests that may wait at an engine before batch gives way, for each slot."""
 
 
@@ -48,29 +44,6 @@
         return self.online + self.batch
 
 
-class MeanTracker:
-    """Mean of a value over time, in which older time counts less and less."""
-
-    def __init__(self, memory: float = MEAN_MEMORY) -> None:
-        self._memory = memory
-        self._mean = 0.0
-        self._value = 0
-        self._at: float | None = None
-
-    def record(self, value: int, now: float) -> None:
-        """Note a value that holds from `now` on, in monotonic seconds."""
-        self._mean = self.mean(now)
-        self._value = value
-        self._at = now
-
-    def mean(self, now: float) -> float:
-        """The mean until `now`, 0 without a value."""
-        if self._at is None:
-            return 0.0
-        kept = math.exp((self._at - now) / self._memory)
-        return self._mean * kept + self._value * (1 - kept)
-
-
 class EngineUse:
     """Counts by engine."""
 
@@ -78,15 +51,14 @@
         self._own: dict[int, UseCount] = {}
         self._peers: dict[str, dict[int, UseCount]] = {}
         self._totals: dict[int, UseCount] = {}
-        self._online_means: dict[int, MeanTracker] = {}
 
-    def enter(self, engine_id: str, *, batch: bool, now: float, unread: int = 0) -> None:
+    def enter(self, engine_id: str, *, batch: bool, unread: int = 0) -> None:
         """Count one request in, with the prompt tokens that the engine must read for it."""
-        self._change(engine_id, 1, batch, now, unread)
+        self._change(engine_id, 1, batch, unread)
 
-    def leave(self, engine_id: str, *, batch: bool, now: float, unread: int = 0) -> None:
+    def leave(self, engine_id: str, *, batch: bool, unread: int = 0) -> None:
         """Count one request out, with the prompt tokens that were not read."""
-        self._change(engine_id, -1, batch, now, -unread)
+        self._change(engine_id, -1, batch, -unread)
 
     def note_read(self, engine_id: str, tokens: int) -> None:
         """A request's prompt was read: its first token came."""
@@ -94,9 +66,7 @@
         for count in (self._own.setdefault(key, UseCount()), self._total(key)):
             count.unread -= tokens
 
-    def _change(
-        self, engine_id: str, difference: int, batch: bool, now: float, unread: int
-    ) -> None:
+    def _change(self, engine_id: str, difference: int, batch: bool, unread: int) -> None:
         key = engine_hash(engine_id)
         for count in (self._own.setdefault(key, UseCount()), self._total(key)):
             count.unread += unread
@@ -104,15 +74,10 @@
                 count.batch += difference
             else:
                 count.online += difference
-        self._note_online(key, now)
 
     def _total(self, key: int) -> UseCount:
         return self._totals.setdefault(key, UseCount())
 
-    def _note_online(self, key: int, now: float) -> None:
-        tracker = self._online_means.setdefault(key, MeanTracker())
-        tracker.record(self._total(key).online, now)
-
     def report(self) -> bytes:
         """This node's own counts, for its peers."""
         used = [(key, count) for key, count in self._own.items() if count.total > 0]
@@ -120,7 +85,7 @@
             _ENTRY.pack(key, count.online, count.batch, _units(count.unread)) for key, count in used
         )
 
-    def observe(self, node_id: str, report: bytes, now: float) -> None:
+    def observe(self, node_id: str, report: bytes) -> None:
         """Take the counts of a peer in, in place of its former ones."""
         self._subtract(self._peers.get(node_id, {}))
         counts: dict[int, UseCount] = {}
@@ -131,7 +96,6 @@
             total.online += online
             total.batch += batch
             total.unread += count.unread
-            self._note_online(key, now)
         self._peers[node_id] = counts
 
     def forget(self, node_id: str) -> None:
@@ -153,20 +117,13 @@
         """Requests of this node at an engine."""
         return self._own.get(engine_hash(engine_id), UseCount())
 
-    def batch_room(self, engine_id: str, slots: int, minimum_reserve: int, now: float) -> int:
+    def batch_room(self, engine_id: str, slots: int) -> int:
         """Batch items that may be added; negative when there are more than should start.
 
-        Slots are reserved for a little more than the mean of online work, since items run for
-        longer than its heaps last; a heap beyond that waits at the engine for a moment.
+        Items fill the gaps between the heaps of online work, and give way when one comes.
         """
-        key = engine_hash(engine_id)
-        total = self._total(key)
-        tracker = self._online_means.get(key)
-        mean = tracker.mean(now) if tracker is not None else 0.0
-        reserved = min(
-            math.ceil(mean * RESERVE_FACTOR) + minimum_reserve, int(slots * MAX_RESERVED_FRACTION)
-        )
-        return slots - max(reserved, total.online) - total.batch
+        total = self.total(engine_id)
+        return slots - math.ceil(slots * RESERVED_FRACTION) - total.total
 
     def excess(self, engine_id: str, slots: int) -> int:
         """Batch items that should give way: the engine's queue has grown too long."""
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -16,8 +16,9 @@
 SUSPECT_TIME = 1.0
 """Seconds that an engine is avoided after a failed attempt; doubled while it goes on."""
 MAX_SUSPECT_TIME = 4.0
-ONLINE_RESERVE = 1
-"""Slots kept free beside those that online work takes in the mean."""
+START_UNREAD = 2_500
+"""Prompt tokens that an engine has to read up to which one more batch item starts there, so
+that items which start after a heap don't hold online work up by reading their prompts."""
 
 
 @dataclass(slots=True)
@@ -140,8 +141,9 @@
     def _room(self, entry: EngineEntry) -> int:
         if self._is_suspect(entry.engine_id):
             return 0
-        now = self._clock.monotonic()
-        return self.use.batch_room(entry.engine_id, entry.slots, ONLINE_RESERVE, now)
+        if self.use.total(entry.engine_id).unread > START_UNREAD:
+            return 0
+        return self.use.batch_room(entry.engine_id, entry.slots)
 
     def place_batch(self, service: str, unread: int, excluded: Iterable[str]) -> Placement | None:
         """Choose the engine with the most room for a batch item and count it in.
@@ -173,17 +175,13 @@
     def _enter(self, entry: EngineEntry, *, batch: bool, unread: int) -> Placement:
         seen = self.use.total(entry.engine_id)
         placement = Placement(entry, batch, seen.online, seen.batch, seen.unread, unread)
-        now = self._clock.monotonic()
-        self.use.enter(entry.engine_id, batch=batch, now=now, unread=unread)
+        self.use.enter(entry.engine_id, batch=batch, unread=unread)
         self.on_change()
         return placement
 
     def leave(self, placement: Placement) -> None:
         """Count an attempt out."""
-        now = self._clock.monotonic()
-        self.use.leave(
-            placement.engine.engine_id, batch=placement.batch, now=now, unread=placement.unread
-        )
+        self.use.leave(placement.engine.engine_id, batch=placement.batch, unread=placement.unread)
         self.on_change()
 
     def note_read(self, placement: Placement) -> None:
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -10,6 +10,8 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock, milliseconds
+from postvalve.core.admission.engine_use import engine_hash
+from postvalve.core.batch.giving_way import encode_running, giving_way
 from postvalve.core.batch.item_order import DurationEstimate, startable, urgency
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.membership.peers import PeerView
@@ -35,9 +37,6 @@
 """Seconds between reads of one stream, in which events gather."""
 END_SPREADS = 1.5
 """Seconds after an item's end in which other nodes may not have read it."""
-GIVE_WAY_PAUSE = 0.35
-"""Seconds after items gave way at an engine until more of them do: the counts of the other
-nodes, which give their share too, must come first."""
 FAILED_PAUSE = 0.3
 """Seconds before an item whose attempt failed is tried again."""
 ITEM_TIME = 120.0
@@ -108,12 +107,13 @@
         self._wakeup = GeventEvent()
         self._estimate = DurationEstimate()
         self._told_lost: set[str] = set()
-        self._gave_way_at: dict[str, float] = {}
+        self._peer_items = reports.items
         self._ended_lately: deque[tuple[float, gateway.RunningItem]] = deque()
         self.draining = False
         log.listen(self._jobs_changed)
         reports.waiting_due = self.waiting_due
         reports.running_items = self.running_items
+        reports.items_running = self.items_running
 
     @property
     def in_progress(self) -> int:
@@ -414,24 +414,34 @@
 
     def _give_way(self) -> None:
         """Stop items at engines that run more than they have slots for."""
+        for engine_id, running in self._running_by_engine().items():
+            staying = [item for item in running if not item.preempted]
+            excess = self._fleet.excess(engine_id) - (len(running) - len(staying))
+            others = self._peer_items.at(engine_hash(engine_id))
+            urgencies = [self._urgency(item) for item in staying]
+            count = giving_way(self._identity.node_id, urgencies, others, excess)
+            # Of equally urgent ones, those that have the least to read anew.
+            staying.sort(key=lambda item: (-self._urgency(item), len(item.events)))
+            for item in staying[:count]:
+                item.preempted = True
+                if item.answer is not None:
+                    item.answer.abort()
+
+    def _running_by_engine(self) -> dict[str, list[RunningItem]]:
         by_engine: dict[str, list[RunningItem]] = {}
         for items in self._items.values():
             for item in items.values():
-                if item.running and item.placement is not None and not item.preempted:
+                if item.running and item.placement is not None:
                     by_engine.setdefault(item.placement.engine.engine_id, []).append(item)
-        now = self._clock.monotonic()
-        for engine_id, running in by_engine.items():
-            excess = self._fleet.excess(engine_id)
-            if excess <= 0 or now - self._gave_way_at.get(engine_id, -1.0) < GIVE_WAY_PAUSE:
-                continue
-            self._gave_way_at[engine_id] = now
-            batch = max(1, self._fleet.use.total(engine_id).batch)
-            # Every node gives its share of the excess, rounded.
-            share = (excess * len(running) + batch // 2) // batch
-            for item in sorted(running, key=self._order, reverse=True)[:share]:
-                item.preempted = True
-                if item.answer is not None:
-                    item.answer.abort()
+        return by_engine
+
+    def items_running(self) -> bytes:
+        """Engines and urgencies of the items that run here, for the peers."""
+        return encode_running(
+            (engine_hash(engine_id), self._urgency(item))
+            for engine_id, items in self._running_by_engine().items()
+            for item in items
+        )
 
     def give_up_old(self) -> None:
         """End items that may be given up and can't be run, for ever."""
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -8,6 +8,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock
+from postvalve.core.batch.giving_way import RunningItems
 from postvalve.core.batch.item_order import group_by_due
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event, EventLog
@@ -52,6 +53,8 @@
         self.log_silence: Callable[[], float] = lambda: 0.0
         self.running_items: Callable[[], list[gateway.RunningItem]] = list
         self.waiting_due: Callable[[], list[int]] = list
+        self.items_running: Callable[[], bytes] = bytes
+        self.items = RunningItems()
         self.on_report: Callable[[gateway.LoadReport], None] = lambda report: None
         fleet.on_change = self._changed.set
 
@@ -72,6 +75,7 @@
         now = self._clock.monotonic()
         for node_id in self._peers.expire(now):
             self._fleet.use.forget(node_id)
+            self.items.forget(node_id)
             self._events.emit(Event.PEER_SILENT, peer=node_id)
         self._sequence += 1
         data = encode_frame(self._report(), 0)
@@ -101,6 +105,7 @@
             log_silence_ms=int(min(MAX_SILENCE, self.log_silence()) * 1000),
             revision=max(0, self.revision()),
             running=self.running_items() if self.leaving else [],
+            items_running=self.items_running(),
         )
 
     def receive(self, data: bytes, address: str) -> None:
@@ -116,7 +121,8 @@
         first = self._peers.get(report.node_id) is None
         if not self._peers.observe(report, now):
             return
-        self._fleet.use.observe(report.node_id, report.engine_use, now)
+        self._fleet.use.observe(report.node_id, report.engine_use)
+        self.items.observe(report.node_id, report.items_running)
         if first:
             self._events.emit(Event.PEER_HEARD, peer=report.node_id, incarnation=report.incarnation)
         self.on_report(report)
