An engine that takes no connection is avoided by batch too

Online attempts made such an engine suspect, batch attempts only where they may have run. Change: an attempt without an answer, or with one that can't be trusted, makes the engine suspect; an engine's own refusal still does not. Test: failed before (no event 412), passes now.

--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -409,7 +409,9 @@
         item.failed_engine = engine_id
         item.not_before = self._clock.monotonic() + FAILED_PAUSE
         gevent.spawn_later(FAILED_PAUSE, self._forgive, item)
-        if isinstance(error, AttemptError) and error.verdict is Verdict.MAY_HAVE_RUN:
+        refused = item.answer is not None and error.verdict is Verdict.NOT_RUN
+        if isinstance(error, AttemptError) and error.verdict is not Verdict.RAN and not refused:
+            # It gave no answer, or one that can't be trusted.
             self._fleet.note_failure(engine_id, error.message)
         self._events.emit(
             Event.ROUTED_ITEM_FAILED,
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -152,6 +152,16 @@
         self.assertEqual(self.results("n1", "j", 1)[0]["state"], "dead_letter")
         self.assertEqual(len(self.runs()), 1)
 
+    def test_an_engine_that_takes_no_connection_is_avoided(self):
+        dead, sound = self.fleet.engines
+        dead.stop()
+        self.submit("n0", "j")
+        self.results("n1", "j")
+        self.assertEqual(len(sound.runs), 3)
+        failed = {one["engine"] for one in self.fleet.events("n0", Event.ROUTED_ITEM_FAILED)}
+        avoided = {one["engine"] for one in self.fleet.events("n0", Event.ENGINE_SUSPECT)}
+        self.assertEqual((failed, avoided), ({dead.engine_id}, {dead.engine_id}))
+
     def test_refused_items_run_later(self):
         for engine in self.fleet.engines:
             engine.plan = [Behaviour(refuse=True)] * 3
