A node that can't reach the store asks by a peer

A node of ours then refused every job, read no result, kept an old list of engines, and could not write the ends of its items, though a peer a millisecond away reached the store. Change: after two failed calls in a row calls go by a peer that tells that it reaches the store; a call that was surely not done goes by a peer at once, an append that may be done never. Tests: every call by a peer is as the own one; a cut neither loses nor doubles an append (against the store alone); sessions with a cut node: a job taken, run, read, a revision in force. Not covered: a node that starts without the store knows no peer.

--- a/postvalve/core/membership/peers.py
+++ b/postvalve/core/membership/peers.py
@@ -33,13 +33,14 @@
     """Peers by node id."""
 
     def __init__(self, node_id: str) -> None:
-        self._node_id = node_id
+        self.node_id = node_id
+        """This node's own id."""
         self._peers: dict[str, Peer] = {}
         self._looked_at: float | None = None
 
     def observe(self, report: gateway.LoadReport, now: float) -> bool:
         """Take a report in; returns whether it is newer than what was known."""
-        if report.node_id == self._node_id:
+        if report.node_id == self.node_id:
             return False
         known = self._peers.get(report.node_id)
         if known is not None and not _is_newer(report, known.report):
@@ -90,7 +91,7 @@
             if self.works(peer.node_id, peer.report.incarnation)
         ]
         if self_works:
-            candidates.append(self._node_id)
+            candidates.append(self.node_id)
         return preferred_owner(job_id, candidates)
 
     def running_at_leaving(self) -> set[tuple[str, int]]:
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -80,6 +80,8 @@
     STORE_LOST = (610, "warning", "store does not answer")
     STORE_REGAINED = (611, "info", "store answers again")
     STORE_HISTORY_GONE = (612, "info", "history of a topic was dropped; newest records read")
+    STORE_OUT_OF_REACH = (613, "warning", "store out of this node's reach; a peer is asked")
+    STORE_REACHED = (614, "info", "store within this node's reach again")
     LOG_RECORD_INVALID = (601, "error", "log record cannot be read")
 
     @property
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -43,6 +43,7 @@
 from postvalve.gateway.job_service import JobService
 from postvalve.gateway.load_reports import LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.routed_run import RunServices
 from postvalve.gateway.topic_follower import TopicFollower
 from postvalve.messages.generated import gateway
@@ -128,7 +129,12 @@
         self.configuration = ConfigurationHolder(
             platform.configuration_key, platform.parse_configuration, events
         )
-        self._log = JobLog(settings, platform.topics, clock, events)
+        self._relay = RelayServer(platform.topics)
+        topics = RelayedTopics(
+            platform.topics, settings.zone, clock, events, self._transport, self.peers
+        )
+        self._topics = topics
+        self._log = JobLog(settings, topics, clock, events)
         self._jobs = JobService(settings, self._identity, clock, events, self._log, short_id)
         self._reports = LoadReports(
             self._identity,
@@ -144,7 +150,7 @@
             settings.node_id,
             settings.body_partitions,
             settings.call_bytes,
-            platform.topics,
+            topics,
             clock,
             events,
             short_id,
@@ -182,11 +188,11 @@
         )
         self._followers = [
             TopicFollower(
-                platform.topics, clock, events, platform.configuration_topic,
+                topics, clock, events, platform.configuration_topic,
                 self.configuration.observe, wait=CONFIGURATION_WAIT, pause=CONFIGURATION_PAUSE,
             ),
             TopicFollower(
-                platform.topics, clock, events, platform.directory_topic,
+                topics, clock, events, platform.directory_topic,
                 self._observe_directory, wait=DIRECTORY_WAIT, pause=DIRECTORY_PAUSE,
             ),
             self._log.follower,
@@ -198,6 +204,8 @@
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
         self._reports.on_report = self._peer_reported
+        self._reports.store_failing = lambda: self._topics.failing
+        self._topics.on_change = self._reports.changed
 
     @property
     def ready(self) -> bool:
@@ -275,7 +283,7 @@
             return gateway.RevisionReply(
                 revision=max(0, self.configuration.revision), document=self.configuration.document
             )
-        raise TypeError(f"no request of a peer: {type(message).__name__}")
+        return self._relay.serve(message)
 
     # What the store tells
 
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -54,6 +54,7 @@
         self.running_items: Callable[[], list[gateway.RunningItem]] = list
         self.waiting_due: Callable[[], list[int]] = list
         self.items_running: Callable[[], bytes] = bytes
+        self.store_failing: Callable[[], bool] = bool
         self.items = RunningItems()
         self.on_report: Callable[[gateway.LoadReport], None] = lambda report: None
         fleet.on_change = self._changed.set
@@ -106,6 +107,7 @@
             revision=max(0, self.revision()),
             running=self.running_items() if self.leaving else [],
             items_running=self.items_running(),
+            store_failing=self.store_failing(),
         )
 
     def receive(self, data: bytes, address: str) -> None:
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -32,6 +32,10 @@
     gateway.LoadReport,
     gateway.RevisionFetch,
     gateway.RevisionReply,
+    gateway.StoreAppend,
+    gateway.StoreRead,
+    gateway.StoreNewest,
+    gateway.StoreReply,
 )
 _KIND_OF_TYPE = {message_type: kind for kind, message_type in enumerate(_MESSAGE_KINDS)}
 
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -13,7 +13,7 @@
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.events import EventLog
 from postvalve.gateway.gateway import Gateway, GatewayPlatform
-from postvalve.gateway.interfaces import GatewaySettings, KeyedRecord
+from postvalve.gateway.interfaces import GatewaySettings, KeyedRecord, StoreUnavailableError
 from postvalve.platform.dialect import PlatformDialect
 from postvalve.platform.fleet import (
     CONFIGURATION_KEY,
@@ -218,6 +218,33 @@
         return json.loads(self.body)
 
 
+class OwnTopics:
+    """One node's way to the store that all share."""
+
+    def __init__(self, topics):
+        self._topics = topics
+        self.cut = None
+        """The verdict of each call while the node can't reach the store."""
+        self.refused = 0
+
+    def _check(self):
+        if self.cut is not None:
+            self.refused += 1
+            raise StoreUnavailableError("cut off", self.cut)
+
+    def append(self, *arguments, **named):
+        self._check()
+        return self._topics.append(*arguments, **named)
+
+    def read(self, *arguments):
+        self._check()
+        return self._topics.read(*arguments)
+
+    def newest(self, *arguments):
+        self._check()
+        return self._topics.newest(*arguments)
+
+
 class GatewayFleet:
     """Nodes that share one store and some engines."""
 
@@ -227,6 +254,7 @@
         self.nodes = {}
         self.settings = {}
         self.logs = {}
+        self.own_topics = {}
         self._version = 0
         for engine in self.engines:
             self.list_engine(engine)
@@ -273,8 +301,9 @@
             record_bytes=262_144,
             call_bytes=2_097_152,
         )
+        own = self.own_topics[name] = OwnTopics(self.topics)
         platform = GatewayPlatform(
-            topics=self.topics,
+            topics=own,
             dialect=PlatformDialect(),
             job_calls=PlatformJobCalls,
             configuration_topic=CONFIGURATION_TOPIC,
--- /dev/null
+++ b/tests/test_relayed_topics.py
@@ -0,0 +1,231 @@
+"""A node that can't reach the store works by a peer that does."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from postvalve.core.membership.peers import PeerView
+from postvalve.core.membership.store_path import (
+    FAILING_AFTER,
+    PROBE_INTERVAL,
+    StorePath,
+    relay_address,
+)
+from postvalve.emulator.keyed_topics import MemoryTopics
+from postvalve.events import Event
+from postvalve.exceptions import PeerUnavailableError, Verdict
+from postvalve.gateway.interfaces import (
+    HistoryGoneError,
+    KeyedRecord,
+    PositionTakenError,
+    StoreUnavailableError,
+)
+from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
+from postvalve.messages.generated import gateway
+from tests.gateway_support import BATCH_PATH, OwnTopics, QuietLog, wait_until
+from tests.test_gateway_jobs import JobCase, whole_text
+
+
+def report(node_id, **fields):
+    fields = {"zone": "z", "peer_address": f"at-{node_id}"} | fields
+    return gateway.LoadReport(node_id=node_id, incarnation=1, sequence=1, **fields)
+
+
+def view(*reports):
+    peers = PeerView("me")
+    for one in reports:
+        peers.observe(one, 0.0)
+    return peers
+
+
+class StorePathTest(unittest.TestCase):
+    def test_single_failures_change_nothing(self):
+        path = StorePath()
+        changes = [path.note(answered) for answered in (False, True, False, True)]
+        self.assertEqual((changes, path.failing), ([False] * 4, False))
+
+    def test_failures_in_a_row_and_one_answer_change_it(self):
+        path = StorePath()
+        changes = [path.note(False) for _ in range(FAILING_AFTER + 1)]
+        self.assertEqual(changes.count(True), 1)
+        self.assertTrue(path.failing)
+        self.assertTrue(path.note(True))
+        self.assertFalse(path.failing)
+
+    def test_a_store_out_of_reach_is_tried_now_and_then(self):
+        path = StorePath()
+        for _ in range(FAILING_AFTER):
+            path.note(False)
+        tried = [path.try_own(number * PROBE_INTERVAL / 4) for number in range(9)]
+        self.assertEqual(tried, [True, False, False, False] * 2 + [True])
+
+    def test_a_peer_of_the_zone_that_reaches_the_store(self):
+        self.assertIsNone(relay_address(view(), "z"))
+        failing = report("a", store_failing=True)
+        leaving = report("b", leaving=True)
+        self.assertIsNone(relay_address(view(failing, leaving), "z"))
+        far, near = report("c", zone="far"), report("d")
+        self.assertEqual(relay_address(view(failing, leaving, far), "z"), "at-c")
+        self.assertEqual(relay_address(view(failing, far, near), "z"), "at-d")
+        self.assertEqual(relay_address(view(far, near), "z", "at-d"), "at-c")
+
+
+class PeerTransport:
+    """Carries calls to one relay server, or fails."""
+
+    def __init__(self, server):
+        self.server = server
+        self.error = None
+        self.calls = 0
+
+    def call(self, address, channel, message, timeout):
+        self.calls += 1
+        if self.error is not None:
+            raise self.error
+        # Through the codec, as on the wire.
+        reply = self.server.serve(type(message)().parse(bytes(message)))
+        return gateway.StoreReply().parse(bytes(reply))
+
+
+class Clock:
+    now = 0.0
+
+    def monotonic(self):
+        return self.now
+
+
+class RelayedTopicsTest(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryTopics()
+        self.own = OwnTopics(self.store)
+        self.transport = PeerTransport(RelayServer(self.store))
+        self.peers = view(report("a"))
+        self.log = QuietLog()
+        self.topics = RelayedTopics(self.own, "z", Clock(), self.log, self.transport, self.peers)
+
+    def cut(self, verdict=Verdict.NOT_RUN):
+        self.own.cut = verdict
+        for _ in range(FAILING_AFTER):
+            self.topics.read("t", 0, 0, 0.0, 100)
+        self.assertTrue(self.topics.failing)
+
+    def test_nothing_goes_by_a_peer_while_the_store_answers(self):
+        self.topics.append("t", 0, [KeyedRecord("k", b"v")])
+        self.assertEqual(self.transport.calls, 0)
+
+    def test_every_call_by_a_peer_is_as_the_own_one(self):
+        records = [KeyedRecord("k", b"v"), KeyedRecord("l", b"\x00")]
+        self.cut()
+        self.assertEqual(self.topics.append("t", 0, records, at=0), 0)
+        self.assertEqual(self.topics.append("t", 0, records), 2)
+        with self.assertRaises(PositionTakenError) as taken:
+            self.topics.append("t", 0, records, at=1)
+        self.assertEqual(taken.exception.end_offset, 4)
+        for read in (
+            lambda topics: topics.read("t", 0, 1, 0.0, 100),
+            lambda topics: topics.newest("t", 0),
+            lambda topics: topics.newest("t", 0, "k"),
+            lambda topics: topics.read("t", 1, 0, 0.0, 100),
+        ):
+            self.assertEqual(read(self.topics), read(self.store))
+        self.store.drop_history()
+        with self.assertRaises(HistoryGoneError):
+            self.topics.read("t", 0, 0, 0.0, 100)
+
+    def test_an_append_that_may_be_done_is_not_repeated_by_a_peer(self):
+        self.own.cut = Verdict.MAY_HAVE_RUN
+        with self.assertRaises(StoreUnavailableError) as error:
+            self.topics.append("t", 0, [KeyedRecord("k", b"v")])
+        self.assertIs(error.exception.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(self.transport.calls, 0)
+
+    def test_a_refused_append_is_made_by_a_peer(self):
+        self.own.cut = Verdict.NOT_RUN
+        self.assertEqual(self.topics.append("t", 0, [KeyedRecord("k", b"v")]), 0)
+
+    def test_nobody_is_asked_when_no_peer_reaches_the_store(self):
+        self.peers.observe(
+            gateway.LoadReport(node_id="a", incarnation=1, sequence=2, store_failing=True), 0.0
+        )
+        self.own.cut = Verdict.NOT_RUN
+        with self.assertRaises(StoreUnavailableError):
+            self.topics.newest("t", 0)
+        self.assertEqual(self.transport.calls, 0)
+
+    def test_the_verdict_of_the_way_to_the_peer_counts(self):
+        self.cut()
+        for verdict in (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN):
+            self.topics._avoided = ""
+            self.transport.error = PeerUnavailableError("gone", verdict)
+            self.topics._path.try_own(0.0)
+            with self.assertRaises(StoreUnavailableError) as error:
+                self.topics.append("t", 0, [KeyedRecord("k", b"v")])
+            self.assertIs(error.exception.verdict, verdict)
+
+    def test_the_verdict_of_the_peers_store_counts(self):
+        self.cut()
+        self.store.lost_answers = 1
+        self.topics._path.try_own(0.0)
+        with self.assertRaises(StoreUnavailableError) as error:
+            self.topics.append("t", 0, [KeyedRecord("k", b"v")])
+        self.assertIs(error.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_the_way_back_is_told_and_used(self):
+        self.cut()
+        self.own.cut = None
+        self.topics.read("t", 0, 0, 0.0, 100)
+        self.assertFalse(self.topics.failing)
+        told = [event for event, _ in self.log.written]
+        self.assertEqual(told, [Event.STORE_OUT_OF_REACH, Event.STORE_REACHED])
+
+    @given(st.lists(st.booleans(), max_size=30))
+    def test_a_cut_loses_and_doubles_no_append(self, cuts):
+        """Against the store alone: the same records in the same order."""
+        store = MemoryTopics()
+        own = OwnTopics(store)
+        topics = RelayedTopics(
+            own, "z", Clock(), QuietLog(), PeerTransport(RelayServer(store)), view(report("a"))
+        )
+        for number, cut in enumerate(cuts):
+            own.cut = Verdict.NOT_RUN if cut else None
+            topics.append("t", 0, [KeyedRecord(f"k{number}", b"v")])
+        keys = [one.key for one in store.partition("t", 0).log]
+        self.assertEqual(keys, [f"k{number}" for number in range(len(cuts))])
+
+
+class CutNodeTest(JobCase):
+    nodes = 3
+
+    def test_a_node_cut_off_from_the_store_serves_all_the_same(self):
+        for verdict in (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN):
+            with self.subTest(verdict=verdict):
+                job_id = f"j-{verdict.value}"
+                self.fleet.own_topics["n0"].cut = verdict
+                topics = self.fleet.nodes["n0"]._topics
+                wait_until(lambda topics=topics: topics.failing)
+                self.assertEqual(self.submit("n0", job_id).status, 202)
+                results = self.results("n0", job_id)
+                self.assertEqual(self.results("n1", job_id), results)
+                for one in results:
+                    self.assertEqual(one["text"], whole_text(one["id"]))
+                self.fleet.configure()
+                revision = self.fleet._version
+                holder = self.fleet.nodes["n0"].configuration
+                wait_until(lambda holder=holder, to=revision: holder.revision == to)
+                self.fleet.own_topics["n0"].cut = None
+                wait_until(lambda topics=topics: not topics.failing)
+        self.assertEqual(len(self.runs()), 6)
+
+    def test_a_job_that_came_to_a_cut_node_is_found_everywhere(self):
+        self.usual(silent=True)
+        self.fleet.own_topics["n0"].cut = Verdict.NOT_RUN
+        self.assertEqual(self.submit("n0", "j").status, 202)
+        for node in ("n0", "n1", "n2"):
+            answer = self.fleet.request(node, "/api/items/j?id=j-1", method="GET")
+            self.assertEqual((answer.status, answer.body), (200, b"body 1"))
+        self.assertEqual(self.fleet.request("n0", BATCH_PATH, request_id="x").status, 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
