Resting connections to engines are shared by all nodes

Cause: `max_connections` of a service was read and decided nothing: each node kept up to 24 connections to an engine at rest, whatever the bound; 13 nodes could keep 312 where 210 may be open (74 nodes: 1,776 of 480), and an engine resets those beyond it. Change: half of the smallest bound may rest, in equal shares of the nodes that are heard; the oldest are closed when the share falls. `explain` shows a store out of reach (613, 614) too. Tests: all nodes together stay within half of the bound; the pool keeps to its limit. The module is new, so they can't run before.

--- a/postvalve/cli/explain.py
+++ b/postvalve/cli/explain.py
@@ -13,7 +13,7 @@
 from postvalve.cli.output import ExitCode, add_output_flag
 from postvalve.exceptions import NotFoundError
 
-CONTEXT_NUMBERS = frozenset((102, 103, 104, 300, 412, 413, 414, 610, 611))
+CONTEXT_NUMBERS = frozenset((102, 103, 104, 300, 412, 413, 414, 610, 611, 613, 614))
 """Events of a node that may explain what happened to a request meanwhile."""
 CONTEXT_SECONDS = 5.0
 """Seconds before the first and after the last line about the id that context is shown for."""
--- a/postvalve/gateway/engine_connections.py
+++ b/postvalve/gateway/engine_connections.py
@@ -15,6 +15,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from postvalve.clock import Clock
+from postvalve.core.admission.connection_share import MAX_RESTING
 from postvalve.exceptions import AttemptError, Verdict
 from postvalve.gateway.interfaces import Headers
 from postvalve.sockets import send_at_once
@@ -25,8 +26,6 @@
 """Milliseconds that sent bytes may stay unacknowledged."""
 READ_BLOCK = 32 * 1024
 """Bytes asked of a socket at once."""
-MAX_RESTING = 24
-"""Connections to one engine that are kept for later."""
 REST_MARGIN = 1.0
 """Seconds before an engine's own limit at which a resting connection is not used any more."""
 DEFAULT_REST = 4.0
@@ -208,6 +207,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self._engines: dict[str, _Engine] = defaultdict(_Engine)
+        self._resting_limit = MAX_RESTING
         self.opened = 0
         """Connections opened since the start."""
 
@@ -263,18 +263,24 @@
         """Keep a connection whose last answer was whole."""
         resting = self._engines[address].resting
         seconds = _kept_seconds(keep_alive)
-        if len(resting) >= MAX_RESTING or seconds <= 0:
+        if len(resting) >= self._resting_limit or seconds <= 0:
             connection.close()
             return
         resting.append(_Resting(connection, self.clock.monotonic() + seconds))
 
+    def limit_resting(self, connections: int) -> None:
+        """Set how many connections to one engine may rest, from the next `expire` on."""
+        self._resting_limit = connections
+
     def expire(self) -> None:
-        """Close connections that have rested too long; called now and then."""
+        """Close connections that have rested too long or are too many; called now and then."""
         now = self.clock.monotonic()
         for address, engine in list(self._engines.items()):
-            for one in [one for one in engine.resting if one.until <= now]:
-                engine.resting.remove(one)
-                one.connection.close()
+            kept = [one for one in engine.resting if one.until > now][-self._resting_limit :]
+            for one in engine.resting:
+                if one not in kept:
+                    one.connection.close()
+            engine.resting[:] = kept
             if not engine.resting:
                 del self._engines[address]
 
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -12,6 +12,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock, milliseconds
+from postvalve.core.admission.connection_share import resting_limit
 from postvalve.core.batch.job_board import RecordKind, record_key
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.routing.route_table import RouteTable
@@ -355,6 +356,10 @@
     def _keep_house(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL)
+            table = self.configuration.table
+            services = table.configuration.services if table else ()
+            bounds = (one.max_connections for one in services)
+            self._pool.limit_resting(resting_limit(bounds, len(self.peers.all()) + 1))
             self._pool.expire()
 
     def _purge(self) -> None:
--- /dev/null
+++ b/tests/test_connection_share.py
@@ -0,0 +1,75 @@
+"""Connections to engines are shared by all nodes."""
+
+import socket
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from postvalve.core.admission.connection_share import MAX_RESTING, resting_limit
+from postvalve.gateway.engine_connections import ConnectionPool
+
+
+class RestingLimitTest(unittest.TestCase):
+    def test_the_smallest_bound_is_shared_equally(self):
+        self.assertEqual(resting_limit([], 5), MAX_RESTING)
+        self.assertEqual(resting_limit([0], 5), MAX_RESTING)
+        self.assertEqual(resting_limit([0, 210, 370], 13), 8)
+        self.assertEqual(resting_limit([370], 2), MAX_RESTING)
+
+    @given(st.integers(1, 5000), st.integers(1, 500))
+    def test_all_nodes_together_stay_within_half_of_the_bound(self, bound, nodes):
+        limit = resting_limit([bound], nodes)
+        self.assertGreaterEqual(limit, 1)
+        if limit > 1:
+            self.assertLessEqual(limit * nodes, bound / 2)
+
+
+class Clock:
+    now = 0.0
+
+    def monotonic(self):
+        return self.now
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.pool = ConnectionPool(self.clock)
+        self.pairs = []
+
+    def tearDown(self):
+        for pair in self.pairs:
+            for one in pair:
+                one.close()
+
+    def rest(self, count, keep_alive="timeout=5"):
+        for _ in range(count):
+            pair = socket.socketpair()
+            self.pairs.append(pair)
+            self.pool.rest("e:1", pair[0], keep_alive)
+
+    def open_ends(self):
+        return [pair[0].fileno() >= 0 for pair in self.pairs]
+
+    def test_no_more_rest_than_may(self):
+        self.pool.limit_resting(2)
+        self.rest(3)
+        self.assertEqual(self.open_ends(), [True, True, False])
+
+    def test_a_smaller_share_closes_the_oldest(self):
+        self.rest(4)
+        self.pool.limit_resting(1)
+        self.pool.expire()
+        self.assertEqual(self.open_ends(), [False, False, False, True])
+
+    def test_those_that_rested_too_long_are_closed(self):
+        self.rest(1, "timeout=2")
+        self.rest(1, "timeout=9")
+        self.clock.now = 3.0
+        self.pool.expire()
+        self.assertEqual(self.open_ends(), [False, True])
+
+
+if __name__ == "__main__":
+    unittest.main()
