Engines' memory decides: items start, and requests go, where it is left

Cause: `memory_tokens` of a service was read and decided nothing. An engine whose memory runs out puts its newest request back in the middle of its stream and reads it anew. Change: nodes count the tokens that their requests may need (prompt and most output), tell them, start no batch item where they don't fit, and count a want of memory against an engine. Shared parts are counted with each request, so the counts err on the safe side. Tests: counts, choice and starts (new, so they can't run before).

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -13,10 +13,10 @@
 
 import xxhash
 
-_ENTRY = struct.Struct("!IHHH")
-"""Engine's hash, online requests, batch items, unread prompt tokens."""
-UNREAD_UNIT = 64
-"""Prompt tokens for each unit of a report."""
+_ENTRY = struct.Struct("!IHHHH")
+"""Engine's hash, online requests, batch items, unread prompt tokens, tokens of memory."""
+TOKEN_UNIT = 64
+"""Tokens for each unit of a report."""
 MAX_UNITS = 0xFFFF
 RESERVED_FRACTION = 0.1
 """Share of an engine's slots that batch leaves free beside what online work takes now."""
@@ -37,6 +37,8 @@
     batch: int = 0
     unread: int = 0
     """Prompt tokens of those that have no first token yet."""
+    memory: int = 0
+    """Tokens that all of them may need in the engine's memory."""
 
     @property
     def total(self) -> int:
@@ -52,13 +54,20 @@
         self._peers: dict[str, dict[int, UseCount]] = {}
         self._totals: dict[int, UseCount] = {}
 
-    def enter(self, engine_id: str, *, batch: bool, unread: int = 0) -> None:
-        """Count one request in, with the prompt tokens that the engine must read for it."""
-        self._change(engine_id, 1, batch, unread)
+    def enter(self, engine_id: str, *, batch: bool, unread: int = 0, memory: int = 0) -> None:
+        """Count one request in.
 
-    def leave(self, engine_id: str, *, batch: bool, unread: int = 0) -> None:
+        Args:
+            engine_id: The engine.
+            batch: Whether it is a batch item.
+            unread: Prompt tokens that the engine must read for it.
+            memory: Tokens that it may need in the engine's memory.
+        """
+        self._change(engine_id, 1, batch, unread, memory)
+
+    def leave(self, engine_id: str, *, batch: bool, unread: int = 0, memory: int = 0) -> None:
         """Count one request out, with the prompt tokens that were not read."""
-        self._change(engine_id, -1, batch, -unread)
+        self._change(engine_id, -1, batch, -unread, -memory)
 
     def note_read(self, engine_id: str, tokens: int) -> None:
         """A request's prompt was read: its first token came."""
@@ -66,10 +75,13 @@
         for count in (self._own.setdefault(key, UseCount()), self._total(key)):
             count.unread -= tokens
 
-    def _change(self, engine_id: str, difference: int, batch: bool, unread: int) -> None:
+    def _change(
+        self, engine_id: str, difference: int, batch: bool, unread: int, memory: int
+    ) -> None:
         key = engine_hash(engine_id)
         for count in (self._own.setdefault(key, UseCount()), self._total(key)):
             count.unread += unread
+            count.memory += memory
             if batch:
                 count.batch += difference
             else:
@@ -82,7 +94,8 @@
         """This node's own counts, for its peers."""
         used = [(key, count) for key, count in self._own.items() if count.total > 0]
         return b"".join(
-            _ENTRY.pack(key, count.online, count.batch, _units(count.unread)) for key, count in used
+            _ENTRY.pack(key, count.online, count.batch, _units(count.unread), _units(count.memory))
+            for key, count in used
         )
 
     def observe(self, node_id: str, report: bytes) -> None:
@@ -90,12 +103,13 @@
         self._subtract(self._peers.get(node_id, {}))
         counts: dict[int, UseCount] = {}
         whole = len(report) - len(report) % _ENTRY.size
-        for key, online, batch, units in _ENTRY.iter_unpack(report[:whole]):
-            count = counts[key] = UseCount(online, batch, units * UNREAD_UNIT)
+        for key, online, batch, unread, memory in _ENTRY.iter_unpack(report[:whole]):
+            count = counts[key] = UseCount(online, batch, unread * TOKEN_UNIT, memory * TOKEN_UNIT)
             total = self._total(key)
             total.online += online
             total.batch += batch
             total.unread += count.unread
+            total.memory += count.memory
         self._peers[node_id] = counts
 
     def forget(self, node_id: str) -> None:
@@ -108,6 +122,7 @@
             total.online -= count.online
             total.batch -= count.batch
             total.unread -= count.unread
+            total.memory -= count.memory
 
     def total(self, engine_id: str) -> UseCount:
         """Requests of all nodes at an engine."""
@@ -133,4 +148,4 @@
 
 
 def _units(tokens: int) -> int:
-    return min(MAX_UNITS, -(-max(0, tokens) // UNREAD_UNIT))
+    return min(MAX_UNITS, -(-max(0, tokens) // TOKEN_UNIT))
--- a/postvalve/core/routing/engine_choice.py
+++ b/postvalve/core/routing/engine_choice.py
@@ -41,6 +41,8 @@
     """Whether it failed a moment ago."""
     unread: int = 0
     """Prompt tokens of requests in flight that have no first token yet."""
+    memory_short: int = 0
+    """Tokens by which the engine's memory is too small for this request beside the others."""
 
     @property
     def load(self) -> float:
@@ -98,6 +100,9 @@
             cost += ZONE_TOKENS
         if option.load >= ALMOST_FULL:
             cost += FULL_TOKENS
+        if option.memory_short > 0:
+            # It waits for others to end, or makes the engine put another one back.
+            cost += SLOT_TOKENS + option.memory_short
         return cost + SLOT_TOKENS * max(0, option.in_flight - option.slots + 1)
 
     def _holder(self, options: Sequence[EngineOption], prefix_key: str) -> str | None:
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -12,10 +12,13 @@
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engine_connections import ConnectionPool
 from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
+from postvalve.settings.routes import ServiceSpec
 
 SUSPECT_TIME = 1.0
 """Seconds that an engine is avoided after a failed attempt; doubled while it goes on."""
 MAX_SUSPECT_TIME = 4.0
+USABLE_MEMORY = 0.95
+"""Share of an engine's memory that requests may fill by their own words."""
 START_UNREAD = 2_500
 """Prompt tokens that an engine has to read up to which one more batch item starts there, so
 that items which start after a heap don't hold online work up by reading their prompts."""
@@ -44,6 +47,8 @@
     """Prompt tokens that the engine had to read before, likewise."""
     unread: int = 0
     """Prompt tokens of this attempt; 0 once its first token came."""
+    memory: int = 0
+    """Tokens that this attempt may need in the engine's memory."""
 
 
 class EngineFleet:
@@ -66,6 +71,8 @@
         self._engines: dict[str, EngineEntry] = {}
         self._standing: dict[str, _Standing] = {}
         self.use = EngineUse()
+        self.service_named: Callable[[str], ServiceSpec | None] = lambda name: None
+        """Gives a service of the configuration in force."""
         self.on_change: Callable[[], None] = lambda: None
         """Called after a request was counted in or out."""
 
@@ -114,16 +121,19 @@
         """Choose an engine for an online attempt and count it in."""
         skipped = set(excluded)
         entries = {one.engine_id: one for one in self.engines(service)}
+        memory = terms.shared_tokens + terms.own_tokens + terms.output_tokens
         options = [
-            self._option(entry) for entry in entries.values() if entry.engine_id not in skipped
+            self._option(entry, memory)
+            for entry in entries.values()
+            if entry.engine_id not in skipped
         ]
         if not options:
             return None
         best = self._chooser.order(options, terms.prefix_key, terms.shared_tokens)[0]
         unread = terms.own_tokens + best.shared_unread
-        return self._enter(entries[best.engine_id], batch=False, unread=unread)
+        return self._enter(entries[best.engine_id], False, unread, memory)
 
-    def _option(self, entry: EngineEntry) -> EngineOption:
+    def _option(self, entry: EngineEntry, memory: int) -> EngineOption:
         count = self.use.total(entry.engine_id)
         return EngineOption(
             entry.engine_id,
@@ -132,8 +142,21 @@
             count.total,
             self._is_suspect(entry.engine_id),
             count.unread,
+            self._memory_short(entry, memory),
         )
 
+    def _memory_short(self, entry: EngineEntry, tokens: int) -> int:
+        """Tokens by which an engine's memory is too small for one more request of `tokens`."""
+        service = self.service_named(entry.service)
+        if service is None or not service.memory_tokens:
+            return 0
+        used = self.use.total(entry.engine_id).memory
+        if not used:
+            # Whether it takes a request that is larger than its memory is the engine's to say.
+            return 0
+        needed = used + tokens
+        return max(0, needed - int(service.memory_tokens * USABLE_MEMORY))
+
     def batch_room(self, service: str) -> int:
         """Batch items that the service's engines have room for now."""
         return sum(max(0, self._room(entry)) for entry in self.engines(service))
@@ -145,25 +168,29 @@
             return 0
         return self.use.batch_room(entry.engine_id, entry.slots)
 
-    def place_batch(self, service: str, unread: int, excluded: Iterable[str]) -> Placement | None:
+    def place_batch(
+        self, service: str, prompt: int, output: int, excluded: Iterable[str]
+    ) -> Placement | None:
         """Choose the engine with the most room for a batch item and count it in.
 
         Args:
             service: The item's service.
-            unread: Prompt tokens of the item.
+            prompt: Prompt tokens of the item.
+            output: The most tokens that it may give.
             excluded: Engines that are passed over.
         """
         skipped = set(excluded)
         rooms = [
             (self._room(entry), entry.zone == self._zone, self._random.uniform(0, 1), entry)
             for entry in self.engines(service)
-            if entry.engine_id not in skipped
+            if entry.engine_id not in skipped and not self._memory_short(entry, prompt + output)
         ]
         free = [one for one in rooms if one[0] > 0]
         if not free:
             return None
         near = [one for one in free if one[1]] or free
-        return self._enter(max(near, key=lambda one: one[:3])[3], batch=True, unread=unread)
+        chosen = max(near, key=lambda one: one[:3])[3]
+        return self._enter(chosen, True, prompt, prompt + output)
 
     def excess(self, engine_id: str) -> int:
         """Batch items of all nodes that should give way at an engine."""
@@ -172,16 +199,21 @@
             return 0
         return self.use.excess(engine_id, entry.slots)
 
-    def _enter(self, entry: EngineEntry, *, batch: bool, unread: int) -> Placement:
+    def _enter(self, entry: EngineEntry, batch: bool, unread: int, memory: int) -> Placement:
         seen = self.use.total(entry.engine_id)
-        placement = Placement(entry, batch, seen.online, seen.batch, seen.unread, unread)
-        self.use.enter(entry.engine_id, batch=batch, unread=unread)
+        placement = Placement(entry, batch, seen.online, seen.batch, seen.unread, unread, memory)
+        self.use.enter(entry.engine_id, batch=batch, unread=unread, memory=memory)
         self.on_change()
         return placement
 
     def leave(self, placement: Placement) -> None:
         """Count an attempt out."""
-        self.use.leave(placement.engine.engine_id, batch=placement.batch, unread=placement.unread)
+        self.use.leave(
+            placement.engine.engine_id,
+            batch=placement.batch,
+            unread=placement.unread,
+            memory=placement.memory,
+        )
         self.on_change()
 
     def note_read(self, placement: Placement) -> None:
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -50,7 +50,7 @@
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
 from postvalve.node.transport import NetworkTransport
-from postvalve.settings.routes import RouteSpec
+from postvalve.settings.routes import RouteSpec, ServiceSpec
 
 CONFIGURATION_WAIT = 10.0
 """Seconds that a read of the operator's topic waits."""
@@ -202,6 +202,7 @@
 
     def _connect(self) -> None:
         self.configuration.listen(self._configuration_changed)
+        self._fleet.service_named = self._service_named
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
         self._reports.on_report = self._peer_reported
@@ -315,6 +316,10 @@
         table = self.configuration.table
         return table.route_named(name) if table else None
 
+    def _service_named(self, name: str) -> ServiceSpec | None:
+        table = self.configuration.table
+        return table.service(name) if table else None
+
     def _addresses(self) -> dict[str, str]:
         return {one.node_id: one.peer_address for one in self._log.board.nodes.values()}
 
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -298,7 +298,9 @@
 
     def _start(self, item: RunningItem, service: str) -> bool:
         excluded = [item.failed_engine] if item.failed_engine else []
-        placement = self._fleet.place_batch(service, item.prompt_tokens, excluded)
+        placement = self._fleet.place_batch(
+            service, item.prompt_tokens, item.output_tokens, excluded
+        )
         if placement is None:
             return False
         item.running = True
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -18,8 +19,16 @@
 from postvalve.core.membership.peers import SILENT_AFTER, PeerView
 from postvalve.core.routing.engine_choice import EngineChooser, EngineOption
 from postvalve.core.routing.route_table import RouteTable, choose_target
+from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.interfaces import EngineEntry, EngineState
 from postvalve.messages.generated import gateway
-from postvalve.settings.routes import RoutedConfiguration, RouteSpec, WeightedService
+from postvalve.settings.routes import (
+    RoutedConfiguration,
+    RouteSpec,
+    ServiceSpec,
+    WeightedService,
+)
+from tests.gateway_support import QuietLog
 
 
 def route(name, host, prefix):
@@ -113,6 +122,19 @@
         one.forget("two")
         self.assertEqual(one.total("e").unread, 0)
 
+    def test_memory_counts_until_a_request_is_left(self):
+        one, two = EngineUse(), EngineUse()
+        two.enter("e", batch=True, unread=300, memory=2_000)
+        one.enter("e", batch=False, memory=100)
+        one.observe("two", two.report())
+        self.assertEqual(one.total("e").memory, 100 + 2_048)
+        two.note_read("e", 300)
+        one.observe("two", two.report())
+        self.assertEqual(one.total("e").memory, 100 + 2_048)
+        two.leave("e", batch=True, memory=2_000)
+        one.observe("two", two.report())
+        self.assertEqual(one.total("e").memory, 100)
+
     def test_more_unread_tokens_than_a_report_can_tell(self):
         one, two = EngineUse(), EngineUse()
         two.enter("e", batch=False, unread=1 << 40)
@@ -121,7 +143,7 @@
 
     def test_malformed_reports_are_cut(self):
         use = EngineUse()
-        use.observe("p", b"\x00" * 9)
+        use.observe("p", b"\x00" * 11)
         self.assertEqual(use.total("e").total, 0)
 
     @given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=30))
@@ -155,6 +177,10 @@
         small = option("a", "near", 1, unread=2_000)
         self.assertEqual(self.choose([small, option("f", "far", 0)]), "a")
 
+    def test_an_engine_without_memory_is_chosen_last(self):
+        short = EngineOption("a", "near", 10, 1, memory_short=50)
+        self.assertEqual(self.choose([short, option("b", "near", 8)]), "b")
+
     def test_what_is_kept_is_left_where_reading_it_anew_costs_less(self):
         keeper = EngineChooser("near", random.Random(1))
         options = [option("a", "near", 0), option("b", "near", 0)]
@@ -181,6 +207,37 @@
             self.assertEqual(self.choose(options, f"key{number}", 5000), "c")
 
 
+class BatchPlaceTest(unittest.TestCase):
+    def setUp(self):
+        clock = mock.Mock(**{"monotonic.return_value": 0.0})
+        self.fleet = EngineFleet("near", clock, QuietLog(), mock.Mock(), random.Random(1))
+        self.fleet.update(
+            EngineEntry(name, "s", f"{name}:1", zone, 10, EngineState.READY)
+            for name, zone in (("n", "near"), ("f", "far"))
+        )
+        service = ServiceSpec(name="s", memory_tokens=10_000)
+        self.fleet.service_named = {"s": service}.get
+
+    def place(self, prompt=1_000, output=2_000):
+        placement = self.fleet.place_batch("s", prompt, output, ())
+        if placement is not None:
+            self.fleet.note_read(placement)
+        return placement and placement.engine.engine_id
+
+    def test_items_start_only_where_memory_is_left(self):
+        self.assertEqual([self.place() for _ in range(7)], ["n", "n", "n", "f", "f", "f", None])
+
+    def test_an_item_larger_than_the_memory_is_left_to_an_empty_engine(self):
+        self.assertEqual(self.place(50_000), "n")
+        self.assertEqual([self.place(50_000), self.place(50_000)], ["f", None])
+
+    def test_items_start_only_where_little_is_to_be_read(self):
+        placed = [self.fleet.place_batch("s", 2_000, 0, ()) for _ in range(5)]
+        self.assertEqual(
+            [one and one.engine.engine_id for one in placed], ["n", "n", "f", "f", None]
+        )
+
+
 class ItemOrderTest(unittest.TestCase):
     def test_the_most_urgent_of_all_nodes_start(self):
         self.assertEqual(startable([10, 20, 30], [(15, 1)], 3), 2)
