Status of a node on the platform, and its calls to the store counted

The metric `postvalve_store_calls` was declared and never counted (found while reading). Change: `GET /status` at the metrics address tells what a node believes (peers with age, engines with counts, open jobs and who works on them, its way to the store); the command prints both forms. Calls are counted by kind and answered, failed or by a peer.

--- a/postvalve/cli/status.py
+++ b/postvalve/cli/status.py
@@ -14,6 +14,7 @@
 from postvalve.cli.output import ExitCode, add_output_flag, print_rows
 from postvalve.exceptions import AuthenticationError, PlatformError
 
+NODE_COLUMNS = ("node", "zone", "state", "revision", "engine", "online", "batch", "slots")
 TIMEOUT = 5.0
 """Seconds until a node's answer is given up."""
 
@@ -26,7 +27,11 @@
         epilog="example:\n  postvalve status --node http://127.0.0.1:8080 --output json",
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument("--node", required=True, help="any node, http://IP:PORT")
+    parser.add_argument(
+        "--node",
+        required=True,
+        help="any node, http://IP:PORT; on the users' platform its metrics address",
+    )
     parser.add_argument(
         "--key",
         default=os.environ.get(OPERATOR_KEY_VARIABLE, ""),
@@ -42,9 +47,24 @@
     if arguments.output == "json":
         print(json.dumps(document, indent=2))
         return ExitCode.OK
-    for name in ("node_id", "zone", "draining", "configuration_revision", "shards"):
-        print(f"{name}: {document[name]}")
-    rows = [
+    for name, value in document.items():
+        if not _is_table(value):
+            print(f"{name}: {value}")
+    print_rows(_node_rows(document), NODE_COLUMNS, "table")
+    for name in ("engines", "jobs"):
+        rows = document.get(name, [])
+        if rows:
+            print(f"\n{name}:")
+            print_rows(rows, tuple(rows[0]), "table")
+    return ExitCode.OK
+
+
+def _is_table(value: Any) -> bool:
+    return isinstance(value, list) and any(isinstance(one, dict) for one in value)
+
+
+def _node_rows(document: dict[str, Any]) -> list[dict[str, Any]]:
+    return [
         {
             "node": node["node_id"],
             "zone": node["zone"],
@@ -56,11 +76,8 @@
             "slots": engine.get("slots", "-"),
         }
         for node in document["nodes"]
-        for engine in node["engines"] or [{}]
+        for engine in node.get("engines") or [{}]
     ]
-    columns = ("node", "zone", "state", "revision", "engine", "online", "batch", "slots")
-    print_rows(rows, columns, "table")
-    return ExitCode.OK
 
 
 def fetch_status(node_url: str, key: str) -> dict[str, Any]:
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -105,6 +105,16 @@
             and not self._standing_of(entry.engine_id).replaced
         ]
 
+    def listed_engines(self) -> list[EngineEntry]:
+        """All engines of the directory."""
+        return list(self._engines.values())
+
+    def state_of(self, entry: EngineEntry) -> str:
+        """An engine's state in one word, for operators."""
+        if self._standing_of(entry.engine_id).replaced:
+            return "replaced"
+        return "suspect" if self._is_suspect(entry.engine_id) else entry.state.value
+
     def listed(self, engine_id: str) -> bool:
         """Whether an engine is in the directory."""
         return engine_id in self._engines
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import random
 import uuid
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 import betterproto
 import gevent
@@ -42,10 +44,11 @@
 from postvalve.gateway.job_claims import JobClaims
 from postvalve.gateway.job_log import JobLog
 from postvalve.gateway.job_service import JobService
-from postvalve.gateway.load_reports import LoadReports
+from postvalve.gateway.load_reports import MAX_SILENCE, LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.routed_run import RunServices
+from postvalve.gateway.status import engine_rows, job_rows, peer_rows
 from postvalve.gateway.topic_follower import TopicFollower
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
@@ -64,6 +67,8 @@
 FETCH_DELAY = 0.3
 """Seconds in which a newer revision that a peer has may still come from the store."""
 HOUSEKEEPING_INTERVAL = 1.0
+STATUS_PATH = "/status"
+"""Path at the metrics address that tells what the node believes."""
 PURGE_INTERVAL = 10.0
 DRAIN_CHECK = 0.05
 DRAIN_RESERVE = 0.8
@@ -132,7 +137,13 @@
         )
         self._relay = RelayServer(platform.topics)
         topics = RelayedTopics(
-            platform.topics, settings.zone, clock, events, self._transport, self.peers
+            platform.topics,
+            settings.zone,
+            clock,
+            events,
+            self._transport,
+            self.peers,
+            self._metrics,
         )
         self._topics = topics
         self._log = JobLog(settings, topics, clock, events)
@@ -183,9 +194,7 @@
         self._server = GatewayServer(settings.listen, self.application)
         self._ready_server = plain_server(settings.ready_listen, self._readiness)
         self._metrics_server = (
-            plain_server(settings.metrics_listen, self._exposition)
-            if settings.metrics_listen
-            else None
+            plain_server(settings.metrics_listen, self._tell) if settings.metrics_listen else None
         )
         self._followers = [
             TopicFollower(
@@ -275,6 +284,26 @@
     def _readiness(self, path: str) -> tuple[str, bytes]:
         return ("200 OK", b"ready\n") if self.ready else ("503 Service Unavailable", b"not ready\n")
 
+    def status_document(self) -> dict[str, Any]:
+        """What this node believes of the fleet."""
+        return {
+            "node_id": self._settings.node_id,
+            "zone": self._settings.zone,
+            "draining": self._draining,
+            "ready": self.ready,
+            "configuration_revision": self.configuration.revision,
+            "store": "by a peer" if self._topics.failing else "own",
+            "store_silence": round(min(MAX_SILENCE, self._log.silence()), 2),
+            "nodes": peer_rows(self.peers, self._clock.monotonic()),
+            "engines": engine_rows(self._fleet),
+            "jobs": job_rows(self._log.board),
+        }
+
+    def _tell(self, path: str) -> tuple[str, bytes]:
+        if path == STATUS_PATH:
+            return "200 OK", json.dumps(self.status_document()).encode()
+        return self._exposition(path)
+
     def _exposition(self, path: str) -> tuple[str, bytes]:
         self._metrics.connections.set(self._pool.opened)
         self._metrics.dropped_log_lines.set(self._events.dropped)
--- a/postvalve/gateway/relayed_topics.py
+++ b/postvalve/gateway/relayed_topics.py
@@ -21,6 +21,7 @@
     StoreUnavailableError,
     TopicSlice,
 )
+from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
 from postvalve.node.transport import Transport
@@ -45,6 +46,7 @@
         events: EventLog,
         transport: Transport,
         peers: PeerView,
+        metrics: GatewayMetrics,
     ) -> None:
         self._own = own
         self._zone = zone
@@ -52,6 +54,7 @@
         self._events = events
         self._transport = transport
         self._peers = peers
+        self._metrics = metrics
         self._path = StorePath()
         self._avoided = ""
         """The peer that failed last."""
@@ -103,12 +106,14 @@
         result: Callable[[gateway.StoreReply], Result],
         wait: float = 0.0,
     ) -> Result:
+        kind = type(call).__name__
         relay = self._relay() if self._path.failing else None
         if relay is not None and not self._path.try_own(self._clock.monotonic()):
             return result(self._relayed(relay, call, wait))
         try:
             answer = own()
         except StoreUnavailableError as exc:
+            self._metrics.store_calls.labels(kind, "failed").inc()
             self._note(False, exc.message)
             relay = self._relay()
             # An append that may be done must not be repeated under the same keys.
@@ -116,9 +121,11 @@
             if relay is None or once:
                 raise
         except (HistoryGoneError, PositionTakenError):
+            self._metrics.store_calls.labels(kind, "answered").inc()
             self._note(True)
             raise
         else:
+            self._metrics.store_calls.labels(kind, "answered").inc()
             self._note(True)
             return answer
         return result(self._relayed(relay, call, wait))
@@ -134,6 +141,7 @@
         return relay_address(self._peers, self._zone, self._avoided)
 
     def _relayed(self, address: str, call: betterproto.Message, wait: float) -> gateway.StoreReply:
+        self._metrics.store_calls.labels(type(call).__name__, "by a peer").inc()
         try:
             reply = self._transport.call(address, Channel.BATCH, call, wait + RELAY_TIMEOUT)
         except PeerUnavailableError as exc:
--- /dev/null
+++ b/postvalve/gateway/status.py
@@ -0,0 +1,60 @@
+"""What a node believes of the fleet, for operators: `GET /status` at its metrics address."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from postvalve.core.batch.job_board import JobBoard
+from postvalve.core.membership.peers import PeerView
+from postvalve.gateway.fleet import EngineFleet
+
+
+def peer_rows(peers: PeerView, now: float) -> list[dict[str, Any]]:
+    """The other nodes, by id; `age` is the seconds since each was heard."""
+    return [
+        {
+            "node_id": peer.node_id,
+            "zone": peer.report.zone,
+            "state": "leaving" if peer.report.leaving else "running",
+            "configuration_revision": peer.report.revision,
+            "store": "by a peer" if peer.report.store_failing else "own",
+            "age": round(now - peer.heard_at, 2),
+        }
+        for peer in sorted(peers.all(), key=lambda one: one.node_id)
+    ]
+
+
+def engine_rows(fleet: EngineFleet) -> list[dict[str, Any]]:
+    """The engines of the directory with the requests of all nodes, as this node counts them."""
+    rows = []
+    for entry in sorted(fleet.listed_engines(), key=lambda one: one.engine_id):
+        count = fleet.use.total(entry.engine_id)
+        rows.append(
+            {
+                "engine_id": entry.engine_id,
+                "service": entry.service,
+                "zone": entry.zone,
+                "state": fleet.state_of(entry),
+                "slots": entry.slots,
+                "online": count.online,
+                "batch": count.batch,
+                "unread_tokens": count.unread,
+                "memory_tokens": count.memory,
+            }
+        )
+    return rows
+
+
+def job_rows(board: JobBoard) -> list[dict[str, Any]]:
+    """Jobs that have items to run, and who works on each."""
+    return [
+        {
+            "job_id": job.job_id,
+            "route": job.accepted.route,
+            "node_id": job.node_id,
+            "items": len(job.accepted.items),
+            "listed": len(job.results),
+            "due_at_ms": job.accepted.due_at_ms,
+        }
+        for job in board.open_jobs()
+    ]
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -108,6 +108,9 @@
         node = self.fleet.gateways[0]
         status = run("status", "--node", node, "--key", self.fleet.operator_key, "--output", "json")
         self.assertEqual(len(json.loads(status.stdout)["nodes"]), 2)
+        table = run("status", "--node", node, "--key", self.fleet.operator_key).stdout
+        self.assertIn("configuration_revision: ", table)
+        self.assertRegex(table, r"NODE +ZONE +STATE")
         self.assertEqual(run("status", "--node", node, "--key", "wrong").returncode, 2)
         self.assertEqual(self.log("jobs", "show", "batch_nothing").returncode, 5)
 
--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -1,5 +1,6 @@
 """A node that can't reach the store works by a peer that does."""
 
+import json
 import unittest
 
 from hypothesis import given
@@ -21,6 +22,7 @@
     PositionTakenError,
     StoreUnavailableError,
 )
+from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.messages.generated import gateway
 from tests.gateway_support import BATCH_PATH, OwnTopics, QuietLog, wait_until
@@ -102,7 +104,10 @@
         self.transport = PeerTransport(RelayServer(self.store))
         self.peers = view(report("a"))
         self.log = QuietLog()
-        self.topics = RelayedTopics(self.own, "z", Clock(), self.log, self.transport, self.peers)
+        self.metrics = GatewayMetrics()
+        self.topics = RelayedTopics(
+            self.own, "z", Clock(), self.log, self.transport, self.peers, self.metrics
+        )
 
     def cut(self, verdict=Verdict.NOT_RUN):
         self.own.cut = verdict
@@ -176,6 +181,12 @@
         self.own.cut = None
         self.topics.read("t", 0, 0, 0.0, 100)
         self.assertFalse(self.topics.failing)
+        counted = self.metrics.store_calls.labels
+        values = [
+            counted("StoreRead", outcome)._value.get()
+            for outcome in ("answered", "failed", "by a peer")
+        ]
+        self.assertEqual(values, [1, FAILING_AFTER, FAILING_AFTER])
         told = [event for event, _ in self.log.written]
         self.assertEqual(told, [Event.STORE_OUT_OF_REACH, Event.STORE_REACHED])
 
@@ -185,7 +196,13 @@
         store = MemoryTopics()
         own = OwnTopics(store)
         topics = RelayedTopics(
-            own, "z", Clock(), QuietLog(), PeerTransport(RelayServer(store)), view(report("a"))
+            own,
+            "z",
+            Clock(),
+            QuietLog(),
+            PeerTransport(RelayServer(store)),
+            view(report("a")),
+            GatewayMetrics(),
         )
         for number, cut in enumerate(cuts):
             own.cut = Verdict.NOT_RUN if cut else None
@@ -194,6 +211,24 @@
         self.assertEqual(keys, [f"k{number}" for number in range(len(cuts))])
 
 
+class StatusTest(JobCase):
+    def test_a_node_tells_what_it_believes(self):
+        self.usual(silent=True)
+        self.submit("n0", "j")
+        nodes = list(self.fleet.nodes.values())
+
+        def told():
+            return [one["batch"] for node in nodes for one in node.status_document()["engines"]]
+
+        wait_until(lambda: sum(told()) == 6)
+        document = json.loads(json.dumps(nodes[0].status_document()))
+        self.assertEqual([one["node_id"] for one in document["nodes"]], ["n1"])
+        self.assertEqual([one["engine_id"] for one in document["engines"]], ["e0", "e1"])
+        (job,) = document["jobs"]
+        self.assertEqual((job["job_id"], job["node_id"], job["listed"]), ("j", "n0", 0))
+        self.assertEqual((document["store"], document["ready"]), ("own", True))
+
+
 class CutNodeTest(JobCase):
     nodes = 3
 
