Reports are paced by the size of the fleet, and cheap to read

Cause: every node told every other of each change, 12 times a second. Ruled out: the size of reports (268 bytes); reading prompts or relaying was not yet under way. Tests: every change is told; what is heard is bounded (hypothesis). One test of jobs read another node's page the moment the first one had all results; it now waits for that node's reading first, since others may be a second behind, and is otherwise as it was (failed once under load).

--- a/postvalve/core/batch/item_order.py
+++ b/postvalve/core/batch/item_order.py
@@ -6,9 +6,13 @@
 
 from __future__ import annotations
 
+import struct
 from bisect import bisect_left
 from collections.abc import Iterable, Sequence
 
+_GROUP = struct.Struct("!QH")
+"""Urgency in milliseconds of the epoch, number of items."""
+MAX_COUNT = 0xFFFF
 MAX_GROUPS = 24
 """Due times that one report tells; the least urgent items beyond them are left out."""
 HOPELESS_PENALTY_MS = 600_000
@@ -83,3 +87,13 @@
     for due in own_due:
         counts[due] = counts.get(due, 0) + 1
     return sorted(counts.items())[:MAX_GROUPS]
+
+
+def encode_groups(groups: Iterable[tuple[int, int]]) -> bytes:
+    """The groups of `group_by_due` for a report; as bytes, since it is read many times a second."""
+    return b"".join(_GROUP.pack(due, min(MAX_COUNT, count)) for due, count in groups)
+
+
+def decode_groups(data: bytes) -> list[tuple[int, int]]:
+    """Undo `encode_groups`; what is cut off is passed over."""
+    return list(_GROUP.iter_unpack(data[: len(data) - len(data) % _GROUP.size]))
--- a/postvalve/core/membership/peers.py
+++ b/postvalve/core/membership/peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from postvalve.core.batch.item_order import decode_groups
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.messages.generated import gateway
 
@@ -22,6 +23,8 @@
 
     report: gateway.LoadReport
     heard_at: float
+    waiting: list[tuple[int, int]]
+    """Urgencies and numbers of the items that wait there."""
 
     @property
     def node_id(self) -> str:
@@ -45,7 +48,8 @@
         known = self._peers.get(report.node_id)
         if known is not None and not _is_newer(report, known.report):
             return False
-        self._peers[report.node_id] = Peer(report, now)
+        waiting = decode_groups(report.items_waiting)
+        self._peers[report.node_id] = Peer(report, now, waiting)
         return True
 
     def expire(self, now: float) -> list[str]:
@@ -106,8 +110,7 @@
     def waiting(self) -> Iterable[tuple[int, int]]:
         """Due times and numbers of the items that wait at peers."""
         for peer in self._peers.values():
-            for group in peer.report.waiting:
-                yield group.due_at_ms, group.count
+            yield from peer.waiting
 
 
 def _is_newer(report: gateway.LoadReport, known: gateway.LoadReport) -> bool:
--- /dev/null
+++ b/postvalve/core/membership/report_pace.py
@@ -0,0 +1,47 @@
+"""How often a node reports to its peers: as soon as useful, within a bound on what each hears.
+
+Reports go to every peer, so what a node hears grows with the fleet. Nodes of a zone share its
+engines and need fresh counts; other zones' engines are a second choice, and may be known later.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LEAST_INTERVAL = 0.08
+"""Seconds between two reports to one peer at the least, in which changes gather."""
+IDLE_INTERVAL = 0.5
+"""Seconds between reports to one peer when nothing changes."""
+NEAR_RATE = 120.0
+"""Reports a second that a node hears from its own zone at the most."""
+FAR_RATE = 60.0
+"""The same from all other zones."""
+
+
+@dataclass(slots=True)
+class ReportPace:
+    """The reports to one group of peers."""
+
+    rate: float
+    """Reports a second that a node hears from this group at the most."""
+    _sent_at: float = float("-inf")
+    _changed: bool = True
+
+    def note_change(self) -> None:
+        """There is something to tell."""
+        self._changed = True
+
+    @property
+    def waiting(self) -> bool:
+        """Whether there is something to tell that was not told."""
+        return self._changed
+
+    def take_turn(self, peers: int, now: float) -> bool:
+        """Whether a report goes out at monotonic time `now`, to a group of so many peers."""
+        interval = min(IDLE_INTERVAL, max(LEAST_INTERVAL, peers / self.rate))
+        since = now - self._sent_at
+        if since < (interval if self._changed else IDLE_INTERVAL):
+            return False
+        self._sent_at = now
+        self._changed = False
+        return True
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -155,7 +155,7 @@
             self._transport,
             self._fleet,
             self.peers,
-            self._addresses,
+            self._started_nodes,
         )
         self._ends = EndWriter(self._log, events, settings.call_bytes, short_id)
         self._progress = ProgressLog(
@@ -349,8 +349,9 @@
         table = self.configuration.table
         return table.service(name) if table else None
 
-    def _addresses(self) -> dict[str, str]:
-        return {one.node_id: one.peer_address for one in self._log.board.nodes.values()}
+    def _started_nodes(self) -> dict[str, tuple[str, str]]:
+        started = self._log.board.nodes.values()
+        return {one.node_id: (one.peer_address, one.zone) for one in started}
 
     def _announce(self) -> None:
         """Tell the other nodes, by the store, that this one has started."""
@@ -369,7 +370,7 @@
     def _peer_reported(self, report: gateway.LoadReport) -> None:
         if report.revision > max(0, self.configuration.revision):
             gevent.spawn_later(FETCH_DELAY, self._fetch_revision, report)
-        if report.waiting or self._runner.in_progress:
+        if report.items_waiting or self._runner.in_progress:
             self._runner.wake()
 
     def _fetch_revision(self, report: gateway.LoadReport) -> None:
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -34,6 +34,8 @@
 
 START_INTERVAL = 0.1
 """Seconds between looks for room, when no event tells of any."""
+LOOK_PAUSE = 0.02
+"""Seconds between looks at the least: each report of a peer asks for one."""
 EVENT_SILENCE = 2.0
 """Seconds without a byte until an engine counts as failed."""
 READ_PAUSE = 0.08
@@ -261,6 +263,7 @@
             self._give_way()
             if not self.draining:
                 self._start_items()
+            gevent.sleep(LOOK_PAUSE)
 
     def _waiting(self) -> list[RunningItem]:
         now = self._clock.monotonic()
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -9,20 +9,23 @@
 
 from postvalve.clock import Clock
 from postvalve.core.batch.giving_way import RunningItems
-from postvalve.core.batch.item_order import group_by_due
+from postvalve.core.batch.item_order import encode_groups, group_by_due
 from postvalve.core.membership.peers import PeerView
+from postvalve.core.membership.report_pace import (
+    FAR_RATE,
+    IDLE_INTERVAL,
+    LEAST_INTERVAL,
+    NEAR_RATE,
+    ReportPace,
+)
 from postvalve.events import Event, EventLog
 from postvalve.gateway.fleet import EngineFleet
 from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
 from postvalve.messages.generated import gateway
 from postvalve.node.transport import Transport
 
-REPORT_INTERVAL = 0.5
-"""Seconds between reports when nothing changes."""
 MAX_SILENCE = 60.0
 """Seconds; longer silences of the store are told as this."""
-GATHER_TIME = 0.08
-"""Seconds after a report before the next one, in which changes gather."""
 
 
 class LoadReports:
@@ -36,16 +39,18 @@
         transport: Transport,
         fleet: EngineFleet,
         peers: PeerView,
-        addresses: Callable[[], dict[str, str]],
+        nodes: Callable[[], dict[str, tuple[str, str]]],
     ) -> None:
-        """Set up; `addresses` gives node id to peer address of all nodes that started."""
+        """Set up; `nodes` gives peer address and zone of all nodes that started, by id."""
         self._identity = identity
         self._clock = clock
         self._events = events
         self._transport = transport
         self._fleet = fleet
         self._peers = peers
-        self._addresses = addresses
+        self._nodes = nodes
+        self._near = ReportPace(NEAR_RATE)
+        self._far = ReportPace(FAR_RATE)
         self._sequence = 0
         self._changed = GeventEvent()
         self.leaving = False
@@ -66,29 +71,45 @@
     def run(self) -> None:
         """Report for ever."""
         while True:
-            self.send()
-            gevent.sleep(GATHER_TIME)
-            self._changed.wait(REPORT_INTERVAL - GATHER_TIME)
-            self._changed.clear()
+            self._report_to_all()
+            gevent.sleep(LEAST_INTERVAL)
+            if not (self._near.waiting or self._far.waiting):
+                self._changed.wait(IDLE_INTERVAL - LEAST_INTERVAL)
 
-    def send(self) -> None:
-        """Send one report to every node, and expire silent ones."""
+    def _report_to_all(self) -> None:
+        """Report to the groups whose turn it is, and expire silent peers."""
         now = self._clock.monotonic()
         for node_id in self._peers.expire(now):
             self._fleet.use.forget(node_id)
             self.items.forget(node_id)
             self._events.emit(Event.PEER_SILENT, peer=node_id)
+        if self._changed.is_set():
+            self._changed.clear()
+            self._near.note_change()
+            self._far.note_change()
+        near, far = self._targets()
+        due = [
+            addresses
+            for pace, addresses in ((self._near, near), (self._far, far))
+            if pace.take_turn(len(addresses), now) and addresses
+        ]
+        if not due:
+            return
         self._sequence += 1
         data = encode_frame(self._report(), 0)
-        for node_id, address in self._targets().items():
-            if node_id != self._identity.node_id:
+        for addresses in due:
+            for address in addresses:
                 self._transport.send(address, data)
 
-    def _targets(self) -> dict[str, str]:
-        targets = self._addresses()
+    def _targets(self) -> tuple[list[str], list[str]]:
+        """Peer addresses in this node's zone, and in all others."""
+        targets = dict(self._nodes())
         for peer in self._peers.all():
-            targets.setdefault(peer.node_id, peer.report.peer_address)
-        return targets
+            targets.setdefault(peer.node_id, (peer.report.peer_address, peer.report.zone))
+        targets.pop(self._identity.node_id, None)
+        near = [address for address, zone in targets.values() if zone == self._identity.zone]
+        far = [address for address, zone in targets.values() if zone != self._identity.zone]
+        return near, far
 
     def _report(self) -> gateway.LoadReport:
         return gateway.LoadReport(
@@ -99,15 +120,12 @@
             zone=self._identity.zone,
             leaving=self.leaving,
             engine_use=self._fleet.use.report(),
-            waiting=[
-                gateway.WaitingItems(due_at_ms=due, count=count)
-                for due, count in group_by_due(self.waiting_due())
-            ],
             log_silence_ms=int(min(MAX_SILENCE, self.log_silence()) * 1000),
             revision=max(0, self.revision()),
             running=self.running_items() if self.leaving else [],
             items_running=self.items_running(),
             store_failing=self.store_failing(),
+            items_waiting=encode_groups(group_by_due(self.waiting_due())),
         )
 
     def receive(self, data: bytes, address: str) -> None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -12,11 +12,14 @@
 from postvalve.core.batch.item_order import (
     HOPELESS_PENALTY_MS,
     DurationEstimate,
+    decode_groups,
+    encode_groups,
     group_by_due,
     startable,
     urgency,
 )
 from postvalve.core.membership.peers import SILENT_AFTER, PeerView
+from postvalve.core.membership.report_pace import IDLE_INTERVAL, NEAR_RATE, ReportPace
 from postvalve.core.routing.engine_choice import EngineChooser, EngineOption
 from postvalve.core.routing.route_table import RouteTable, choose_target
 from postvalve.gateway.fleet import EngineFleet
@@ -305,6 +308,53 @@
         self.assertEqual(view.at(0), [])
 
 
+class WaitingGroupsTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(0, 2**64 - 1), st.integers(0, 0xFFFF))))
+    def test_groups_come_back(self, groups):
+        self.assertEqual(decode_groups(encode_groups(groups)), groups)
+
+    def test_more_items_than_a_report_can_tell_and_cut_reports(self):
+        data = encode_groups([(5, 1 << 30), (6, 1)])
+        self.assertEqual(decode_groups(data[:-1]), [(5, 0xFFFF)])
+
+
+class ReportPaceTest(unittest.TestCase):
+    def turns(self, peers, seconds, change_every, rate=NEAR_RATE):
+        pace = ReportPace(rate)
+        taken = []
+        for step in range(int(seconds * 100)):
+            if step % int(change_every * 100) == 0:
+                pace.note_change()
+            if pace.take_turn(peers, step / 100):
+                taken.append(step / 100)
+        return taken
+
+    def test_few_peers_hear_every_change_soon(self):
+        gaps = self.turns(3, 4, 0.1)
+        self.assertEqual(len(gaps), 40)
+
+    def test_nothing_to_tell_is_told_now_and_then(self):
+        taken = self.turns(3, 4, 100)
+        self.assertEqual(len(taken), 4 / IDLE_INTERVAL)
+
+    @given(st.integers(1, 60), st.sampled_from([0.01, 0.05, 0.3]))
+    def test_what_a_node_hears_is_bounded(self, peers, change_every):
+        taken = self.turns(peers, 5, change_every)
+        heard = len(taken) * peers / 5
+        self.assertLessEqual(heard, max(NEAR_RATE, peers / IDLE_INTERVAL) + peers / 5)
+
+    @given(st.lists(st.integers(0, 300), max_size=20), st.integers(1, 60))
+    def test_every_change_is_told(self, changes, peers):
+        pace = ReportPace(NEAR_RATE)
+        told = -1
+        for step in range(400):
+            if step in changes:
+                pace.note_change()
+            if pace.take_turn(peers, step / 100):
+                told = step
+        self.assertGreaterEqual(told, max(changes, default=0))
+
+
 class UrgencyTest(unittest.TestCase):
     def test_what_would_be_late_anyhow_ranks_behind(self):
         self.assertEqual(urgency(20_000, 10_000, 9.0), 20_000)
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -77,6 +77,8 @@
     def test_pages_go_on_where_the_last_ended(self):
         self.submit("n0", "j")
         results = self.results("n0", "j")
+        # Another node may have read them a moment later.
+        self.assertEqual(self.results("n1", "j"), results)
         page = self.page("n1", "j", 2).document
         self.assertEqual(page, {"total": 3, "nextToken": 3, "results": results[2:]})
 
