A starting node keeps jobs that are taken while it reads the board

A start reads the newest records in pages, then follows from the first page's end. A record that came in between and lay on a later page was taken with the pages; the board passes over offsets below the highest one seen, so an earlier record that lay on a page read before (the acceptance: keys begin with "accept") was passed over when it was read in its turn. Ruled out: the relay of calls (the store answered that node), note_own (needs the exact offset). Change: only records before the first page's end are taken from pages; the rest is read in order.

--- a/postvalve/gateway/topic_follower.py
+++ b/postvalve/gateway/topic_follower.py
@@ -155,7 +155,10 @@
             if end < self.next_offset:
                 # Another read overtook this one; its state is the newer one.
                 return
-            records = sorted(found.values(), key=lambda one: one.offset)
+            # A later page may hold a record beyond that end, while one before it lies on a page
+            # that was read already: both are read in their order from there.
+            before = [one for one in found.values() if one.offset < end]
+            records = sorted(before, key=lambda one: one.offset)
             self.next_offset = end
             self.fresh_at = max(self.fresh_at, started)
             self._listener(records, True)
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -143,5 +143,32 @@
         self.assertEqual(self.log.board.jobs, {})
 
 
+class RestartTest(unittest.TestCase):
+    def test_a_job_taken_while_the_board_is_read_is_found(self):
+        """Found by a hunt: a node that starts while others start and take jobs."""
+        topics = MemoryTopics()
+        for number in range(600):
+            topics.append("jobs", 0, [KeyedRecord(f"item/x/{number}", b"\x00")])
+        log = job_log(topics)
+        taken = []
+
+        def newest(topic, part, after="", read=MemoryTopics.newest):
+            answer = read(topics, topic, part, after)
+            if not taken:
+                taken.append(True)
+                topics.append(
+                    "jobs", 0, [KeyedRecord("accept/j/c0", bytes(gateway.JobAccepted(job_id="j")))]
+                )
+                topics.append(
+                    "jobs", 0, [KeyedRecord("node/n9", bytes(gateway.NodeStarted(node_id="n9")))]
+                )
+            return answer
+
+        topics.newest = newest
+        log.follower.catch_up()
+        log.follower.catch_up()
+        self.assertIn("j", log.board.jobs)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -71,6 +71,39 @@
         self.assertEqual(sorted(self.seen), ["a", "b", "c"])
 
 
+class GrowingPages(MemoryTopics):
+    """Records are appended between the first page of newest records and the next."""
+
+    between = ()
+
+    def newest(self, topic, part, after=""):
+        answer = super().newest(topic, part, after)
+        if not after:
+            for key in self.between:
+                self.append(topic, part, [KeyedRecord(key, b"v")])
+        return answer
+
+
+class GrowingTest(FollowerCase):
+    topics_class = GrowingPages
+
+    def observe(self, records, whole):
+        offsets = [record.offset for record in records]
+        self.assertEqual(offsets, sorted(offsets))
+        if not whole:
+            self.assertGreater(min(offsets), self.last)
+        self.last = max(offsets)
+        super().observe(records, whole)
+
+    def test_records_that_come_between_pages_are_given_in_their_order(self):
+        self.add(*(f"k{number:04d}" for number in range(700)))
+        # The first one's place is on a page that was read, the second one's on one that was not.
+        self.topics.between = ("early", "late")
+        self.follower.catch_up()
+        self.follower.catch_up()
+        self.assertEqual(len(self.seen), 702)
+
+
 class FollowTest(FollowerCase):
     def test_everything_comes_in_order(self):
         self.add("a")
