The test of a planned stop asks again after a refusal

The test sends its stream the moment the fleet is ready, and nodes whose heartbeats are late under that load count as gone for a moment (dead_after = 1.5 s there): a refusal which says not run and when to come back. Change: the test asks again after such a refusal, whose verdict and Retry-After it checks; what it is for, the stop, is as before.

--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -172,14 +172,31 @@
         answer = self.client(0).models.list().data
         self.assertEqual([model.id for model in answer], [self.fleet.shape.model])
 
+    def started_stream(self, client):
+        """A stream; refused ones did not run and are asked for again, as clients are told to."""
+        streams = []
+
+        def started():
+            try:
+                stream = client.chat.completions.create(
+                    model=self.fleet.shape.model,
+                    messages=[{"role": "user", "content": "long"}],
+                    max_tokens=200,
+                    stream=True,
+                )
+            except openai.InternalServerError as exc:
+                verdict = exc.response.headers["X-Postvalve-Verdict"]
+                self.assertEqual((exc.status_code, verdict), (503, "not_run"))
+                self.assertIn("retry-after", exc.response.headers)
+                return False
+            streams.append(stream)
+            return True
+
+        wait_until(started, "stream")
+        return streams[0]
+
     def test_sigterm_finishes_streams_and_exits_with_0(self):
-        client = self.client(1)
-        stream = client.chat.completions.create(
-            model=self.fleet.shape.model,
-            messages=[{"role": "user", "content": "long"}],
-            max_tokens=200,
-            stream=True,
-        )
+        stream = self.started_stream(self.client(1))
         first = next(iter(stream))
         self.fleet.signal("node-0-1", signal.SIGTERM)
         rest = [chunk.choices[0].delta.content or "" for chunk in stream]
