--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -9,6 +9,7 @@
 
 import math
 import struct
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -96,11 +97,19 @@
 
     def report(self) -> bytes:
         """This node's own counts, for its peers."""
-        used = [(key, count) for key, count in self._own.items() if count.total > 0]
-        return b"".join(
-            _ENTRY.pack(key, count.online, count.batch, _units(count.unread), _units(count.memory))
-            for key, count in used
-        )
+        return _encode(self._own)
+
+    def report_of(self, node_ids: Iterable[str]) -> bytes:
+        """Counts of this node and some of its peers together, for those who do not hear these."""
+        sums: dict[int, UseCount] = {}
+        for counts in (self._own, *(self._peers.get(node_id, {}) for node_id in node_ids)):
+            for key, count in counts.items():
+                total = sums.setdefault(key, UseCount())
+                total.online += count.online
+                total.batch += count.batch
+                total.unread += count.unread
+                total.memory += count.memory
+        return _encode(sums)
 
     def observe(self, node_id: str, report: bytes) -> None:
         """Take the counts of a peer in, in place of its former ones."""
@@ -152,5 +161,19 @@
         return max(0, min(total.batch, total.total - allowed))
 
 
+def _encode(counts: Mapping[int, UseCount]) -> bytes:
+    return b"".join(
+        _ENTRY.pack(
+            key,
+            min(MAX_UNITS, count.online),
+            min(MAX_UNITS, count.batch),
+            _units(count.unread),
+            _units(count.memory),
+        )
+        for key, count in counts.items()
+        if count.total > 0
+    )
+
+
 def _units(tokens: int) -> int:
     return min(MAX_UNITS, -(-max(0, tokens) // TOKEN_UNIT))
--- a/postvalve/core/batch/item_order.py
+++ b/postvalve/core/batch/item_order.py
@@ -83,10 +83,15 @@
 
 def group_by_due(own_due: Iterable[int]) -> list[tuple[int, int]]:
     """Due times with the number of items, the most urgent first."""
+    return merge_groups((due, 1) for due in own_due)[:MAX_GROUPS]
+
+
+def merge_groups(groups: Iterable[tuple[int, int]]) -> list[tuple[int, int]]:
+    """Groups of several nodes, those of one due time added up, the most urgent first."""
     counts: dict[int, int] = {}
-    for due in own_due:
-        counts[due] = counts.get(due, 0) + 1
-    return sorted(counts.items())[:MAX_GROUPS]
+    for due, count in groups:
+        counts[due] = counts.get(due, 0) + count
+    return sorted(counts.items())
 
 
 def encode_groups(groups: Iterable[tuple[int, int]]) -> bytes:
--- a/postvalve/core/membership/load_report.py
+++ b/postvalve/core/membership/load_report.py
@@ -81,12 +81,13 @@
                 _HEAD.pack(self.incarnation, self.sequence, self.revision, silence, flags),
                 _LENGTHS.pack(*map(len, parts), len(running)),
                 *parts,
-                *map(_pack_running, running),
+                *map(pack_running, running),
             )
         )
 
 
-def _pack_running(item: RunningItem) -> bytes:
+def pack_running(item: RunningItem) -> bytes:
+    """One item of a leaving node for the wire."""
     job_id = item.job_id.encode()
     return _RUNNING.pack(len(job_id), item.item_index) + job_id
 
@@ -124,14 +125,21 @@
         engine_use=engine_use,
         log_silence_ms=silence * _SILENCE_UNIT_MS,
         revision=revision,
-        running=_unpack_running(data, start, running) if running else [],
+        running=unpack_running(data, start, running),
         items_running=items_running,
         store_failing=bool(flags & _STORE_FAILING),
         items_waiting=items_waiting,
     )
 
 
-def _unpack_running(data: bytes, start: int, count: int) -> list[RunningItem]:
+def unpack_running(data: bytes, start: int, count: int) -> list[RunningItem]:
+    """Undo `pack_running` for `count` items that begin at `start`.
+
+    Raises:
+        LoadReportError: the bytes are cut.
+        struct.error: likewise.
+        UnicodeDecodeError: a job's id is none.
+    """
     items = []
     for _ in range(count):
         length, index = _RUNNING.unpack_from(data, start)
--- a/postvalve/core/membership/report_pace.py
+++ b/postvalve/core/membership/report_pace.py
@@ -1,7 +1,8 @@
 """How often a node reports to its peers: as soon as useful, within a bound on what each hears.
 
-Reports go to every peer, so what a node hears grows with the fleet. Nodes of a zone share its
-engines and need fresh counts; other zones' engines are a second choice, and may be known later.
+Reports go to every peer of the zone, whose nodes share its engines and need fresh counts, and to
+those of other zones while they are few; many of those are told by digests instead, as
+`zone_reporting` has it.
 """
 
 from __future__ import annotations
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -17,6 +17,7 @@
 from postvalve.core.admission.connection_share import resting_limit
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
+from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PeerUnavailableError
@@ -160,6 +161,7 @@
             self._fleet,
             self.peers,
             self._nodes.addresses,
+            generator,
         )
         self._ends = EndWriter(self._log, events, settings.call_bytes, short_id)
         self._progress = ProgressLog(
@@ -189,7 +191,7 @@
             self._route_named,
         )
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
-        waiting_room.nodes = lambda: len(self.peers.all()) + 1
+        waiting_room.nodes = lambda: self.peers.count() + 1
         self.application = GatewayApplication(
             RunServices(
                 clock,
@@ -228,6 +230,7 @@
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
         self._reports.on_report = self._peer_reported
+        self._reports.zones.on_digest = self._zone_reported
         self._reports.store_failing = lambda: self._topics.failing
         self._topics.on_change = self._reports.changed
         self._nodes.on_change = self._reports.look_again
@@ -253,6 +256,7 @@
             self._spawn(follower.run)
         for task in (
             self._reports.run,
+            self._reports.zones.run,
             self._runner.run,
             self._ends.run,
             self._claims.run,
@@ -376,23 +380,34 @@
     # What peers tell
 
     def _peer_reported(self, report: LoadReport) -> None:
-        if report.revision > max(0, self.configuration.revision):
-            gevent.spawn_later(FETCH_DELAY, self._fetch_revision, report)
+        self._consider_revision(report.revision, report.node_id, report.peer_address)
         if report.items_waiting or self._runner.in_progress:
             self._runner.wake()
 
-    def _fetch_revision(self, report: LoadReport) -> None:
-        if report.revision <= max(0, self.configuration.revision):
+    def _zone_reported(self, digest: ZoneDigest) -> None:
+        self._consider_revision(digest.revision, digest.reporter, digest.peer_address)
+        if digest.items_waiting or self._runner.in_progress:
+            self._runner.wake()
+
+    def _consider_revision(self, revision: int, node_id: str, address: str) -> None:
+        """Get a newer revision that a peer has, unless the store brings it in a moment."""
+        if revision > max(0, self.configuration.revision):
+            gevent.spawn_later(FETCH_DELAY, self._fetch_revision, revision, node_id, address)
+
+    def _fetch_revision(self, revision: int, node_id: str, address: str) -> None:
+        known = max(0, self.configuration.revision)
+        if revision <= known:
             return
-        request = gateway.RevisionFetch(known_revision=max(0, self.configuration.revision))
+        request = gateway.RevisionFetch(known_revision=known)
         try:
-            reply = self._transport.call(
-                report.peer_address, Channel.ADMISSION, request, FETCH_TIMEOUT
+            reply = self._transport.call(address, Channel.ADMISSION, request, FETCH_TIMEOUT)
+        except PeerUnavailableError as exc:
+            self._events.emit(
+                Event.REVISION_NOT_FETCHED, peer=node_id, revision=revision, error=exc.message
             )
-        except PeerUnavailableError:
             return
         if isinstance(reply, gateway.RevisionReply) and reply.document:
-            self.configuration.adopt(reply.document, report.node_id)
+            self.configuration.adopt(reply.document, node_id)
 
     # Housekeeping
 
@@ -402,7 +417,7 @@
             table = self.configuration.table
             services = table.configuration.services if table else ()
             bounds = (one.max_connections for one in services)
-            self._pool.limit_resting(resting_limit(bounds, len(self.peers.all()) + 1))
+            self._pool.limit_resting(resting_limit(bounds, self.peers.count() + 1))
             self._pool.expire()
 
     def _purge(self) -> None:
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -25,8 +25,12 @@
     NEAR_RATE,
     ReportPace,
 )
+from postvalve.core.membership.zone_digest import ZONE_PREFIX
+from postvalve.core.membership.zone_reporting import tells_by_digest
+from postvalve.core.randomness import RandomSource
 from postvalve.events import Event, EventLog
 from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.zone_digests import ZoneDigests
 from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
 from postvalve.messages.generated import gateway
 from postvalve.node.transport import Transport
@@ -51,6 +55,7 @@
         fleet: EngineFleet,
         peers: PeerView,
         nodes: Callable[[], dict[str, tuple[str, str]]],
+        generator: RandomSource,
     ) -> None:
         """Set up; `nodes` gives peer address and zone of all nodes that started, by id."""
         self._identity = identity
@@ -77,6 +82,18 @@
         self.items_running: Callable[[], bytes] = bytes
         self.store_failing: Callable[[], bool] = bool
         self.items = RunningItems()
+        self.zones = ZoneDigests(
+            identity,
+            clock,
+            events,
+            transport,
+            fleet,
+            peers,
+            self.items,
+            self._known_nodes,
+            generator,
+        )
+        self.zones.own_report = self._report
         self.on_report: Callable[[LoadReport], None] = lambda report: None
         fleet.on_change = self._changed.set
 
@@ -95,9 +112,10 @@
         The next report may be some tenths of a second away, and an online request waits there.
         """
         running = self.items.at(engine_hash(engine_id))
-        peer = self._peers.get(max(running)[1]) if running else None
-        if peer is None:
+        reporting = [peer for _, node_id in sorted(running) if (peer := self._peers.get(node_id))]
+        if not reporting:
             return
+        peer = reporting[-1]
         now = self._clock.monotonic()
         if now - self._urged_at.get(peer.node_id, float("-inf")) < URGE_INTERVAL:
             return
@@ -112,12 +130,12 @@
     def run(self) -> None:
         """Report for ever."""
         while True:
-            self._report_to_all()
+            self.look()
             gevent.sleep(LEAST_INTERVAL)
             if not (self._near.waiting or self._far.waiting):
                 self._changed.wait(IDLE_INTERVAL - LEAST_INTERVAL)
 
-    def _report_to_all(self) -> None:
+    def look(self) -> None:
         """Report to the groups whose turn it is."""
         now = self._clock.monotonic()
         if now - self._looked_at >= TARGETS_AGE:
@@ -141,20 +159,32 @@
                 self._transport.send(address, data)
 
     def _expire(self, now: float) -> None:
-        for node_id in self._peers.expire(now):
-            self._fleet.use.forget(node_id)
-            self.items.forget(node_id)
+        silent = self._peers.expire(now)
+        for node_id in silent.nodes:
+            self._forget(node_id)
             self._urged_at.pop(node_id, None)
             self._events.emit(Event.PEER_SILENT, peer=node_id)
+        for zone in silent.zones:
+            self._forget(ZONE_PREFIX + zone)
+            self._events.emit(Event.ZONE_SILENT, zone=zone)
 
-    def _find_targets(self) -> tuple[list[str], list[str]]:
+    def _forget(self, name: str) -> None:
+        self._fleet.use.forget(name)
+        self.items.forget(name)
+
+    def _known_nodes(self) -> dict[str, tuple[str, str]]:
+        """Peer address and zone of all other nodes, by id."""
         nodes = dict(self._nodes())
         for peer in self._peers.all():
-            nodes.setdefault(peer.node_id, (peer.report.peer_address, peer.report.zone))
+            nodes[peer.node_id] = (peer.report.peer_address, peer.report.zone)
         nodes.pop(self._identity.node_id, None)
-        near = [address for address, zone in nodes.values() if zone == self._identity.zone]
-        far = [address for address, zone in nodes.values() if zone != self._identity.zone]
-        return near, far
+        return nodes
+
+    def _find_targets(self) -> tuple[list[str], list[str]]:
+        nodes = self._known_nodes().values()
+        near = [address for address, zone in nodes if zone == self._identity.zone]
+        far = [address for address, zone in nodes if zone != self._identity.zone]
+        return near, [] if tells_by_digest(len(far)) else far
 
     def _report(self) -> LoadReport:
         return LoadReport(
@@ -177,6 +207,9 @@
         """Take a datagram."""
         try:
             msg = decode_datagram(data)
+            if isinstance(msg, gateway.ZoneDigests):
+                self.zones.receive(msg, address)
+                return
             if not isinstance(msg, gateway.LoadReport):
                 return
             report = unpack_report(msg.packed)
--- /dev/null
+++ b/postvalve/gateway/zone_digests.py
@@ -0,0 +1,187 @@
+"""Digests of zones over UDP: makes those of this zone, and passes on those of others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from postvalve.clock import Clock
+from postvalve.core.batch.giving_way import RunningItems
+from postvalve.core.membership.load_report import LoadReport
+from postvalve.core.membership.peers import PeerView
+from postvalve.core.membership.zone_digest import ZoneDigest, ZoneDigestError, unpack_digest
+from postvalve.core.membership.zone_reporting import (
+    DIGEST_INTERVAL,
+    ZoneReporting,
+    reporter_of,
+    tells_by_digest,
+)
+from postvalve.core.randomness import RandomSource
+from postvalve.events import Event, EventLog
+from postvalve.gateway.fleet import EngineFleet
+from postvalve.messages.framing import encode_frame
+from postvalve.messages.generated import gateway
+from postvalve.node.transport import Transport
+
+SPARE_INTERVAL = 1.0
+"""Seconds between digests that go to one more node of a zone, drawn by chance: the one that should
+pass them on may be gone."""
+
+
+class ZoneDigests:
+    """Tells other zones of this one while they have many nodes, and this one of them."""
+
+    def __init__(
+        self,
+        identity: gateway.NodeStarted,
+        clock: Clock,
+        events: EventLog,
+        transport: Transport,
+        fleet: EngineFleet,
+        peers: PeerView,
+        items: RunningItems,
+        nodes: Callable[[], dict[str, tuple[str, str]]],
+        generator: RandomSource,
+    ) -> None:
+        """Set up; `nodes` gives peer address and zone of all known nodes, by id."""
+        self._identity = identity
+        self._clock = clock
+        self._events = events
+        self._transport = transport
+        self._fleet = fleet
+        self._peers = peers
+        self._items = items
+        self._nodes = nodes
+        self._random = generator
+        self._reporting = ZoneReporting(
+            identity.node_id, identity.zone, identity.incarnation, clock.monotonic()
+        )
+        self._reports = False
+        """Whether this node was its zone's reporter at the last look."""
+        self._spare_at = float("-inf")
+        self._to_pass_on: dict[str, bytes] = {}
+        """Digests that came from other zones since the last look, by zone."""
+        self.own_report: Callable[[], LoadReport] = lambda: LoadReport("", 0, 0)
+        self.on_digest: Callable[[ZoneDigest], None] = lambda digest: None
+
+    def run(self) -> None:
+        """Tell and pass on for ever."""
+        while True:
+            gevent.sleep(DIGEST_INTERVAL)
+            self.look()
+
+    def look(self) -> None:
+        """Pass on what has come, and tell the others of this zone when it is time."""
+        self._pass_on()
+        self._tell()
+
+    # Telling
+
+    def _tell(self) -> None:
+        """Tell each other zone of this one, if that is this node's task."""
+        zones = self._other_zones()
+        now = self._clock.monotonic()
+        neighbours = self._peers.neighbours(self._identity.zone)
+        reports = tells_by_digest(sum(map(len, zones.values()))) and self._reporting.is_reporter(
+            neighbours, now
+        )
+        if reports is not self._reports:
+            self._reports = reports
+            self._events.emit(Event.ZONE_REPORTED, reporter=reports, nodes=len(neighbours) + 1)
+        if not reports or not self._reporting.is_due(len(zones), now):
+            return
+        use = self._fleet.use.report_of(peer.node_id for peer in neighbours)
+        packed = self._reporting.make(self.own_report(), neighbours, use, now)
+        data = encode_frame(gateway.ZoneDigests(packed=[packed]), 0)
+        spare = now - self._spare_at >= SPARE_INTERVAL
+        if spare:
+            self._spare_at = now
+        for zone, addresses in zones.items():
+            self._send(zone, addresses, data, spare)
+
+    def _other_zones(self) -> dict[str, dict[str, str]]:
+        """Peer address of each node by id, for each other zone."""
+        zones: dict[str, dict[str, str]] = {}
+        for node_id, (address, zone) in self._nodes().items():
+            if zone != self._identity.zone:
+                zones.setdefault(zone, {})[node_id] = address
+        return zones
+
+    def _send(self, zone: str, addresses: dict[str, str], data: bytes, spare: bool) -> None:
+        known = self._peers.zones().get(zone)
+        alive = [node_id for node_id in known.members if node_id in addresses] if known else []
+        reporter = reporter_of(zone, alive or addresses)
+        chosen = {reporter} if reporter is not None else set()
+        if spare or not alive:
+            chosen.add(self._random.sample(sorted(addresses), 1)[0])
+        for node_id in chosen:
+            self._transport.send(addresses[node_id], data)
+
+    # Hearing
+
+    def receive(self, msg: gateway.ZoneDigests, address: str) -> None:
+        """Take digests of other zones."""
+        for packed in msg.packed:
+            try:
+                digest = unpack_digest(packed)
+            except ZoneDigestError as exc:
+                self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(exc))
+                continue
+            if self._take(digest) and not msg.relayed:
+                self._to_pass_on[digest.zone] = packed
+
+    def _take(self, digest: ZoneDigest) -> bool:
+        """Take a digest in; returns whether it is news."""
+        if digest.zone == self._identity.zone:
+            return False
+        known = self._peers.zones().get(digest.zone)
+        before = set(known.members) if known else set()
+        if not self._peers.observe_zone(digest, self._clock.monotonic()):
+            return False
+        if known is None:
+            self._events.emit(
+                Event.ZONE_HEARD, zone=digest.zone, reporter=digest.reporter, nodes=digest.size
+            )
+            self._forget_reports(digest.zone)
+        elif digest.members is not None:
+            self._note_changes(digest, before, set(known.members))
+        self._fleet.use.observe(digest.key, digest.engine_use)
+        self._items.observe(digest.key, digest.items_running)
+        self.on_digest(digest)
+        return True
+
+    def _forget_reports(self, zone: str) -> None:
+        """Drop what nodes of a zone have told themselves: its digests hold that too."""
+        for peer in self._peers.neighbours(zone):
+            self._peers.drop(peer.node_id)
+            self._fleet.use.forget(peer.node_id)
+            self._items.forget(peer.node_id)
+
+    def _note_changes(self, digest: ZoneDigest, before: set[str], after: set[str]) -> None:
+        if before == after:
+            return
+        self._events.emit(
+            Event.ZONE_CHANGED,
+            zone=digest.zone,
+            reporter=digest.reporter,
+            joined=sorted(after - before),
+            left=sorted(before - after),
+        )
+
+    def _pass_on(self) -> None:
+        """Pass what came from other zones on to the neighbours, in one datagram."""
+        if not self._to_pass_on:
+            return
+        msg = gateway.ZoneDigests(packed=list(self._to_pass_on.values()), relayed=True)
+        self._to_pass_on.clear()
+        data = encode_frame(msg, 0)
+        for address in self._neighbour_addresses():
+            self._transport.send(address, data)
+
+    def _neighbour_addresses(self) -> list[str]:
+        return [
+            address
+            for node_id, (address, zone) in self._nodes().items()
+            if zone == self._identity.zone and node_id != self._identity.node_id
+        ]
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -401,19 +401,19 @@
         view = PeerView("me")
         view.observe(report("a"), 0.0)
         self.assertTrue(view.works("a", 1))
-        self.assertEqual(view.expire(SILENT_AFTER - 0.5), [])
-        self.assertEqual(view.expire(SILENT_AFTER + 0.1), ["a"])
+        self.assertEqual(view.expire(SILENT_AFTER - 0.5).nodes, [])
+        self.assertEqual(view.expire(SILENT_AFTER + 0.1).nodes, ["a"])
         self.assertFalse(view.works("a", 1))
 
     def test_a_node_that_stood_still_believes_nobody_gone(self):
         view = PeerView("me")
         view.observe(report("a"), 0.0)
         view.expire(0.5)
-        self.assertEqual(view.expire(6.5), [])
+        self.assertEqual(view.expire(6.5).nodes, [])
         self.assertTrue(view.works("a", 1))
         for second in range(7, 9):
             view.expire(second)
-        self.assertEqual(view.expire(9.0), ["a"])
+        self.assertEqual(view.expire(9.0).nodes, ["a"])
 
     def test_old_reports_are_passed_over(self):
         view = PeerView("me")
--- /dev/null
+++ b/tests/test_zone_digest.py
@@ -0,0 +1,378 @@
+"""Zones known by digests: the packed form, the view, who tells, and counts of a whole fleet."""
+
+import contextlib
+import random
+import unittest
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from postvalve.core.admission.engine_use import EngineUse
+from postvalve.core.membership.load_report import LoadReport, RunningItem
+from postvalve.core.membership.peers import (
+    REPORTER_SILENT_AFTER,
+    SILENT_AFTER,
+    ZONE_SILENT_AFTER,
+    PeerView,
+)
+from postvalve.core.membership.zone_digest import (
+    ZoneDigest,
+    ZoneDigestError,
+    ZoneMember,
+    members_version,
+    unpack_digest,
+)
+from postvalve.core.membership.zone_reporting import (
+    DIRECT_PEERS,
+    HEARD_WITHIN,
+    LISTEN_TIME,
+    MAX_DIGEST_INTERVAL,
+    MEMBERS_INTERVAL,
+    ZoneReporting,
+    tells_by_digest,
+)
+from postvalve.events import Event
+from postvalve.gateway.load_reports import LoadReports
+from postvalve.messages.generated import gateway
+from tests.gateway_support import QuietLog
+
+NAMES = st.text(max_size=30)
+COUNTS = st.integers(0, 2**31)
+MEMBERS = st.builds(
+    ZoneMember,
+    node_id=NAMES,
+    incarnation=st.integers(0, 2**63),
+    peer_address=NAMES,
+    leaving=st.booleans(),
+    store_failing=st.booleans(),
+    store_silent=st.booleans(),
+)
+
+
+@st.composite
+def digests(draw):
+    members = draw(st.none() | st.lists(MEMBERS, max_size=5).map(tuple))
+    return ZoneDigest(
+        zone=draw(NAMES),
+        reporter=draw(NAMES),
+        peer_address=draw(NAMES),
+        incarnation=draw(st.integers(0, 2**63)),
+        sequence=draw(COUNTS),
+        revision=draw(st.integers(0, 2**63)),
+        engine_use=draw(st.binary(max_size=100)),
+        items_running=draw(st.binary(max_size=100)),
+        items_waiting=draw(st.binary(max_size=100)),
+        size=draw(st.integers(0, 999)) if members is None else len(members),
+        members_version=draw(COUNTS),
+        members=members,
+        running=draw(st.lists(st.builds(RunningItem, NAMES, st.integers(0, 999)), max_size=5)),
+    )
+
+
+class PackedDigestTest(unittest.TestCase):
+    @given(digests())
+    def test_a_digest_comes_back_as_it_was(self, digest):
+        self.assertEqual(unpack_digest(digest.pack()), digest)
+
+    @given(digests(), st.integers(1, 400))
+    def test_a_cut_digest_is_none(self, digest, missing):
+        data = digest.pack()
+        with self.assertRaises(ZoneDigestError):
+            unpack_digest(data[: max(0, len(data) - missing)])
+
+    @given(st.binary(max_size=200))
+    def test_other_bytes_raise_nothing_else(self, data):
+        with contextlib.suppress(ZoneDigestError):
+            unpack_digest(data)
+
+
+def member(node_id, incarnation=1, **fields):
+    return ZoneMember(node_id, incarnation, "127.0.0.1:1", **fields)
+
+
+def digest(*members, reporter="far1", sequence=1, listed=True, **fields):
+    fields = {"zone": "far", "peer_address": "127.0.0.1:1", "incarnation": 1, **fields}
+    return ZoneDigest(
+        reporter=reporter,
+        sequence=sequence,
+        size=len(members),
+        members_version=members_version(members),
+        members=members if listed else None,
+        **fields,
+    )
+
+
+class ViewOfZonesTest(unittest.TestCase):
+    def setUp(self):
+        self.view = PeerView("me")
+
+    def test_nodes_of_a_zone_work_while_its_digests_come(self):
+        self.view.observe_zone(digest(member("a"), member("b", 7)), 0.0)
+        self.assertTrue(self.view.works("a", 1) and self.view.works("b", 7))
+        self.assertFalse(self.view.works("b", 8))
+        self.assertEqual(self.view.expire(ZONE_SILENT_AFTER - 0.1).zones, [])
+        self.view.expire(ZONE_SILENT_AFTER - 0.05)
+        self.assertEqual(self.view.expire(ZONE_SILENT_AFTER + 0.1).zones, ["far"])
+        self.assertFalse(self.view.works("a", 1))
+        self.assertEqual(self.view.count(), 0)
+
+    def test_a_node_that_stood_still_believes_no_zone_gone(self):
+        self.view.observe_zone(digest(member("a")), 0.0)
+        self.view.expire(0.5)
+        self.assertEqual(self.view.expire(9.0).zones, [])
+        self.assertTrue(self.view.works("a", 1))
+
+    def test_a_digest_without_the_list_keeps_the_list(self):
+        self.view.observe_zone(digest(member("a")), 0.0)
+        self.view.observe_zone(digest(member("a"), sequence=2, listed=False), 1.0)
+        self.assertTrue(self.view.works("a", 1))
+        self.view.observe_zone(digest(member("b"), sequence=3), 2.0)
+        self.assertFalse(self.view.works("a", 1))
+        self.assertTrue(self.view.works("b", 1))
+
+    def test_older_digests_of_one_reporter_are_passed_over(self):
+        self.assertTrue(self.view.observe_zone(digest(member("a"), sequence=5), 0.0))
+        self.assertFalse(self.view.observe_zone(digest(member("a"), sequence=5), 0.1))
+        self.assertFalse(self.view.observe_zone(digest(sequence=4), 0.1))
+        self.assertTrue(self.view.observe_zone(digest(incarnation=0, sequence=1), 3.0))
+
+    def test_a_reporter_that_hears_fewer_counts_only_when_the_other_is_silent(self):
+        self.view.observe_zone(digest(member("a"), member("b")), 0.0)
+        alone = digest(member("b"), reporter="b")
+        self.assertFalse(self.view.observe_zone(alone, 0.5))
+        self.assertTrue(self.view.works("a", 1))
+        self.assertTrue(self.view.observe_zone(alone, REPORTER_SILENT_AFTER + 0.1))
+        self.assertFalse(self.view.works("a", 1))
+
+    def test_leaving_nodes_and_those_without_the_store_work_on_nothing(self):
+        members = (member("a", leaving=True), member("b", store_silent=True), member("c"))
+        self.view.observe_zone(digest(*members), 0.0)
+        self.assertFalse(self.view.works("a", 1) or self.view.works("b", 1))
+        self.assertEqual(self.view.successor("job", self_works=False), "c")
+
+    def test_items_that_run_at_leaving_nodes_are_left_to_them(self):
+        items = [RunningItem("j", 2)]
+        self.view.observe_zone(digest(member("a", leaving=True), running=items), 0.0)
+        self.assertEqual(self.view.running_at_leaving(), {("j", 2)})
+
+    def test_reports_are_passed_over_where_digests_come_and_taken_where_they_stop(self):
+        self.view.observe_zone(digest(member("a")), 0.0)
+        report = LoadReport("a", 1, 1, zone="far")
+        self.assertFalse(self.view.observe(report, 0.1))
+        for second in range(8):
+            self.view.expire(second)
+        self.assertTrue(self.view.observe(report, 8.0))
+
+
+class ReporterTest(unittest.TestCase):
+    def reporters(self, nodes, now, heard_at=None):
+        """Which of these nodes take themselves for the reporter, each hearing all others."""
+        found = []
+        for own in nodes:
+            view = PeerView(own)
+            for other in nodes:
+                report = LoadReport(other, 1, 1, zone="z")
+                view.observe(report, (heard_at or {}).get(other, now))
+            reporting = ZoneReporting(own, "z", 1, 0.0)
+            if reporting.is_reporter(view.neighbours("z"), now):
+                found.append(own)
+        return found
+
+    def test_one_node_of_a_zone_tells_of_it(self):
+        self.assertEqual(len(self.reporters([f"n{number}" for number in range(39)], 9.0)), 1)
+
+    def test_nobody_tells_before_it_has_listened(self):
+        self.assertEqual(self.reporters(["a", "b"], LISTEN_TIME / 2), [])
+
+    def test_another_one_tells_when_the_reporter_is_silent(self):
+        nodes = [f"n{number}" for number in range(9)]
+        first = self.reporters(nodes, 9.0)
+        silent = {first[0]: 9.0 - HEARD_WITHIN - 0.1}
+        others = [one for one in self.reporters(nodes, 9.0, silent) if one not in first]
+        self.assertEqual(len(others), 1)
+        self.assertLess(HEARD_WITHIN, SILENT_AFTER)
+
+    def test_few_nodes_are_told_one_by_one(self):
+        self.assertFalse(tells_by_digest(DIRECT_PEERS))
+        self.assertTrue(tells_by_digest(DIRECT_PEERS + 1))
+
+    def test_the_list_is_told_when_it_changes_and_now_and_then(self):
+        reporting = ZoneReporting("a", "z", 1, 0.0)
+        own = LoadReport("a", 1, 1, zone="z")
+
+        def listed(now):
+            return unpack_digest(reporting.make(own, [], b"", now)).members is not None
+
+        self.assertTrue(listed(1.0))
+        self.assertFalse(listed(1.5))
+        own.leaving = True
+        self.assertTrue(listed(2.0))
+        self.assertFalse(listed(2.5))
+        self.assertTrue(listed(2.0 + MEMBERS_INTERVAL))
+
+    def test_large_digests_come_less_often_but_before_a_zone_counts_as_silent(self):
+        reporting = ZoneReporting("a", "z", 1, 0.0)
+        own = LoadReport("a", 1, 1, zone="z")
+        reporting.make(own, [], b"", 1.0)
+        self.assertTrue(reporting.is_due(4, 1.3))
+        reporting.make(own, [], b"x" * 3_000, 2.0)
+        self.assertFalse(reporting.is_due(4, 2.3))
+        self.assertTrue(reporting.is_due(4, 2.0 + MAX_DIGEST_INTERVAL))
+        self.assertLessEqual(4 * MAX_DIGEST_INTERVAL, ZONE_SILENT_AFTER)
+
+
+class Clock:
+    now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+class Network:
+    """Datagrams between nodes of one process; some are lost."""
+
+    def __init__(self, chance):
+        self.chance = chance
+        self.loss = 0.0
+        self.nodes = {}
+        self.on_the_way = []
+        self.across = 0
+        """Datagrams that went from one zone to another."""
+
+    def send(self, sender, address, data):
+        receiver = self.nodes[address]
+        self.across += sender.identity.zone != receiver.identity.zone
+        if self.chance.random() >= self.loss:
+            self.on_the_way.append((address, data))
+
+    def deliver(self):
+        while self.on_the_way:
+            index = self.chance.randrange(len(self.on_the_way))
+            address, data = self.on_the_way.pop(index)
+            self.nodes[address].reports.receive(data, address)
+
+
+class Node:
+    def __init__(self, number, zone, clock, network, directory):
+        self.name = f"node{number}"
+        self.address = f"127.0.0.1:{9000 + number}"
+        self.identity = gateway.NodeStarted(
+            node_id=self.name, incarnation=5, peer_address=self.address, zone=zone
+        )
+        directory[self.name] = (self.address, zone)
+        network.nodes[self.address] = self
+        self.use = EngineUse()
+        self.peers = PeerView(self.name)
+        self.log = QuietLog()
+        transport = mock.Mock()
+        transport.send = lambda address, data: network.send(self, address, data)
+        self.reports = LoadReports(
+            self.identity,
+            clock,
+            self.log,
+            transport,
+            mock.Mock(use=self.use),
+            self.peers,
+            lambda: directory,
+            network.chance,
+        )
+
+    def step(self):
+        self.reports.look()
+        self.reports.zones.look()
+
+
+class FleetTest(unittest.TestCase):
+    """Whole fleets, against a naive count of what runs."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.network = Network(random.Random(1))
+        self.directory = {}
+        self.nodes = []
+
+    def start(self, zones, nodes_each):
+        self.nodes = [
+            Node(number, f"z{number % zones}", self.clock, self.network, self.directory)
+            for number in range(zones * nodes_each)
+        ]
+
+    def play(self, seconds, nodes=None):
+        for _ in range(int(seconds / 0.25)):
+            self.clock.now += 0.25
+            for node in nodes or self.nodes:
+                node.step()
+            self.network.deliver()
+
+    def test_all_nodes_count_what_runs_anywhere(self):
+        for seed, (zones, nodes_each) in enumerate(((2, 3), (3, 12), (5, 15))):
+            with self.subTest(zones=zones, nodes_each=nodes_each):
+                self.setUp()
+                self.start(zones, nodes_each)
+                self._play_requests(random.Random(seed))
+
+    def _play_requests(self, chance):
+        naive = dict.fromkeys(("e0", "e1", "e2"), 0)
+        running = []
+        self.network.loss = 0.2
+        for _ in range(60):
+            for _ in range(20):
+                if running and chance.random() < 0.45:
+                    node, engine = running.pop(chance.randrange(len(running)))
+                    node.use.leave(engine, batch=False)
+                    naive[engine] -= 1
+                else:
+                    node, engine = chance.choice(self.nodes), chance.choice(list(naive))
+                    node.use.enter(engine, batch=False)
+                    running.append((node, engine))
+                    naive[engine] += 1
+            self.play(0.25)
+        self.network.loss = 0.0
+        self.play(4.0)
+        for node in self.nodes:
+            self.assertEqual({engine: node.use.total(engine).total for engine in naive}, naive)
+            self.assertEqual(node.peers.count(), len(self.nodes) - 1)
+
+    def test_what_crosses_zones_does_not_grow_with_the_nodes(self):
+        crossed = []
+        for nodes_each in (10, 20):
+            self.setUp()
+            self.start(5, nodes_each)
+            self.play(4.0)
+            before = self.network.across
+            self.play(4.0)
+            crossed.append(self.network.across - before)
+        self.assertLessEqual(crossed[1], crossed[0] * 1.1)
+
+    def test_nodes_that_all_start_take_nobody_for_gone(self):
+        self.start(5, 15)
+        self.play(8.0)
+        for node in self.nodes:
+            told = [event for event, _ in node.log.written]
+            self.assertNotIn(Event.PEER_SILENT, told)
+            self.assertNotIn(Event.ZONE_SILENT, told)
+            self.assertTrue(all(node.peers.works(one.name, 5) for one in self.nodes if one != node))
+
+    def test_the_loss_of_a_reporter_takes_no_zone_for_gone(self):
+        self.start(3, 20)
+        self.play(4.0)
+        lost = next(one for one in self.nodes if (Event.ZONE_REPORTED, mock.ANY) in one.log.written)
+        rest = [one for one in self.nodes if one is not lost]
+        self.play(8.0, rest)
+        for node in rest:
+            self.assertNotIn(Event.ZONE_SILENT, [event for event, _ in node.log.written])
+            self.assertFalse(node.peers.works(lost.name, 5))
+            self.assertEqual(node.peers.count(), len(rest) - 1)
+
+    def test_a_lost_zone_is_known_to_be_gone(self):
+        self.start(3, 20)
+        self.play(4.0)
+        rest = [one for one in self.nodes if one.identity.zone != "z1"]
+        self.play(ZONE_SILENT_AFTER + 2, rest)
+        for node in rest:
+            self.assertEqual(node.peers.count(), len(rest) - 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
