--- a/postvalve/gateway/application.py
+++ b/postvalve/gateway/application.py
@@ -27,8 +27,12 @@
 from postvalve.gateway.routed_run import RoutedRequest, RoutedRun, RunServices
 from postvalve.settings.routes import RouteSpec
 
-START_PATIENCE = 0.3
-"""Seconds that a request waits at a node that has just started, for its configuration."""
+START_PATIENCE = 2.5
+"""Seconds that a request waits at a node that has just started, for its configuration and engines.
+A start takes less than one; entries of engines that lapsed with the store are back after two."""
+START_SHARE = 0.5
+"""Share of a request's time that it waits there; with the rest its client can be served
+elsewhere."""
 LEAVING_RETRY_AFTER = 0.1
 """Seconds told to a client of a node that is about to end; others serve it at once."""
 NOT_READY_RETRY_AFTER = 0.5
@@ -152,7 +156,7 @@
         )
 
     def _route(self, call: HttpCall) -> RouteSpec:
-        self._started.wait(START_PATIENCE)
+        self._await_start(call)
         table = self._table()
         if table is None:
             raise NotReadyError(
@@ -163,6 +167,14 @@
             raise NotFoundError("no route leads there")
         return route
 
+    def _await_start(self, call: HttpCall) -> None:
+        """Wait for what this node needs to serve, within the request's time."""
+        if self._started.is_set():
+            return
+        allowed = self._services.dialect.read_terms(call.headers).allowed
+        patience = START_PATIENCE if allowed is None else min(START_PATIENCE, allowed * START_SHARE)
+        self._started.wait(patience)
+
     def _routed_request(self, call: HttpCall, route: RouteSpec, arrived_at: float) -> RoutedRequest:
         terms = self._services.dialect.read_terms(call.headers)
         deadline = arrived_at + route.timeout - DEADLINE_MARGIN
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from gevent.event import Event as GeventEvent
+
 from postvalve.clock import Clock
 from postvalve.core.admission.engine_use import EngineUse
 from postvalve.core.admission.holding import EngineRoom, expected_first
@@ -21,6 +23,8 @@
 MAX_SUSPECT_TIME = 4.0
 USABLE_MEMORY = 0.95
 """Share of an engine's memory that requests may fill by their own words."""
+SETTLE_LOOK = 0.1
+"""Seconds between looks whether the directory is still unsettled."""
 START_UNREAD = 2_500
 """Prompt tokens that an engine has to read up to which one more batch item starts there, so
 that items which start after a heap don't hold online work up by reading their prompts."""
@@ -80,6 +84,10 @@
         self._chooser = EngineChooser(zone, generator)
         self._random = generator
         self._engines: dict[str, EngineEntry] = {}
+        self._updated = GeventEvent()
+        """Set, and replaced, when the directory was taken in."""
+        self.directory_unsettled: Callable[[], bool] = bool
+        """Tells whether engines may live that the directory does not list at the moment."""
         self._standing: dict[str, _Standing] = {}
         self.use = EngineUse()
         self._paces: dict[str, ServicePace] = {}
@@ -108,6 +116,26 @@
                     service=entry.service,
                 )
         self._engines = engines
+        updated, self._updated = self._updated, GeventEvent()
+        updated.set()
+
+    def await_engines(self, service: str, patience: float) -> bool:
+        """Wait for an engine of a service where the directory may be about to list one.
+
+        Args:
+            service: The service.
+            patience: Seconds.
+
+        Returns:
+            Whether there is one.
+        """
+        deadline = self._clock.monotonic() + patience
+        while not self.engines(service):
+            left = deadline - self._clock.monotonic()
+            if left <= 0 or not self.directory_unsettled():
+                return False
+            self._updated.wait(min(left, SETTLE_LOOK))
+        return True
 
     def engines(self, service: str) -> list[EngineEntry]:
         """Engines of a service that take new work."""
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -15,6 +15,7 @@
 
 from postvalve.clock import Clock, milliseconds
 from postvalve.core.admission.connection_share import resting_limit
+from postvalve.core.membership.engine_directory import KEEP_TIME, EngineDirectory
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
@@ -122,7 +123,7 @@
         self._drain_signal = GeventEvent()
         self._usable = GeventEvent()
         """Set once there are a configuration and engines."""
-        self._engines: dict[str, EngineEntry] = {}
+        self._engines: EngineDirectory[EngineEntry] = EngineDirectory()
         self._greenlets: list[gevent.Greenlet] = []
         generator = random.Random()
         self._identity = gateway.NodeStarted(
@@ -212,16 +213,14 @@
         self._metrics_server = (
             plain_server(settings.metrics_listen, self._tell) if settings.metrics_listen else None
         )
-        self._followers = [
-            TopicFollower(
-                topics, clock, events, platform.configuration_topic,
-                self.configuration.observe, wait=CONFIGURATION_WAIT, pause=CONFIGURATION_PAUSE,
-            ),
-            TopicFollower(
-                topics, clock, events, platform.directory_topic,
-                self._observe_directory, wait=DIRECTORY_WAIT, pause=DIRECTORY_PAUSE,
-            ),
-        ]  # fmt: skip
+        self._configuration_follower = TopicFollower(
+            topics, clock, events, platform.configuration_topic,
+            self.configuration.observe, wait=CONFIGURATION_WAIT, pause=CONFIGURATION_PAUSE,
+        )  # fmt: skip
+        self._directory_follower = TopicFollower(
+            topics, clock, events, platform.directory_topic,
+            self._observe_directory, wait=DIRECTORY_WAIT, pause=DIRECTORY_PAUSE,
+        )  # fmt: skip
         self._connect()
 
     def _connect(self) -> None:
@@ -235,6 +234,9 @@
         self._topics.on_change = self._reports.changed
         self._nodes.on_change = self._reports.look_again
         self._fleet.on_crowded = self._engine_crowded
+        self._fleet.directory_unsettled = lambda: self._engines.unsettled(self._clock.monotonic())
+        self._directory_follower.on_lost = self._engines.store_lost
+        self._directory_follower.on_back = lambda: self._engines.store_back(self._clock.monotonic())
 
     def _engine_crowded(self, engine_id: str) -> None:
         self._runner.wake()
@@ -243,7 +245,12 @@
     @property
     def ready(self) -> bool:
         """Whether the platform should send clients here."""
-        return not self._draining and self.configuration.table is not None and bool(self._engines)
+        return not self._draining and self._serves
+
+    @property
+    def _serves(self) -> bool:
+        """Whether there are a configuration and engines."""
+        return self.configuration.table is not None and bool(self._fleet.listed_engines())
 
     def start(self) -> None:
         """Start everything."""
@@ -252,9 +259,9 @@
         self._ready_server.start()
         if self._metrics_server is not None:
             self._metrics_server.start()
-        for follower in self._followers:
-            self._spawn(follower.run)
         for task in (
+            self._configuration_follower.run,
+            self._directory_follower.run,
             self._reports.run,
             self._reports.zones.run,
             self._runner.run,
@@ -343,15 +350,25 @@
     # What the store tells
 
     def _observe_directory(self, records: Sequence[KeyedRecord], whole: bool) -> None:
-        if whole:
-            self._engines.clear()
-        for record in records:
-            entry = self._platform.parse_engine(record) if record.value else None
-            if entry is None:
-                self._engines.pop(record.key, None)
-            else:
-                self._engines[record.key] = entry
-        self._fleet.update(self._engines.values())
+        changes = [(record.key, self._engine_of(record)) for record in records]
+        missing = self._engines.observe(changes, whole, self._clock.monotonic())
+        if missing:
+            self._events.emit(Event.ENGINES_LAPSED, engines=missing, seconds=KEEP_TIME)
+            gevent.spawn_later(KEEP_TIME, self._use_directory)
+        self._use_directory()
+
+    def _engine_of(self, record: KeyedRecord) -> EngineEntry | None:
+        if not record.value:
+            return None
+        entry = self._platform.parse_engine(record)
+        if entry is None:
+            self._events.emit(
+                Event.ENGINE_UNREADABLE, engine=record.key, entry=repr(record.value[:200])
+            )
+        return entry
+
+    def _use_directory(self) -> None:
+        self._fleet.update(self._engines.entries(self._clock.monotonic()))
         self._note_usable()
         self._runner.wake()
 
@@ -362,7 +379,7 @@
         self._reports.changed()
 
     def _note_usable(self) -> None:
-        if self.configuration.table is not None and self._engines:
+        if self._serves:
             self._usable.set()
 
     def _route_named(self, name: str) -> RouteSpec | None:
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -28,7 +28,8 @@
 """Seconds until an engine is asked again when all have refused, doubled for each round."""
 MAX_REFUSED_PAUSE = 0.32
 WAIT_SHARE = 0.5
-"""Share of its time in which a request is offered again after refusals."""
+"""Share of its time in which a request waits for an engine to be listed, or is offered again after
+refusals; with the rest its client can be served elsewhere."""
 OVERLOAD_RETRY_AFTER = 0.5
 """Seconds told to a client when no engine takes its request."""
 
@@ -194,6 +195,7 @@
     def _place(self) -> Placement:
         request = self._request
         place = self._fleet.place_online
+        self._await_engines()
         left = request.arrived_at + request.route.target_latency - self._clock.monotonic()
         placement = place(request.service, request.terms, self._progress.tried, left)
         if placement is None and self._progress.tried:
@@ -205,6 +207,22 @@
             raise RefusedError("no engine serves this now", retry_after=OVERLOAD_RETRY_AFTER)
         return placement
 
+    def _await_engines(self) -> None:
+        """Wait where no engine is listed for the moment, and there is time for it."""
+        request = self._request
+        latest = request.arrived_at + (request.deadline - request.arrived_at) * WAIT_SHARE
+        if self._fleet.engines(request.service):
+            return
+        found = self._fleet.await_engines(request.service, latest - self._clock.monotonic())
+        self._services.events.emit(
+            Event.ROUTED_REQUEST_WAITED,
+            request=request.terms.request_id,
+            service=request.service,
+            found=found,
+            age=round(self._clock.monotonic() - request.arrived_at, 3),
+        )
+        self._check_time()
+
     def _judge(self, answer: EngineAnswer) -> None:
         terms = self._request.terms
         judge = self._services.dialect.judge
--- a/postvalve/gateway/topic_follower.py
+++ b/postvalve/gateway/topic_follower.py
@@ -51,6 +51,10 @@
         self._pause = pause
         self._lock = RLock()
         self._lost = False
+        self.on_lost: Callable[[], None] = lambda: None
+        """Called when the store does not answer, once until it does again."""
+        self.on_back: Callable[[], None] = lambda: None
+        """Called when it answers again, before what it told is taken in."""
         self.next_offset = -1
         self.heard_at = float("-inf")
         """Monotonic seconds at which the store answered last."""
@@ -167,9 +171,11 @@
         self.heard_at = self._clock.monotonic()
         if self._lost:
             self._lost = False
+            self.on_back()
             self._events.emit(Event.STORE_REGAINED, topic=self._topic, offset=self.next_offset)
 
     def _note_lost(self, error: PlatformError) -> None:
         if not self._lost:
             self._lost = True
+            self.on_lost()
             self._events.emit(Event.STORE_LOST, topic=self._topic, error=error.message)
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -1,5 +1,7 @@
 """Routed online requests: whole answers, attempts, refusals and clients that leave."""
 
+import json
+import time
 import unittest
 from unittest import mock
 
@@ -7,6 +9,8 @@
 
 from postvalve.events import Event
 from postvalve.gateway import routed_run
+from postvalve.gateway.interfaces import KeyedRecord
+from postvalve.platform.fleet import DIRECTORY_TOPIC
 from tests.gateway_support import (
     ONCE_PATH,
     STREAM_PATH,
@@ -256,6 +260,83 @@
         self.assertEqual(len(event["mistakes"]), 2)
 
 
+class DirectoryTest(unittest.TestCase):
+    """Engines that live, and are not listed at the moment."""
+
+    def setUp(self):
+        self.fleet = GatewayFleet(nodes=0, engines=1)
+        self.addCleanup(self.fleet.stop)
+        self.engine = self.fleet.engines[0]
+        self.unlist()
+
+    def unlist(self):
+        self.fleet.topics.append(DIRECTORY_TOPIC, 0, [KeyedRecord(self.engine.engine_id, b"")])
+
+    def lost_topics(self):
+        return [fields["topic"] for fields in self.fleet.events("n0", Event.STORE_LOST)]
+
+    def ask(self, allowed_ms):
+        return self.fleet.request("n0", STREAM_PATH, headers=[("Deadline-Ms", str(allowed_ms))])
+
+    def test_a_request_at_a_node_that_starts_waits_for_the_directory(self):
+        self.fleet.start_node("n0")
+        asked = gevent.spawn(self.ask, 8000)
+        gevent.sleep(0.6)
+        self.fleet.list_engine(self.engine)
+        self.assertEqual(asked.get().status, 200)
+
+    def test_it_waits_where_only_other_services_are_listed_yet(self):
+        other = json.dumps(self.engine.entry() | {"service": "other"}).encode()
+        self.fleet.topics.append(DIRECTORY_TOPIC, 0, [KeyedRecord("e8", other)])
+        node = self.fleet.start_node("n0")
+        wait_until(lambda: node.ready)
+        asked = gevent.spawn(self.ask, 8000)
+        gevent.sleep(0.4)
+        self.fleet.list_engine(self.engine)
+        self.assertEqual(asked.get().status, 200)
+
+    def test_it_waits_for_half_of_its_time_at_the_most(self):
+        self.fleet.start_node("n0")
+        started = time.monotonic()
+        answer = self.ask(600)
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertLess(time.monotonic() - started, 0.55)
+
+    def test_a_request_waits_for_entries_that_lapsed_with_the_store(self):
+        self.fleet.list_engine(self.engine)
+        node = self.fleet.start_node("n0")
+        wait_until(lambda: node.ready)
+        # The engine's entry lapses while the store is away, and is kept in vain at first.
+        self.fleet.topics.down = True
+        wait_until(lambda: DIRECTORY_TOPIC in self.lost_topics())
+        self.fleet.topics.down = False
+        self.unlist()
+        wait_until(lambda: self.fleet.events("n0", Event.ENGINES_LAPSED))
+        self.assertEqual(self.ask(4000).status, 200)
+        wait_until(lambda: not node._fleet.listed_engines())
+        self.fleet.list_engine(self.engine)
+        wait_until(lambda: node._fleet.listed_engines())
+        self.assertEqual(self.ask(4000).status, 200)
+
+    def test_a_request_is_refused_at_once_where_the_last_engine_has_gone(self):
+        self.fleet.list_engine(self.engine)
+        node = self.fleet.start_node("n0")
+        wait_until(lambda: node.ready)
+        wait_until(lambda: not node._fleet.directory_unsettled())
+        self.unlist()
+        wait_until(lambda: not node.ready)
+        started = time.monotonic()
+        self.assertEqual(self.ask(8000).status, 503)
+        self.assertLess(time.monotonic() - started, 1.0)
+
+    def test_an_entry_that_cannot_be_read_is_told(self):
+        record = KeyedRecord("e9", b"{")
+        self.fleet.topics.append(DIRECTORY_TOPIC, 0, [record])
+        self.fleet.start_node("n0")
+        wait_until(lambda: self.fleet.events("n0", Event.ENGINE_UNREADABLE))
+
+
 class StopTest(unittest.TestCase):
     def test_planned_stop_finishes_what_runs(self):
         fleet = GatewayFleet(nodes=1, engines=1)
