--- a/postvalve/core/batch/giving_way.py
+++ b/postvalve/core/batch/giving_way.py
@@ -10,37 +10,69 @@
 
 import struct
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 _ENTRY = struct.Struct("!IQ")
 """Engine's hash, urgency in milliseconds of the epoch."""
+_ZONE_ENTRY = struct.Struct("!IQH")
+"""The same, and which of the zone's members runs the item."""
 
 
 class RunningItems:
     """Urgencies of the items that peers run, by engine."""
 
     def __init__(self) -> None:
-        self._by_node: dict[str, dict[int, list[int]]] = {}
+        self._by_source: dict[str, dict[int, list[tuple[int, str]]]] = {}
+        """Urgency and node of each item, by engine and by who told of it: a node, or a zone."""
 
     def observe(self, node_id: str, report: bytes) -> None:
         """Take a peer's report in, in place of its former one."""
-        engines: dict[int, list[int]] = defaultdict(list)
-        whole = len(report) - len(report) % _ENTRY.size
-        for engine, due in _ENTRY.iter_unpack(report[:whole]):
-            engines[engine].append(due)
-        self._by_node[node_id] = engines
+        self._by_source[node_id] = _by_engine(
+            (engine, due, node_id) for engine, due in _iter(_ENTRY, report)
+        )
 
-    def forget(self, node_id: str) -> None:
-        """Drop a peer that is gone."""
-        self._by_node.pop(node_id, None)
+    def observe_zone(self, name: str, report: bytes, members: Sequence[str]) -> None:
+        """Take what a zone's digest tells, in place of the former one.
+
+        Args:
+            name: The name under which the zone is kept; stands for members that are not known yet.
+            report: As `encode_zone_running` gives it.
+            members: Ids of the zone's nodes, in the order of the digest.
+        """
+        self._by_source[name] = _by_engine(
+            (engine, due, members[idx] if idx < len(members) else name)
+            for engine, due, idx in _iter(_ZONE_ENTRY, report)
+        )
+
+    def forget(self, source: str) -> None:
+        """Drop a peer, or a zone, that is gone."""
+        self._by_source.pop(source, None)
 
     def at(self, engine: int) -> list[tuple[int, str]]:
         """Urgency and node of each item that peers run at an engine, by its hash."""
-        return [
-            (due, node_id)
-            for node_id, engines in self._by_node.items()
-            for due in engines.get(engine, ())
-        ]
+        return [one for engines in self._by_source.values() for one in engines.get(engine, ())]
+
+
+def _iter(layout: struct.Struct, report: bytes) -> Iterator[tuple[int, ...]]:
+    return layout.iter_unpack(report[: len(report) - len(report) % layout.size])
+
+
+def _by_engine(
+    entries: Iterable[tuple[int, int, str]],
+) -> dict[int, list[tuple[int, str]]]:
+    engines: dict[int, list[tuple[int, str]]] = defaultdict(list)
+    for engine, due, node_id in entries:
+        engines[engine].append((due, node_id))
+    return engines
+
+
+def encode_zone_running(reports: Iterable[bytes]) -> bytes:
+    """Items of a zone's nodes for its digest; a report of each, in the order of the members."""
+    return b"".join(
+        _ZONE_ENTRY.pack(engine, due, idx)
+        for idx, report in enumerate(reports)
+        for engine, due in _iter(_ENTRY, report)
+    )
 
 
 def encode_running(items: Iterable[tuple[int, int]]) -> bytes:
--- a/postvalve/core/membership/peers.py
+++ b/postvalve/core/membership/peers.py
@@ -54,6 +54,13 @@
     members_version: int = 0
     """Of the list that the members were taken from; 0 before the first."""
     members: dict[str, Peer] = field(default_factory=dict)
+    order: tuple[str, ...] = ()
+    """Ids of all nodes of that list, in its order."""
+
+    @property
+    def members_known(self) -> bool:
+        """Whether the list of members is the one that the last digest speaks of."""
+        return self.members_version == self.digest.members_version
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +112,7 @@
         zone.waiting = decode_groups(digest.items_waiting)
         if digest.members is not None and digest.members_version != zone.members_version:
             zone.members_version = digest.members_version
+            zone.order = tuple(member.node_id for member in digest.members)
             zone.members = {
                 member.node_id: _member_peer(digest, member, now)
                 for member in digest.members
@@ -170,6 +178,10 @@
                 found = found or zone.members.get(node_id)
         return found
 
+    def reports(self, node_id: str) -> bool:
+        """Whether a node is known by its own reports, and so this one by its own there."""
+        return node_id in self._peers
+
     def works(self, node_id: str, incarnation: int) -> bool:
         """Whether that life of a node can work on its jobs."""
         peer = self.get(node_id)
--- a/postvalve/core/membership/zone_digest.py
+++ b/postvalve/core/membership/zone_digest.py
@@ -77,7 +77,7 @@
 
 @dataclass(slots=True)
 class ZoneDigest:
-    """One digest. The fields of bytes have the layouts that load reports use."""
+    """One digest. Where nothing else is said, fields of bytes have the layouts of load reports."""
 
     zone: str
     reporter: str
@@ -93,6 +93,7 @@
     engine_use: bytes = b""
     """Requests of all its nodes, by engine."""
     items_running: bytes = b""
+    """Urgencies of the items that run, by engine and member; see `core/batch/giving_way`."""
     items_waiting: bytes = b""
     size: int = 0
     """Number of members."""
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from postvalve.core.batch.giving_way import encode_zone_running
 from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.ownership import preferred_owner
@@ -20,11 +21,13 @@
 """Seconds between two digests of a zone at the least."""
 MAX_DIGEST_INTERVAL = 1.0
 """Seconds between them at the most; four in a row must be lost before a zone counts as silent."""
-FAR_BYTES = 4_000.0
+FAR_BYTES = 5_000.0
 """Bytes a second of other zones' digests that a node hears, about: the planned size leaves 7 KB/s
 for all control of a node, and its own zone's reports take the rest."""
 DIRECT_PEERS = int(FAR_RATE * DIGEST_INTERVAL)
 """Nodes of other zones up to which each node reports to them itself."""
+LOOK_INTERVAL = 0.08
+"""Seconds between looks whether a digest is due."""
 MEMBERS_INTERVAL = 2.0
 """Seconds after which the list of members is told again though it is the same."""
 LISTEN_TIME = 1.0
@@ -88,8 +91,8 @@
             engine_use: Counts of all of them together.
             now: Monotonic seconds.
         """
-        reports = [own, *(peer.report for peer in neighbours)]
-        members = tuple(sorted(map(_member, reports), key=lambda one: one.node_id))
+        reports = sorted([own, *(peer.report for peer in neighbours)], key=lambda one: one.node_id)
+        members = tuple(map(_member, reports))
         version = members_version(members)
         listed = version != self._version or now - self._listed_at >= MEMBERS_INTERVAL
         if listed:
@@ -103,7 +106,7 @@
             sequence=self._sequence,
             revision=max(one.revision for one in reports),
             engine_use=engine_use,
-            items_running=b"".join(one.items_running for one in reports),
+            items_running=encode_zone_running(one.items_running for one in reports),
             items_waiting=encode_groups(_waiting(own, neighbours)),
             size=len(members),
             members_version=version,
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -226,6 +226,7 @@
     def _connect(self) -> None:
         self.configuration.listen(self._configuration_changed)
         self._fleet.service_named = self._service_named
+        self._claims.heard_all = self._reports.zones.heard_all
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
         self._reports.on_report = self._peer_reported
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -97,6 +97,7 @@
         reports.waiting_due = self.waiting_due
         reports.running_items = self.running_items
         reports.items_running = self.items_running
+        reports.on_give_way = self.give_way_at
 
     @property
     def in_progress(self) -> int:
@@ -441,9 +442,28 @@
             # Of equally urgent ones, those that have the least to read anew.
             staying.sort(key=lambda item: (-self._urgency(item), len(item.events)))
             for item in staying[:count]:
-                item.preempted = True
-                if item.answer is not None:
-                    item.answer.abort()
+                self._preempt(item)
+
+    @staticmethod
+    def _preempt(item: RunningItem) -> None:
+        item.preempted = True
+        if item.answer is not None:
+            item.answer.abort()
+
+    def give_way_at(self, engine: int, urgency: int) -> None:
+        """Let the item go that a peer has found to be the least urgent one at an engine.
+
+        Args:
+            engine: The engine's hash.
+            urgency: That of the item, as this node told it; one that has become less urgent goes
+                in its place, so that a peer that asks again stops no second one.
+        """
+        for engine_id, running in self._running_by_engine().items():
+            if engine_hash(engine_id) != engine:
+                continue
+            item = max(running, key=self._urgency)
+            if not item.preempted and self._urgency(item) >= urgency:
+                self._preempt(item)
 
     def _running_by_engine(self) -> dict[str, list[RunningItem]]:
         by_engine: dict[str, list[RunningItem]] = {}
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -17,7 +17,7 @@
     RunningItem,
     unpack_report,
 )
-from postvalve.core.membership.peers import PeerView
+from postvalve.core.membership.peers import Peer, PeerView
 from postvalve.core.membership.report_pace import (
     FAR_RATE,
     IDLE_INTERVAL,
@@ -94,6 +94,8 @@
             generator,
         )
         self.zones.own_report = self._report
+        self.on_give_way: Callable[[int, int], None] = lambda engine, urgency: None
+        """Takes an engine's hash, and the urgency of the items that give way there."""
         self.on_report: Callable[[LoadReport], None] = lambda report: None
         fleet.on_change = self._changed.set
 
@@ -107,20 +109,28 @@
         self._changed.set()
 
     def urge(self, engine_id: str) -> None:
-        """Report at once to the node whose item gives way first at an engine.
+        """Tell the node at once whose item gives way first at an engine.
 
         The next report may be some tenths of a second away, and an online request waits there.
         """
-        running = self.items.at(engine_hash(engine_id))
-        reporting = [peer for _, node_id in sorted(running) if (peer := self._peers.get(node_id))]
-        if not reporting:
-            return
-        peer = reporting[-1]
+        engine = engine_hash(engine_id)
+        for urgency, node_id in sorted(self.items.at(engine), reverse=True):
+            peer = self._peers.get(node_id)
+            if peer is not None:
+                self._urge(peer, engine, urgency)
+                return
+
+    def _urge(self, peer: Peer, engine: int, urgency: int) -> None:
         now = self._clock.monotonic()
         if now - self._urged_at.get(peer.node_id, float("-inf")) < URGE_INTERVAL:
             return
         self._urged_at[peer.node_id] = now
-        self._transport.send(peer.report.peer_address, self._next())
+        if self._peers.reports(peer.node_id):
+            self._transport.send(peer.report.peer_address, self._next())
+            return
+        # A node of a zone that is told by digest could not make this node's counts out of it.
+        msg = gateway.GiveWay(engine=engine, urgency=urgency)
+        self._transport.send(peer.report.peer_address, encode_frame(msg, 0))
 
     def _next(self) -> bytes:
         """The next report, as a datagram."""
@@ -207,9 +217,12 @@
         """Take a datagram."""
         try:
             msg = decode_datagram(data)
-            if isinstance(msg, gateway.ZoneDigests):
+            if isinstance(msg, gateway.ZoneDigest):
                 self.zones.receive(msg, address)
                 return
+            if isinstance(msg, gateway.GiveWay):
+                self.on_give_way(msg.engine, msg.urgency)
+                return
             if not isinstance(msg, gateway.LoadReport):
                 return
             report = unpack_report(msg.packed)
--- a/postvalve/gateway/zone_digests.py
+++ b/postvalve/gateway/zone_digests.py
@@ -12,7 +12,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneDigestError, unpack_digest
 from postvalve.core.membership.zone_reporting import (
-    DIGEST_INTERVAL,
+    LOOK_INTERVAL,
     ZoneReporting,
     reporter_of,
     tells_by_digest,
@@ -60,26 +60,19 @@
         self._reports = False
         """Whether this node was its zone's reporter at the last look."""
         self._spare_at = float("-inf")
-        self._to_pass_on: dict[str, bytes] = {}
-        """Digests that came from other zones since the last look, by zone."""
         self.own_report: Callable[[], LoadReport] = lambda: LoadReport("", 0, 0)
         self.on_digest: Callable[[ZoneDigest], None] = lambda digest: None
 
     def run(self) -> None:
         """Tell and pass on for ever."""
         while True:
-            gevent.sleep(DIGEST_INTERVAL)
+            gevent.sleep(LOOK_INTERVAL)
             self.look()
 
-    def look(self) -> None:
-        """Pass on what has come, and tell the others of this zone when it is time."""
-        self._pass_on()
-        self._tell()
-
     # Telling
 
-    def _tell(self) -> None:
-        """Tell each other zone of this one, if that is this node's task."""
+    def look(self) -> None:
+        """Tell each other zone of this one, if that is this node's task, and it is time."""
         zones = self._other_zones()
         now = self._clock.monotonic()
         neighbours = self._peers.neighbours(self._identity.zone)
@@ -93,7 +86,7 @@
             return
         use = self._fleet.use.report_of(peer.node_id for peer in neighbours)
         packed = self._reporting.make(self.own_report(), neighbours, use, now)
-        data = encode_frame(gateway.ZoneDigests(packed=[packed]), 0)
+        data = encode_frame(gateway.ZoneDigest(packed=packed), 0)
         spare = now - self._spare_at >= SPARE_INTERVAL
         if spare:
             self._spare_at = now
@@ -108,6 +101,14 @@
                 zones.setdefault(zone, {})[node_id] = address
         return zones
 
+    def heard_all(self) -> bool:
+        """Whether it is known of every zone with other nodes who lives there."""
+        zones = self._peers.zones()
+        return all(
+            zones[zone].members if zone in zones else self._peers.neighbours(zone)
+            for zone in self._other_zones()
+        )
+
     def _send(self, zone: str, addresses: dict[str, str], data: bytes, spare: bool) -> None:
         known = self._peers.zones().get(zone)
         alive = [node_id for node_id in known.members if node_id in addresses] if known else []
@@ -120,16 +121,15 @@
 
     # Hearing
 
-    def receive(self, msg: gateway.ZoneDigests, address: str) -> None:
-        """Take digests of other zones."""
-        for packed in msg.packed:
-            try:
-                digest = unpack_digest(packed)
-            except ZoneDigestError as exc:
-                self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(exc))
-                continue
-            if self._take(digest) and not msg.relayed:
-                self._to_pass_on[digest.zone] = packed
+    def receive(self, msg: gateway.ZoneDigest, address: str) -> None:
+        """Take the digest of another zone, and pass it on to the neighbours if nobody has."""
+        try:
+            digest = unpack_digest(msg.packed)
+        except ZoneDigestError as exc:
+            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(exc))
+            return
+        if self._take(digest) and not msg.relayed:
+            self._pass_on(msg.packed)
 
     def _take(self, digest: ZoneDigest) -> bool:
         """Take a digest in; returns whether it is news."""
@@ -147,7 +147,10 @@
         elif digest.members is not None:
             self._note_changes(digest, before, set(known.members))
         self._fleet.use.observe(digest.key, digest.engine_use)
-        self._items.observe(digest.key, digest.items_running)
+        zone = self._peers.zones()[digest.zone]
+        self._items.observe_zone(
+            digest.key, digest.items_running, zone.order if zone.members_known else ()
+        )
         self.on_digest(digest)
         return True
 
@@ -169,19 +172,8 @@
             left=sorted(before - after),
         )
 
-    def _pass_on(self) -> None:
-        """Pass what came from other zones on to the neighbours, in one datagram."""
-        if not self._to_pass_on:
-            return
-        msg = gateway.ZoneDigests(packed=list(self._to_pass_on.values()), relayed=True)
-        self._to_pass_on.clear()
-        data = encode_frame(msg, 0)
-        for address in self._neighbour_addresses():
-            self._transport.send(address, data)
-
-    def _neighbour_addresses(self) -> list[str]:
-        return [
-            address
-            for node_id, (address, zone) in self._nodes().items()
-            if zone == self._identity.zone and node_id != self._identity.node_id
-        ]
+    def _pass_on(self, packed: bytes) -> None:
+        data = encode_frame(gateway.ZoneDigest(packed=packed, relayed=True), 0)
+        for node_id, (address, zone) in self._nodes().items():
+            if zone == self._identity.zone and node_id != self._identity.node_id:
+                self._transport.send(address, data)
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -36,7 +36,8 @@
     gateway.StoreRead,
     gateway.StoreNewest,
     gateway.StoreReply,
-    gateway.ZoneDigests,
+    gateway.ZoneDigest,
+    gateway.GiveWay,
 )
 _KIND_OF_TYPE = {message_type: kind for kind, message_type in enumerate(_MESSAGE_KINDS)}
 
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -3,11 +3,20 @@
 import base64
 import json
 import unittest
+from unittest import mock
 
 import gevent
 
+from postvalve.core.admission.engine_use import engine_hash
+from postvalve.core.membership.zone_reporting import ZoneReporting
 from postvalve.events import Event
-from tests.gateway_support import BATCH_PATH, Behaviour, GatewayFleet, wait_until
+from tests.gateway_support import (
+    BATCH_PATH,
+    STREAM_PATH,
+    Behaviour,
+    GatewayFleet,
+    wait_until,
+)
 
 
 def job_body(job_id, items=3, tokens=100):
@@ -184,6 +193,29 @@
         self.assertGreaterEqual(most, 2)
 
 
+class GivingWayTest(unittest.TestCase):
+    def test_an_item_of_another_zone_gives_way_before_its_digest_tells_of_the_request(self):
+        fleet = GatewayFleet(nodes=1, engines=1)
+        self.addCleanup(fleet.stop)
+        for module in ("load_reports", "zone_digests"):
+            patch = mock.patch(f"postvalve.gateway.{module}.tells_by_digest", return_value=True)
+            patch.start()
+            self.addCleanup(patch.stop)
+        fleet.start_node("n1", zone="y")
+        fleet.engines[0].usual = Behaviour(pause=0.05, events=1_000)
+        body = job_body("j", items=3)
+        fleet.request("n0", BATCH_PATH + "x", body=body, request_id="j")
+        there = fleet.nodes["n1"]
+        running = there._reports.items
+        wait_until(lambda: [one for _, one in running.at(engine_hash("e0"))] == ["n0"] * 3)
+        # From now on only a message of its own can tell the other zone.
+        with mock.patch.object(ZoneReporting, "is_due", return_value=False):
+            for number in range(2):
+                gevent.spawn(fleet.request, "n1", STREAM_PATH, request_id=f"r{number}")
+            wait_until(lambda: fleet.events("n0", Event.ROUTED_ITEM_PREEMPTED))
+        self.assertFalse(fleet.events("n1", Event.ROUTED_JOB_CLAIMED))
+
+
 class StoreTroubleTest(JobCase):
     def test_lost_answers_move_no_position(self):
         self.submit("n0", "j")
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -12,7 +12,7 @@
 from postvalve.events import Event
 from postvalve.gateway.end_writer import EndWriter
 from postvalve.gateway.event_stream import event_data, event_id_of
-from postvalve.gateway.job_claims import CLAIM_AFTER_START, JobClaims
+from postvalve.gateway.job_claims import ALL_HEARD_AFTER, CLAIM_AFTER_START, JobClaims
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog, wait_until
 from tests.test_job_board import accepted
@@ -42,11 +42,14 @@
         board.observe(0, "accept/j/c0", bytes(accepted()))
         self.job = board.jobs["j"]
 
-    def should_claim(self, node_id, incarnation=1, reports=(), after=CLAIM_AFTER_START):
+    def should_claim(
+        self, node_id, incarnation=1, reports=(), after=CLAIM_AFTER_START, heard_all=lambda: True
+    ):
         peers = PeerView(node_id)
         for report in reports:
             peers.observe(report, self.clock.now)
         claims = claims_of(node_id, incarnation, self.clock, peers)
+        claims.heard_all = heard_all
         self.clock.now += after
         return claims._should_claim(self.job)
 
@@ -60,6 +63,12 @@
         self.assertFalse(self.should_claim("n1", after=CLAIM_AFTER_START / 2))
         self.assertTrue(self.should_claim("n1"))
 
+    def test_jobs_wait_longer_while_it_is_not_known_who_lives_in_another_zone(self):
+        heard = mock.Mock(return_value=False)
+        self.assertFalse(self.should_claim("n1", heard_all=heard))
+        self.assertTrue(self.should_claim("n1", after=ALL_HEARD_AFTER, heard_all=heard))
+        self.assertTrue(self.should_claim("n0", 2, after=0.0, heard_all=heard))
+
     def test_jobs_of_working_nodes_are_left_alone(self):
         report = LoadReport(node_id="n0", incarnation=1, sequence=1)
         self.assertFalse(self.should_claim("n1", reports=[report]))
--- a/tests/test_zone_digest.py
+++ b/tests/test_zone_digest.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from postvalve.core.admission.engine_use import EngineUse
+from postvalve.core.batch.giving_way import RunningItems, encode_running, encode_zone_running
 from postvalve.core.membership.load_report import LoadReport, RunningItem
 from postvalve.core.membership.peers import (
     REPORTER_SILENT_AFTER,
@@ -165,6 +166,19 @@
         self.assertTrue(self.view.observe(report, 8.0))
 
 
+class RunningInZonesTest(unittest.TestCase):
+    def test_items_whose_node_is_not_known_yet_stand_under_the_zone(self):
+        items = RunningItems()
+        reports = [encode_running([(7, 40)]), encode_running([(7, 50), (8, 60)])]
+        packed = encode_zone_running(reports)
+        items.observe_zone("zone:far", packed, ["a", "b"])
+        self.assertEqual(items.at(7), [(40, "a"), (50, "b")])
+        items.observe_zone("zone:far", packed, [])
+        self.assertEqual(items.at(8), [(60, "zone:far")])
+        items.forget("zone:far")
+        self.assertEqual(items.at(7), [])
+
+
 class ReporterTest(unittest.TestCase):
     def reporters(self, nodes, now, heard_at=None):
         """Which of these nodes take themselves for the reporter, each hearing all others."""
@@ -334,6 +348,16 @@
             self.assertEqual({engine: node.use.total(engine).total for engine in naive}, naive)
             self.assertEqual(node.peers.count(), len(self.nodes) - 1)
 
+    def test_nodes_know_who_runs_which_item_in_other_zones(self):
+        self.start(3, 12)
+        runner = self.nodes[0]
+        running = encode_running([(7, 40), (9, 50)])
+        runner.reports.items_running = lambda: running
+        self.play(4.0)
+        for node in self.nodes[1:]:
+            self.assertEqual(node.reports.items.at(7), [(40, runner.name)])
+            self.assertEqual(node.reports.items.at(9), [(50, runner.name)])
+
     def test_what_crosses_zones_does_not_grow_with_the_nodes(self):
         crossed = []
         for nodes_each in (10, 20):
