--- a/postvalve/core/batch/job_board.py
+++ b/postvalve/core/batch/job_board.py
@@ -6,6 +6,9 @@
 - A claim moves a job to another node only if it names the claim that it replaces, so of two
   that race the first one counts. Claims save work; no promise hangs on them.
 
+Records are small: all nodes read all of them. What items are sent as, and what they have given,
+lies in other topics.
+
 Each write has a key of its own, so that a topic which keeps the newest record of each key
 keeps all of them, and replaying those in offset order gives the same board.
 """
@@ -18,12 +21,18 @@
 
 import betterproto
 
+from postvalve.core.batch.job_items import ItemSpec, JobItemsError, unpack_items
 from postvalve.messages.generated import gateway
 
 PURGE_MARGIN_MS = 15_000
 """Milliseconds that a job is kept beyond the time for which it must stay readable."""
 
 
+JOB_FORM = 2
+"""Form of the records of jobs. Those of the first one held whole requests and answers; they are
+not read, and an acceptance in it is told as unreadable."""
+
+
 class RecordKind(enum.StrEnum):
     """First part of a record's key."""
 
@@ -51,6 +60,7 @@
     """One job."""
 
     accepted: gateway.JobAccepted
+    items: tuple[ItemSpec, ...]
     claim_id: str
     node_id: str
     incarnation: int
@@ -58,8 +68,13 @@
     finished: set[int] = field(default_factory=set)
     ended: bool = False
     keys: list[str] = field(default_factory=list)
-    holders: list[str] = field(default_factory=list)
-    """Nodes that have worked on it, the present one last."""
+    claims: list[tuple[str, str]] = field(default_factory=list)
+    """Claim and node of all that have worked on it, the present one last."""
+
+    @property
+    def holders(self) -> list[str]:
+        """Nodes that have worked on it, the present one last."""
+        return [node_id for _, node_id in self.claims]
 
     @property
     def taken_over(self) -> bool:
@@ -74,23 +89,23 @@
     @property
     def open(self) -> bool:
         """Whether items are still to be run."""
-        return not self.ended and len(self.results) < len(self.accepted.items)
+        return not self.ended and len(self.results) < len(self.items)
 
     @property
     def waiting_tokens(self) -> int:
         """Tokens of the items without a result; 0 once the job has ended."""
         if self.ended:
             return 0
-        items = enumerate(self.accepted.items)
+        items = enumerate(self.items)
         return sum(item.tokens for index, item in items if index not in self.finished)
 
     def unfinished(self) -> Iterator[int]:
         """Indexes of the items without a result."""
-        return (index for index in range(len(self.accepted.items)) if index not in self.finished)
+        return (index for index in range(len(self.items)) if index not in self.finished)
 
     def index_of(self, item_id: str) -> int | None:
         """The index of an item by its id."""
-        items = enumerate(self.accepted.items)
+        items = enumerate(self.items)
         return next((index for index, item in items if item.item_id == item_id), None)
 
 
@@ -100,6 +115,8 @@
     def __init__(self) -> None:
         self.jobs: dict[str, BoardJob] = {}
         self._seen_offset = -1
+        self.unreadable: list[str] = []
+        """Keys of records that could not be read, until somebody tells of them."""
 
     def observe(self, offset: int, key: str, value: bytes) -> str | None:
         """Take the record at `offset` in; offsets that were seen are passed over.
@@ -118,9 +135,10 @@
             return self._drop(kind, rest)
         try:
             message = message_type().parse(value)
+            return self._apply(key, message)
         except Exception:  # the codec raises whatever its inner calls raise
-            return None
-        return self._apply(key, message)
+            self.unreadable.append(key)
+        return None
 
     def _drop(self, kind: str, rest: str) -> str | None:
         job_id = rest.partition("/")[0]
@@ -148,13 +166,16 @@
         if known is not None:
             known.keys.append(key)
             return None
+        if message.form != JOB_FORM:
+            raise JobItemsError(f"job record of form {message.form}")
         self.jobs[message.job_id] = BoardJob(
             message,
+            unpack_items(message.items),
             message.claim_id,
             message.node_id,
             message.incarnation,
             keys=[key],
-            holders=[message.node_id],
+            claims=[(message.claim_id, message.node_id)],
         )
         return message.job_id
 
@@ -182,13 +203,13 @@
     job.claim_id = message.claim_id
     job.node_id = message.node_id
     job.incarnation = message.incarnation
-    job.holders.append(message.node_id)
+    job.claims.append((message.claim_id, message.node_id))
     return job.job_id
 
 
 def _end_item(job: BoardJob, message: gateway.ItemEnded) -> str | None:
     index = message.item_index
-    if job.ended or index in job.finished or index >= len(job.accepted.items):
+    if job.ended or index in job.finished or index >= len(job.items):
         return None
     job.finished.add(index)
     job.results.append(message)
--- a/postvalve/gateway/end_writer.py
+++ b/postvalve/gateway/end_writer.py
@@ -1,8 +1,9 @@
-"""Makes ends of items durable: many to one append, one append at a time."""
+"""Makes ends of items durable: their texts first, then the ends, many to one append."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 from gevent.event import Event as GeventEvent
@@ -11,18 +12,40 @@
 from postvalve.events import Event, EventLog
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
 from postvalve.gateway.job_log import JobLog
+from postvalve.gateway.result_texts import text_prefix
+from postvalve.gateway.stored_values import ValueRef
 from postvalve.messages.generated import gateway
 
 COMMIT_PATIENCE = 4.0
 """Seconds of repetition until a failed append is told; then it is repeated again."""
 GATHER_TIME = 0.01
 """Seconds that ends are gathered before an append."""
+TEXT_PAUSE = 0.3
+"""Seconds until texts that could not be stored are stored anew."""
 CALL_BYTES_MARGIN = 8_192
 """Bytes of a call that are left for keys and lengths."""
 RECORD_OVERHEAD = 1_024
 """Bytes counted for each record beside its text."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndedItem:
+    """An item that has ended at this node."""
+
+    job_id: str
+    index: int
+    claim_id: str
+    """The claim under which it ran."""
+    state: gateway.ItemState
+    text: bytes = b""
+    """What it has given, packed; empty for one that is dead."""
+
+    @property
+    def prefix(self) -> str:
+        """Begins the keys of its text."""
+        return text_prefix(self.job_id, self.index, self.claim_id)
+
+
 class EndWriter:
     """Ends that are not durable yet."""
 
@@ -33,7 +56,7 @@
         self._events = events
         self._call_bytes = call_bytes
         self._new_id = new_id
-        self._waiting: list[gateway.ItemEnded] = []
+        self._waiting: list[EndedItem] = []
         self._has_waiting = GeventEvent()
         self._under_way = 0
 
@@ -42,7 +65,7 @@
         """Ends that are not durable yet."""
         return len(self._waiting) + self._under_way
 
-    def add(self, ended: gateway.ItemEnded) -> None:
+    def add(self, ended: EndedItem) -> None:
         """Write an end soon."""
         self._waiting.append(ended)
         self._has_waiting.set()
@@ -56,7 +79,7 @@
             if batch:
                 self._write(batch)
 
-    def _take(self) -> list[gateway.ItemEnded]:
+    def _take(self) -> list[EndedItem]:
         size, count = 0, 0
         for ended in self._waiting:
             size += len(ended.text) + RECORD_OVERHEAD
@@ -69,11 +92,12 @@
             self._has_waiting.clear()
         return batch
 
-    def _write(self, batch: list[gateway.ItemEnded]) -> None:
+    def _write(self, batch: list[EndedItem]) -> None:
         self._under_way = len(batch)
+        refs = self._store_texts(batch)
         while True:
             # A failed try may have been done, so the next one has keys of its own.
-            records = [self._record(ended) for ended in batch]
+            records = [self._record(ended, refs.get(ended.prefix)) for ended in batch]
             try:
                 self._log.append(records, COMMIT_PATIENCE)
                 self._under_way = 0
@@ -81,6 +105,27 @@
             except StoreUnavailableError as error:
                 self._events.emit(Event.LOG_UNAVAILABLE, error=error.message, ends=len(batch))
 
-    def _record(self, ended: gateway.ItemEnded) -> KeyedRecord:
-        key = record_key(RecordKind.ITEM, ended.job_id, str(ended.item_index), self._new_id())
-        return KeyedRecord(key, bytes(ended))
+    def _store_texts(self, batch: list[EndedItem]) -> dict[str, ValueRef]:
+        """Store the texts, repeated until the store has them; where each lies, by prefix."""
+        texts = [(ended.prefix, ended.text) for ended in batch if ended.text]
+        while texts:
+            try:
+                refs = self._log.texts.put(texts)
+                return {ref.prefix: ref for ref in refs}
+            except StoreUnavailableError as exc:
+                self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, texts=len(texts))
+                gevent.sleep(TEXT_PAUSE)
+        return {}
+
+    def _record(self, ended: EndedItem, ref: ValueRef | None) -> KeyedRecord:
+        key = record_key(RecordKind.ITEM, ended.job_id, str(ended.index), self._new_id())
+        record = gateway.ItemEnded(
+            job_id=ended.job_id,
+            item_index=ended.index,
+            state=ended.state,
+            claim_id=ended.claim_id,
+        )
+        if ref is not None:
+            record.text_partition, record.text_offset = ref.partition, ref.offset
+            record.text_records, record.text_bytes = ref.records, ref.size
+        return KeyedRecord(key, bytes(record))
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -19,16 +19,17 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, Verdict
-from postvalve.gateway.end_writer import EndWriter
+from postvalve.gateway.end_writer import EndedItem, EndWriter
 from postvalve.gateway.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.event_stream import event_data, event_id_of
 from postvalve.gateway.fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
 from postvalve.gateway.item_progress import ProgressLog, unpack_segment
-from postvalve.gateway.job_log import JobLog, item_ended
-from postvalve.gateway.job_service import JobService, pack_text
+from postvalve.gateway.job_log import JobLog
+from postvalve.gateway.job_service import JobService
 from postvalve.gateway.load_reports import LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.result_texts import pack_text
 from postvalve.gateway.running_item import RunningItem
 from postvalve.messages.generated import gateway
 from postvalve.settings.routes import RouteSpec
@@ -153,12 +154,17 @@
 
     def _take_job(self, job: BoardJob) -> None:
         due = job.accepted.due_at_ms
-        items = {index: RunningItem(job.job_id, index, due) for index in job.unfinished()}
-        for index, item in items.items():
-            headers = [(one.name, one.value) for one in job.accepted.items[index].headers]
-            terms = self._dialect.read_terms(headers)
-            item.output_tokens = terms.output_tokens
-            item.prompt_tokens = terms.shared_tokens + terms.own_tokens
+        items = {
+            index: RunningItem(
+                job.job_id,
+                index,
+                job.claim_id,
+                due,
+                output_tokens=job.items[index].output_tokens,
+                prompt_tokens=job.items[index].prompt_tokens,
+            )
+            for index in job.unfinished()
+        }
         self._items[job.job_id] = items
         self._reports.changed()
         if job.taken_over:
@@ -170,7 +176,7 @@
         """Let the items of a job that was taken over go on where they are known to be."""
         saved = SavedJob()
         try:
-            self._jobs.fetch_bodies(job)
+            self._jobs.fetch_requests(job)
             saved = self._progress.restore(job)
         finally:
             for index, item in items.items():
@@ -305,26 +311,26 @@
         job = self._log.board.jobs.get(item.job_id)
         if job is None or item.cancelled:
             return
-        spec = job.accepted.items[item.index]
-        body = self._jobs.item_body(job, item.index)
+        item_id = job.items[item.index].item_id
+        req = self._jobs.item_request(job, item.index)
         if item.cancelled or not self._fleet.listed(placement.engine.engine_id):
             return
         headers = self._dialect.attempt_headers(
             self._dialect.item_headers(
-                [(one.name, one.value) for one in spec.headers], spec.item_id, job.accepted.host
+                [(one.name, one.value) for one in req.headers], item_id, job.accepted.host
             ),
             placement.engine.engine_id,
             None,
             item.last_event_id,
         )
-        data = request_bytes("POST", spec.target, headers, body)
+        data = request_bytes("POST", req.target, headers, req.body)
         deadline = self._clock.monotonic() + ITEM_TIME
         answer = item.answer = self._pool.start(placement.engine.address, data, deadline)
         if item.cancelled:
             answer.abort()
             return
         answer.read_head(EVENT_SILENCE)
-        self._judge(item, placement, spec.item_id, answer)
+        self._judge(item, placement, item_id, answer)
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
             self._fleet.note_success(placement.engine.engine_id)
@@ -417,8 +423,10 @@
         self._progress.forget(item)
         ended = load_report.RunningItem(job_id=item.job_id, item_index=item.index)
         self._ended_lately.append((self._clock.monotonic(), ended))
-        self._ends.add(item_ended(item.job_id, item.index, state, pack_text(text)))
-        outcome = "completed" if state == gateway.ItemState.ITEM_STATE_COMPLETED else "dead"
+        completed = state == gateway.ItemState.ITEM_STATE_COMPLETED
+        packed = pack_text(text) if completed else b""
+        self._ends.add(EndedItem(item.job_id, item.index, item.claim_id, state, packed))
+        outcome = "completed" if completed else "dead"
         self._metrics.items.labels(outcome).inc()
         self._events.emit(
             Event.ROUTED_ITEM_ENDED,
--- a/postvalve/gateway/job_service.py
+++ b/postvalve/gateway/job_service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import zlib
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,7 +10,8 @@
 import xxhash
 
 from postvalve.clock import Clock, milliseconds
-from postvalve.core.batch.job_board import BoardJob, RecordKind, record_key
+from postvalve.core.batch.job_board import JOB_FORM, BoardJob, RecordKind, record_key
+from postvalve.core.batch.job_items import ItemSpec, pack_items
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import (
     NotFoundError,
@@ -27,6 +28,7 @@
     StoreUnavailableError,
 )
 from postvalve.gateway.job_log import JobLog
+from postvalve.gateway.stored_values import ValueRef
 from postvalve.messages.generated import gateway
 from postvalve.settings.routes import RouteSpec
 
@@ -42,8 +44,9 @@
 FULL_RETRY_AFTER = 1.0
 """Seconds told to a client whose job does not fit the route's waiting tokens."""
 MAX_FETCHED_BYTES = 8 * 1024 * 1024
-"""Bodies of a larger job are read one by one."""
-COMPRESSION_LEVEL = 1
+"""Requests of a larger job's items are read one by one."""
+MAX_PAGE_TEXT_BYTES = 512 * 1024
+"""Bytes of packed texts that one page of results reads, one at the least."""
 
 
 class UndecidedError(PostvalveError):
@@ -63,6 +66,9 @@
     headers: Headers
     body: bytes
     tokens: int
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    """The most that it may give."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,16 +105,6 @@
     next_position: int
 
 
-def pack_text(text: bytes) -> bytes:
-    """A result's text as it stands in the store."""
-    return zlib.compress(text, COMPRESSION_LEVEL)
-
-
-def unpack_text(data: bytes) -> bytes:
-    """Undo `pack_text`."""
-    return zlib.decompress(data) if data else b""
-
-
 class JobService:
     """Jobs by id."""
 
@@ -127,10 +123,10 @@
         self._events = events
         self._log = log
         self._new_id = new_id
-        self.bodies: dict[str, list[bytes]] = {}
-        """Bodies of open jobs that came to this node, or that it works on."""
+        self.requests: dict[str, list[gateway.ItemRequest]] = {}
+        """Requests of open jobs' items that came to this node, or that it works on."""
         self._in_progress: set[str] = set()
-        log.listen(self._forget_bodies)
+        log.listen(self._forget_requests)
 
     def submit(self, submission: Submission) -> None:
         """Take a job; returns once it is durable. A resend finds it taken.
@@ -159,7 +155,7 @@
 
     def _take(self, submission: Submission, deadline: float) -> None:
         nonce = self._new_id()
-        bodies = [item.body for item in submission.items]
+        requests = [_item_request(item) for item in submission.items]
         partition = (
             xxhash.xxh32_intdigest(submission.job_id.encode()) % self._settings.body_partitions
         )
@@ -167,16 +163,18 @@
             if not self._log.follower.loaded:
                 self._log.follower.catch_up()
             self._check_quota(submission)
-            offset, counts = self._log.store_bodies(submission.job_id, nonce, partition, bodies)
+            refs = self._log.store_requests(
+                submission.job_id, nonce, partition, [bytes(one) for one in requests]
+            )
         except StoreUnavailableError as error:
             raise self._refused(submission, error) from error
-        accepted = self._record(submission, nonce, partition, offset, counts)
-        self.bodies[submission.job_id] = bodies
+        accepted = self._record(submission, nonce, refs)
+        self.requests[submission.job_id] = requests
         try:
             self._accept(submission, accepted, deadline)
         except PostvalveError:
             if submission.job_id not in self._log.board.jobs:
-                self.bodies.pop(submission.job_id, None)
+                self.requests.pop(submission.job_id, None)
             raise
 
     def _refused(self, submission: Submission, error: StoreUnavailableError) -> PostvalveError:
@@ -203,7 +201,7 @@
             )
 
     def _record(
-        self, submission: Submission, nonce: str, partition: int, offset: int, counts: list[int]
+        self, submission: Submission, nonce: str, refs: list[ValueRef]
     ) -> gateway.JobAccepted:
         route, batch = submission.route, submission.route.batch
         assert batch is not None
@@ -213,19 +211,17 @@
             route=route.name,
             host=submission.host,
             service=submission.service,
-            items=[
-                gateway.ItemSpec(
-                    item_id=item.item_id,
-                    target=item.target,
-                    headers=[
-                        gateway.ItemHeader(name=name, value=value) for name, value in item.headers
-                    ],
-                    tokens=item.tokens,
-                    body_records=count,
-                    body_bytes=len(item.body),
+            items=pack_items(
+                ItemSpec(
+                    item.item_id,
+                    item.tokens,
+                    item.prompt_tokens,
+                    item.output_tokens,
+                    ref.records,
+                    ref.size,
                 )
-                for item, count in zip(submission.items, counts, strict=True)
-            ],
+                for item, ref in zip(submission.items, refs, strict=True)
+            ),
             accepted_at_ms=now_ms,
             due_at_ms=now_ms + milliseconds(batch.run_target),
             give_up_at_ms=now_ms + milliseconds(batch.keep),
@@ -233,8 +229,9 @@
             node_id=self._identity.node_id,
             incarnation=self._identity.incarnation,
             claim_id=nonce,
-            body_partition=partition,
-            body_offset=offset,
+            request_partition=refs[0].partition,
+            request_offset=refs[0].offset,
+            form=JOB_FORM,
         )
 
     def _accept(
@@ -283,11 +280,11 @@
             offset=self._log.follower.next_offset,
         )
 
-    def _forget_bodies(self, touched: set[str]) -> None:
-        for job_id in touched & self.bodies.keys():
+    def _forget_requests(self, touched: set[str]) -> None:
+        for job_id in touched & self.requests.keys():
             job = self._log.board.jobs.get(job_id)
             if job is not None and not job.open:
-                del self.bodies[job_id]
+                del self.requests[job_id]
 
     def results(self, job_id: str, position: int, wait: float) -> ResultPage:
         """Results from `position` on; waits up to `wait` seconds for one.
@@ -306,11 +303,36 @@
             job = self._log.board.jobs.get(job_id, job)
         if position >= len(job.results):
             self._require_fresh()
-        return ResultPage(
-            total=len(job.accepted.items),
-            results=tuple(_listed(job, one) for one in job.results[position:]),
-            next_position=max(position, len(job.results)),
-        )
+        ends = job.results[position:]
+        texts = self._texts(ends)
+        listed = tuple(_listed(job, *one) for one in zip(ends, texts, strict=False))
+        return ResultPage(len(job.items), listed, position + len(listed))
+
+    def _texts(self, ends: list[gateway.ItemEnded]) -> list[bytes]:
+        """Texts of the first of these ends, as many as one page holds.
+
+        Raises:
+            RefusedError: not even the first can be read now.
+        """
+        size, count = 0, 0
+        for end in ends:
+            size += end.text_bytes
+            if count and size > MAX_PAGE_TEXT_BYTES:
+                break
+            count += 1
+        try:
+            return self._log.texts.get(ends[:count])
+        except (StoreUnavailableError, NotFoundError) as exc:
+            # What this node has read before is told all the same.
+            at_hand = list(itertools.takewhile(self._log.texts.cached, ends[:count]))
+            self._events.emit(
+                Event.LOG_UNAVAILABLE, error=exc.message, texts=count, at_hand=len(at_hand)
+            )
+            if not at_hand:
+                raise RefusedError(
+                    "the store is out of reach", retry_after=STORE_RETRY_AFTER
+                ) from exc
+            return self._log.texts.get(at_hand)
 
     def _job(self, job_id: str) -> BoardJob:
         job = self._log.board.jobs.get(job_id)
@@ -353,42 +375,42 @@
         index = job.index_of(item_id)
         if index is None:
             raise NotFoundError("there is no such item")
-        return self.item_body(job, index)
+        return self.item_request(job, index).body
 
-    def item_body(self, job: BoardJob, index: int) -> bytes:
-        """The body of an item, from memory or from the store.
+    def item_request(self, job: BoardJob, index: int) -> gateway.ItemRequest:
+        """What an item is sent as, from memory or from the store.
 
         Raises:
             NotFoundError: it is not kept any more.
             RefusedError: the store is out of reach.
         """
-        kept = self.bodies.get(job.job_id)
+        kept = self.requests.get(job.job_id)
         if kept is not None:
             return kept[index]
         try:
-            return self._log.body(job, index)
+            return gateway.ItemRequest().parse(self._log.request(job, index))
         except StoreUnavailableError as error:
             raise RefusedError(
                 "the store is out of reach", retry_after=STORE_RETRY_AFTER
             ) from error
 
-    def fetch_bodies(self, job: BoardJob) -> None:
-        """Get the bodies of a job that this node works on now, with as few calls as may be.
+    def fetch_requests(self, job: BoardJob) -> None:
+        """Get the requests of a job that this node works on now, with as few calls as may be.
 
-        Its items run several times where they give way, and each run needs the body.
+        Its items run several times where they give way, and each run needs the request.
         """
-        size = sum(item.body_bytes for item in job.accepted.items)
-        if job.job_id in self.bodies or size > MAX_FETCHED_BYTES:
+        size = sum(item.request_bytes for item in job.items)
+        if job.job_id in self.requests or size > MAX_FETCHED_BYTES:
             return
         try:
-            bodies = self._log.bodies(job)
+            found = self._log.requests(job)
         except (StoreUnavailableError, NotFoundError) as exc:
             # Each run asks for its own.
             self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, job=job.job_id)
             return
         known = self._log.board.jobs.get(job.job_id)
         if known is not None and known.open:
-            self.bodies[job.job_id] = bodies
+            self.requests[job.job_id] = [gateway.ItemRequest().parse(one) for one in found]
 
     def end(self, job_id: str) -> None:
         """End a job; what is listed stays.
@@ -411,9 +433,14 @@
         self._events.emit(Event.ROUTED_JOB_ENDED, job=job_id, listed=len(job.results))
 
 
-def _listed(job: BoardJob, result: gateway.ItemEnded) -> ListedResult:
+def _listed(job: BoardJob, result: gateway.ItemEnded, text: bytes) -> ListedResult:
     return ListedResult(
-        item_id=job.accepted.items[result.item_index].item_id,
+        item_id=job.items[result.item_index].item_id,
         completed=result.state == gateway.ItemState.ITEM_STATE_COMPLETED,
-        text=unpack_text(result.text),
+        text=text,
     )
+
+
+def _item_request(item: SubmittedItem) -> gateway.ItemRequest:
+    headers = [gateway.ItemHeader(name=name, value=value) for name, value in item.headers]
+    return gateway.ItemRequest(target=item.target, headers=headers, body=item.body)
--- a/postvalve/gateway/running_item.py
+++ b/postvalve/gateway/running_item.py
@@ -15,6 +15,8 @@
 
     job_id: str
     index: int
+    claim_id: str
+    """The claim by which this node works on it."""
     due_at_ms: int
     output_tokens: int = 0
     prompt_tokens: int = 0
--- a/postvalve/gateway/status.py
+++ b/postvalve/gateway/status.py
@@ -52,7 +52,7 @@
             "job_id": job.job_id,
             "route": job.accepted.route,
             "node_id": job.node_id,
-            "items": len(job.accepted.items),
+            "items": len(job.items),
             "listed": len(job.results),
             "due_at_ms": job.accepted.due_at_ms,
         }
--- a/postvalve/platform/lots.py
+++ b/postvalve/platform/lots.py
@@ -11,7 +11,7 @@
 from postvalve.exceptions import InvalidRequestError, MethodNotAllowedError
 from postvalve.gateway.http_calls import HttpCall, HttpReply
 from postvalve.gateway.job_service import JobService, ResultPage, Submission, SubmittedItem
-from postvalve.platform.dialect import REQUEST_ID
+from postvalve.platform.dialect import REQUEST_ID, PlatformDialect
 from postvalve.settings.routes import RouteSpec
 
 JOBS_PATH = "/api/lots/"
@@ -85,16 +85,7 @@
 def _items(body: bytes) -> tuple[SubmittedItem, ...]:
     try:
         job = _Job.model_validate_json(body)
-        return tuple(
-            SubmittedItem(
-                item_id=item.id,
-                target=item.path,
-                headers=list(item.headers.items()),
-                body=base64.b64decode(item.body, validate=True),
-                tokens=item.tokens,
-            )
-            for item in job.items
-        )
+        return tuple(_submitted(item) for item in job.items)
     except ValidationError as error:
         raise InvalidRequestError(
             f"the job can't be read: {error.error_count()} mistakes"
@@ -103,6 +94,20 @@
         raise InvalidRequestError(f"an item's body is no base64: {error}") from None
 
 
+def _submitted(item: _Item) -> SubmittedItem:
+    headers = list(item.headers.items())
+    terms = PlatformDialect().read_terms(headers)
+    return SubmittedItem(
+        item_id=item.id,
+        target=item.path,
+        headers=headers,
+        body=base64.b64decode(item.body, validate=True),
+        tokens=item.tokens,
+        prompt_tokens=terms.shared_tokens + terms.own_tokens,
+        output_tokens=terms.output_tokens,
+    )
+
+
 def _page_document(page: ResultPage, position: int) -> bytes:
     results: list[dict[str, str]] = []
     size = 0
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -262,6 +262,23 @@
         answer = self.fleet.request("n2", "/api/items/k?id=k-2", method="GET")
         self.assertEqual((answer.status, answer.body), (200, b"body 2"))
 
+    def test_results_that_were_read_here_are_told_while_the_store_is_down(self):
+        self.submit("n0", "j")
+        results = self.results("n1", "j")
+        for node in ("n0", "n1"):
+            self.results(node, "j")
+        self.fleet.topics.down = True
+        for node in ("n0", "n1"):
+            self.assertEqual(self.page(node, "j").document["results"], results)
+        # A node that has read none of them can't tell them, and says so.
+        fresh = self.fleet.nodes["n1"]._log.texts
+        fresh._cache.clear()
+        answer = self.page("n1", "j")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.fleet.topics.down = False
+        self.assertEqual(self.results("n1", "j"), results)
+
     def test_store_is_down(self):
         self.submit("n0", "j")
         results = self.results("n0", "j")
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -10,7 +10,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.events import Event
-from postvalve.gateway.end_writer import EndWriter
+from postvalve.gateway.end_writer import EndedItem, EndWriter
 from postvalve.gateway.event_stream import event_data, event_id_of
 from postvalve.gateway.job_claims import ALL_HEARD_AFTER, CLAIM_AFTER_START, JobClaims
 from postvalve.messages.generated import gateway
@@ -96,7 +96,8 @@
 
     def add(self, count, size):
         for index in range(count):
-            self.writer.add(gateway.ItemEnded(job_id="j", item_index=index, text=b"x" * size))
+            state = gateway.ItemState.ITEM_STATE_COMPLETED
+            self.writer.add(EndedItem("j", index, "c", state, b"x" * size))
 
     def test_ends_are_written_in_order_and_in_calls_that_fit(self):
         self.add(40, 2_000)
--- a/tests/test_item_progress.py
+++ b/tests/test_item_progress.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from postvalve.core.batch.job_board import BoardJob
+from postvalve.core.batch.job_items import unpack_items
 from postvalve.core.batch.progress import assemble, segment_key
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.exceptions import Verdict
@@ -86,7 +87,7 @@
 
 def job():
     message = accepted()
-    return BoardJob(message, "c0", "n0", 1, holders=["n0"])
+    return BoardJob(message, unpack_items(message.items), "c0", "n0", 1, claims=[("c0", "n0")])
 
 
 def text_of(saved):
--- a/tests/test_job_board.py
+++ b/tests/test_job_board.py
@@ -1,11 +1,13 @@
 """The board of routed batch jobs: every reader decides alike, also from the newest records."""
 
+import contextlib
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from postvalve.core.batch.job_board import JobBoard, RecordKind, board_of, record_key
+from postvalve.core.batch.job_board import JOB_FORM, JobBoard, RecordKind, board_of, record_key
+from postvalve.core.batch.job_items import ItemSpec, JobItemsError, pack_items, unpack_items
 from postvalve.messages.generated import gateway
 
 ITEMS = 3
@@ -15,7 +17,8 @@
     return gateway.JobAccepted(
         job_id=job_id,
         route=route,
-        items=[gateway.ItemSpec(item_id=f"i{n}", tokens=tokens) for n in range(ITEMS)],
+        items=pack_items(ItemSpec(f"i{n}", tokens) for n in range(ITEMS)),
+        form=JOB_FORM,
         accepted_at_ms=1_000,
         give_up_at_ms=61_000,
         node_id="n0",
@@ -24,12 +27,12 @@
     )
 
 
-def ended(index, text=b"t", job_id="j"):
+def ended(index, text_offset=1, job_id="j"):
     return gateway.ItemEnded(
         job_id=job_id,
         item_index=index,
         state=gateway.ItemState.ITEM_STATE_COMPLETED,
-        text=text,
+        text_offset=text_offset,
     )
 
 
@@ -64,13 +67,11 @@
         return board
 
     def test_first_end_of_an_item_counts(self):
-        self.topic.add(RecordKind.ITEM, ended(1, b"first"), "j", "1", "a")
-        self.topic.add(RecordKind.ITEM, ended(1, b"second"), "j", "1", "b")
+        self.topic.add(RecordKind.ITEM, ended(1, 71), "j", "1", "a")
+        self.topic.add(RecordKind.ITEM, ended(1, 72), "j", "1", "b")
         self.topic.add(RecordKind.ITEM, ended(0), "j", "0", "c")
         results = self.board().jobs["j"].results
-        self.assertEqual(
-            [(one.item_index, one.text) for one in results], [(1, b"first"), (0, b"t")]
-        )
+        self.assertEqual([(one.item_index, one.text_offset) for one in results], [(1, 71), (0, 1)])
 
     def test_nothing_counts_after_the_end_of_the_job(self):
         self.topic.add(RecordKind.END, gateway.JobEnded(job_id="j"), "j", "a")
@@ -108,11 +109,53 @@
         self.assertEqual(board.expired(100_000, 30_000), [board.jobs["j"]])
         self.assertEqual(board.expired(80_000, 30_000), [])
 
-    def test_unreadable_records_are_passed_over(self):
+    def test_unreadable_records_are_passed_over_and_told(self):
         board = self.board()
         board.observe(5, "item/j/1/a", b"\xff\xff\xff")
         board.observe(6, "unknown/j", b"x")
         self.assertTrue(board.jobs["j"].open)
+        self.assertEqual(board.unreadable, ["item/j/1/a"])
+
+    def test_acceptances_in_another_form_are_told(self):
+        board = JobBoard()
+        former = accepted()
+        former.form = 0
+        board.observe(0, "accept/j/c0", bytes(former))
+        self.assertEqual((board.jobs, board.unreadable), ({}, ["accept/j/c0"]))
+
+    def test_every_claim_is_remembered(self):
+        self.topic.add(RecordKind.CLAIM, claimed("c1", "c0", "n1"), "j", "c1")
+        self.topic.add(RecordKind.CLAIM, claimed("c9", "c0", "n2"), "j", "c9")
+        job = self.board().jobs["j"]
+        self.assertEqual(job.claims, [("c0", "n0"), ("c1", "n1")])
+        self.assertEqual(job.holders, ["n0", "n1"])
+
+
+class ItemTableTest(unittest.TestCase):
+    numbers = st.integers(0, 2**32 - 1)
+    items = st.lists(
+        st.builds(
+            ItemSpec, st.text(max_size=40), numbers, numbers, numbers, st.integers(0, 9), numbers
+        ),
+        max_size=6,
+    ).map(tuple)
+
+    @given(items)
+    def test_a_table_comes_back_as_it_was(self, items):
+        self.assertEqual(unpack_items(pack_items(items)), items)
+
+    @given(items, st.integers(1, 50))
+    def test_a_cut_table_is_none_or_shorter(self, items, missing):
+        data = pack_items(items)
+        with contextlib.suppress(JobItemsError):
+            read = unpack_items(data[: max(0, len(data) - missing)])
+            self.assertEqual(read, items[: len(read)])
+            self.assertLess(len(read), max(1, len(items)))
+
+    @given(st.binary(max_size=100))
+    def test_other_bytes_raise_nothing_else(self, data):
+        with contextlib.suppress(JobItemsError):
+            unpack_items(data)
 
 
 class NewestTest(unittest.TestCase):
@@ -123,11 +166,11 @@
         topic = Topic()
         topic.add(RecordKind.ACCEPT, accepted(), "j", "c0")
         for number, (index, repeated) in enumerate(ends):
-            topic.add(RecordKind.ITEM, ended(index, bytes([index])), "j", str(index), str(number))
+            topic.add(RecordKind.ITEM, ended(index, number), "j", str(index), str(number))
             if repeated:
                 # The answer was lost; the repetition has a key of its own.
                 key = f"{number}/1"
-                topic.add(RecordKind.ITEM, ended(index, bytes([index])), "j", str(index), key)
+                topic.add(RecordKind.ITEM, ended(index, number), "j", str(index), key)
         live = JobBoard()
         for offset, key, value in topic.log:
             live.observe(offset, key, value)
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -1,18 +1,24 @@
 """The job topic under a store that loses, delays and forgets."""
 
+import itertools
 import unittest
 from unittest import mock
 
 import gevent
 
 from postvalve.clock import SystemClock
-from postvalve.core.batch.job_board import RecordKind, record_key
+from postvalve.core.batch.job_board import JOB_FORM, RecordKind, record_key
+from postvalve.core.batch.job_items import ItemSpec, pack_items
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.exceptions import Verdict
+from postvalve.gateway import result_texts
+from postvalve.gateway.end_writer import EndedItem, EndWriter
 from postvalve.gateway.interfaces import GatewaySettings, KeyedRecord, StoreUnavailableError
 from postvalve.gateway.job_log import JobLog
+from postvalve.gateway.result_texts import pack_text
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
+from tests.test_job_board import accepted
 
 SETTINGS = GatewaySettings(
     node_id="n",
@@ -37,8 +43,10 @@
 def accept(log, items=3):
     accepted = gateway.JobAccepted(
         job_id="j",
-        items=[gateway.ItemSpec(item_id=str(number)) for number in range(items)],
+        items=pack_items(ItemSpec(str(number)) for number in range(items)),
         claim_id="c",
+        node_id="n",
+        form=JOB_FORM,
     )
     key = record_key(RecordKind.ACCEPT, "j", "c")
     log.follower.catch_up()
@@ -46,7 +54,7 @@
 
 
 def end_record(index):
-    ended = gateway.ItemEnded(job_id="j", item_index=index, text=b"t")
+    ended = gateway.ItemEnded(job_id="j", item_index=index, claim_id="c")
     return KeyedRecord(record_key(RecordKind.ITEM, "j", str(index), "nonce"), bytes(ended))
 
 
@@ -95,53 +103,54 @@
         self.assertFalse(one.append_at_end([end_record(0)]))
 
 
-class BodyTest(unittest.TestCase):
+class RequestTest(unittest.TestCase):
     def setUp(self):
         self.topics = MemoryTopics()
         self.log = job_log(self.topics)
-        self.bodies = [b"", b"x" * 3, bytes(range(256)) * 100, b"last"]
+        self.requests = [b"", b"x" * 3, bytes(range(256)) * 100, b"last"]
 
     def job(self):
-        offset, counts = self.log.store_bodies("j", "c", 1, self.bodies)
+        refs = self.log.store_requests("j", "c", 1, self.requests)
         accepted = gateway.JobAccepted(
             job_id="j",
-            items=[
-                gateway.ItemSpec(item_id=str(number), body_records=count, body_bytes=len(body))
-                for number, (count, body) in enumerate(zip(counts, self.bodies, strict=True))
-            ],
+            items=pack_items(
+                ItemSpec(str(number), request_records=ref.records, request_bytes=ref.size)
+                for number, ref in enumerate(refs)
+            ),
             claim_id="c",
-            body_partition=1,
-            body_offset=offset,
+            request_partition=1,
+            request_offset=refs[0].offset,
+            form=JOB_FORM,
         )
         key = record_key(RecordKind.ACCEPT, "j", "c")
         self.log.append([KeyedRecord(key, bytes(accepted))], 0.0)
         self.log.follower.catch_up()
         return self.log.board.jobs["j"]
 
-    def test_bodies_of_any_size_come_back(self):
+    def test_requests_of_any_size_come_back(self):
         job = self.job()
-        read = [self.log.body(job, index) for index in range(len(self.bodies))]
-        self.assertEqual(read, self.bodies)
+        read = [self.log.request(job, index) for index in range(len(self.requests))]
+        self.assertEqual(read, self.requests)
 
-    def test_bodies_come_back_after_the_history_is_dropped(self):
+    def test_requests_come_back_after_the_history_is_dropped(self):
         job = self.job()
         self.topics.drop_history()
-        read = [self.log.body(job, index) for index in range(len(self.bodies))]
-        self.assertEqual(read, self.bodies)
+        read = [self.log.request(job, index) for index in range(len(self.requests))]
+        self.assertEqual(read, self.requests)
 
-    def test_bodies_come_back_after_lost_answers(self):
+    def test_requests_come_back_after_lost_answers(self):
         self.topics.lost_answers = 2
         job = self.job()
-        read = [self.log.body(job, index) for index in range(len(self.bodies))]
-        self.assertEqual(read, self.bodies)
+        read = [self.log.request(job, index) for index in range(len(self.requests))]
+        self.assertEqual(read, self.requests)
 
-    def test_all_bodies_of_a_job_come_with_one_call(self):
+    def test_all_requests_of_a_job_come_with_one_call(self):
         job = self.job()
         calls = self.topics.calls
-        self.assertEqual(self.log.bodies(job), self.bodies)
+        self.assertEqual(self.log.requests(job), self.requests)
         self.assertEqual(self.topics.calls - calls, 1)
 
-    def test_a_body_is_read_without_what_lies_behind_it(self):
+    def test_a_request_is_read_without_what_lies_behind_it(self):
         job = self.job()
         read = []
         whole = self.topics.read
@@ -152,18 +161,98 @@
             return part
 
         with mock.patch.object(self.topics, "read", counted):
-            self.log.body(job, 1)
-        self.assertEqual(read, [1 + len(self.bodies[1])])
+            self.log.request(job, 1)
+        self.assertEqual(read, [1 + len(self.requests[1])])
 
     def test_dropped_jobs_leave_nothing(self):
         job = self.job()
         self.log.drop_jobs([job])
-        self.assertEqual(self.topics.partition("bodies", 1).newest(), [])
+        self.assertEqual(self.topics.partition("requests", 1).newest(), [])
         self.assertEqual(self.topics.partition("jobs", 0).newest(), [])
         self.log.follower.catch_up()
         self.assertEqual(self.log.board.jobs, {})
 
 
+class TextTest(unittest.TestCase):
+    """Texts of ended items lie apart from the records that all nodes read."""
+
+    def setUp(self):
+        self.topics = MemoryTopics()
+        self.log = job_log(self.topics)
+        accept(self.log)
+        self.texts = {0: b"short", 1: bytes(range(256)) * 200, 2: b"last"}
+        self.new_id = map(str, itertools.count()).__next__
+
+    def end(self, *indexes, claim="c"):
+        state = gateway.ItemState.ITEM_STATE_COMPLETED
+        writer = EndWriter(self.log, QuietLog(), SETTINGS.call_bytes, self.new_id)
+        writer._write(
+            [EndedItem("j", index, claim, state, pack_text(self.texts[index])) for index in indexes]
+        )
+
+    def read(self, log):
+        log.follower.catch_up()
+        results = log.board.jobs["j"].results
+        texts = log.texts.get(results)
+        return {end.item_index: text for end, text in zip(results, texts, strict=True)}
+
+    def test_texts_of_any_size_come_back_at_every_node(self):
+        self.end(0, 1)
+        self.end(2)
+        self.assertEqual(self.read(self.log), self.texts)
+        self.assertEqual(self.read(job_log(self.topics)), self.texts)
+        self.topics.drop_history()
+        self.assertEqual(self.read(job_log(self.topics)), self.texts)
+
+    def test_texts_survive_lost_answers(self):
+        self.topics.lost_answers = 2
+        self.end(0, 1, 2)
+        self.assertEqual(self.read(job_log(self.topics)), self.texts)
+
+    def test_records_of_ends_do_not_grow_with_the_texts(self):
+        self.end(0, 1, 2)
+        sizes = {len(one.value) for one in self.topics.partition("jobs", 0).newest()[1:]}
+        self.assertLess(max(sizes), 100)
+
+    def test_texts_that_were_read_or_written_here_need_no_call(self):
+        self.end(0, 1)
+        other = job_log(self.topics)
+        for log in (self.log, other):
+            self.read(log)
+            before = self.topics.calls
+            results = log.board.jobs["j"].results
+            log.texts.get(results)
+            self.assertEqual(self.topics.calls, before)
+
+    def test_a_node_keeps_so_many_bytes_of_texts(self):
+        self.end(0, 1, 2)
+        with mock.patch.object(result_texts, "CACHE_BYTES", 60):
+            reader = job_log(self.topics)
+            self.assertEqual(self.read(reader), self.texts)
+            self.assertEqual(len(reader.texts._cache), 1)
+            self.assertEqual(self.read(reader), self.texts)
+
+    def test_an_end_that_came_second_changes_no_text(self):
+        self.end(0)
+        self.texts[0] = b"another run"
+        self.end(0, claim="c2")
+        self.assertEqual(self.read(job_log(self.topics)), {0: b"short"})
+
+    def test_dropped_jobs_leave_no_text_not_even_of_a_second_end(self):
+        self.end(0, 1)
+        self.texts[0] = b"another run"
+        claim = gateway.JobClaimed(job_id="j", claim_id="c2", replaces="c", node_id="n")
+        key = record_key(RecordKind.CLAIM, "j", "c2")
+        self.log.append([KeyedRecord(key, bytes(claim))], 0.0)
+        self.end(0, claim="c2")
+        self.log.follower.catch_up()
+        self.log.drop_jobs([self.log.board.jobs["j"]])
+        left = [
+            one.key for part in range(2) for one in self.topics.partition("texts", part).newest()
+        ]
+        self.assertEqual(left, [])
+
+
 class RestartTest(unittest.TestCase):
     def test_a_job_taken_while_the_board_is_read_is_found(self):
         """Found by a hunt: a node that starts while others start and take jobs."""
@@ -177,9 +266,7 @@
             answer = read(topics, topic, part, after)
             if not taken:
                 taken.append(True)
-                topics.append(
-                    "jobs", 0, [KeyedRecord("accept/j/c0", bytes(gateway.JobAccepted(job_id="j")))]
-                )
+                topics.append("jobs", 0, [KeyedRecord("accept/j/c0", bytes(accepted()))])
                 topics.append(
                     "jobs", 0, [KeyedRecord("node/n9", bytes(gateway.NodeStarted(node_id="n9")))]
                 )
