One node of the zone watches over each engine and tells items to give way at once

Change: a node reports out of turn to the one that watches over the engine (rendezvous among the zone's nodes); that one tells the least urgent items to go. Nobody is asked before a request is placed.

--- a/postvalve/core/batch/giving_way.py
+++ b/postvalve/core/batch/giving_way.py
@@ -16,6 +16,9 @@
 """Engine's hash, urgency in milliseconds of the epoch."""
 _ZONE_ENTRY = struct.Struct("!IQH")
 """The same, and which of the zone's members runs the item."""
+TOLD_TIME = 0.4
+"""Seconds within which an item that was told to give way has left the reports; if it has not, the
+message was lost, and it is told again."""
 
 
 class RunningItems:
@@ -95,3 +98,38 @@
         return 0
     order = sorted([*((due, node_id) for due in own), *others], reverse=True)
     return sum(1 for _, owner in order[:excess] if owner == node_id)
+
+
+class VictimChooser:
+    """Which items the node that watches over an engine tells to give way.
+
+    What it told stands in the reports for a while, so it remembers it, and tells nobody twice.
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[int, list[tuple[float, tuple[int, str]]]] = {}
+        """When each item was told, by engine."""
+
+    def choose(
+        self, engine: int, running: Sequence[tuple[int, str]], excess: int, now: float
+    ) -> list[tuple[int, str]]:
+        """Urgency and node of the items that are to be told now.
+
+        Args:
+            engine: The engine's hash.
+            running: Urgency and node of each item that runs there.
+            excess: Items that should give way, those that were told among them.
+            now: Monotonic seconds.
+        """
+        if excess <= 0:
+            self._told.pop(engine, None)
+            return []
+        left = sorted(running, reverse=True)
+        waited_for = []
+        for told_at, item in self._told.get(engine, ()):
+            if now - told_at < TOLD_TIME and item in left:
+                left.remove(item)
+                waited_for.append((told_at, item))
+        chosen = left[: max(0, excess - len(waited_for))]
+        self._told[engine] = waited_for + [(now, item) for item in chosen]
+        return chosen
--- /dev/null
+++ b/postvalve/gateway/engine_watch.py
@@ -0,0 +1,142 @@
+"""Batch items give way at once: one node of the zone watches over each engine.
+
+Online requests go to engines whose free slots are filled with batch items but for a few. Nodes
+hear of each other's requests some tenths of a second late, and by then online requests wait. So
+each node reports out of turn to the one that watches over the engine, and that one tells the
+least urgent items to go. Nobody asks it before a request is placed: when it is lost, or two watch
+for a moment, items give way later, or one too many does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from postvalve.clock import Clock
+from postvalve.core.admission.engine_use import engine_hash
+from postvalve.core.batch.giving_way import RunningItems, VictimChooser
+from postvalve.core.membership.ownership import preferred_owner
+from postvalve.core.membership.peers import PeerView
+from postvalve.events import Event, EventLog
+from postvalve.gateway.fleet import EngineFleet
+from postvalve.messages.framing import encode_frame
+from postvalve.messages.generated import gateway
+from postvalve.node.transport import Transport
+
+TELL_DELAY = 0.005
+"""Seconds in which requests gather before they are told: items of a job start together."""
+LOOK_AGE = 0.5
+"""Seconds after which it is worked out anew who watches over which engine."""
+
+
+class EngineWatch:
+    """This node's part in it."""
+
+    def __init__(
+        self,
+        identity: gateway.NodeStarted,
+        clock: Clock,
+        events: EventLog,
+        transport: Transport,
+        fleet: EngineFleet,
+        peers: PeerView,
+        items: RunningItems,
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._events = events
+        self._transport = transport
+        self._fleet = fleet
+        self._peers = peers
+        self._items = items
+        self._victims = VictimChooser()
+        self._watchers: dict[str, str] = {}
+        """Node that watches over each engine of this zone."""
+        self._looked_at = float("-inf")
+        self._untold: set[str] = set()
+        """Watchers that have not been told yet of the newest requests."""
+        self.own_report: Callable[[], bytes] = bytes
+        """Gives this node's present report, as a datagram."""
+        self.own_urgencies: Callable[[str], list[int]] = lambda engine_id: []
+        """Gives the urgencies of this node's items at an engine."""
+        self.on_give_way: Callable[[int, int], None] = lambda engine, urgency: None
+        """Takes an engine's hash, and the urgency of an item that gives way there."""
+
+    def note_placed(self, engine_id: str) -> None:
+        """This node has sent something to an engine."""
+        watcher = self._watcher_of(engine_id)
+        if watcher is None:
+            return
+        if not self._untold:
+            gevent.spawn_later(TELL_DELAY, self._tell)
+        self._untold.add(watcher)
+
+    def _watcher_of(self, engine_id: str) -> str | None:
+        now = self._clock.monotonic()
+        if now - self._looked_at >= LOOK_AGE:
+            self._looked_at = now
+            self._find_watchers()
+        return self._watchers.get(engine_id)
+
+    def _find_watchers(self) -> None:
+        zone = self._identity.zone
+        nodes = [one.node_id for one in self._peers.neighbours(zone) if not one.report.leaving]
+        nodes.append(self._identity.node_id)
+        near = [one.engine_id for one in self._fleet.listed_engines() if one.zone == zone]
+        watchers = {engine_id: preferred_owner(engine_id, nodes) for engine_id in near}
+        self._watchers = {key: one for key, one in watchers.items() if one is not None}
+
+    def _tell(self) -> None:
+        watchers, self._untold = self._untold, set()
+        if self._identity.node_id in watchers:
+            watchers.discard(self._identity.node_id)
+            self.look()
+        if not watchers:
+            return
+        data = self.own_report()
+        for watcher in watchers:
+            peer = self._peers.get(watcher)
+            if peer is not None:
+                self._transport.send(peer.report.peer_address, data)
+
+    def look(self) -> None:
+        """Tell items to go where an engine that this node watches over runs too many."""
+        for engine_id, watcher in self._watchers.items():
+            if watcher == self._identity.node_id:
+                self._relieve(engine_id)
+
+    def _relieve(self, engine_id: str) -> None:
+        engine, own = engine_hash(engine_id), self._identity.node_id
+        excess = self._fleet.excess(engine_id)
+        running = self._items.at(engine) if excess > 0 else []
+        if excess > 0:
+            running += [(urgency, own) for urgency in self.own_urgencies(engine_id)]
+        for urgency, node_id in self._victims.choose(
+            engine, running, excess, self._clock.monotonic()
+        ):
+            self._events.emit(
+                Event.ITEM_TOLD_TO_GIVE_WAY, engine=engine_id, peer=node_id, excess=excess
+            )
+            self._send(engine, urgency, node_id)
+
+    def _send(self, engine: int, urgency: int, node_id: str) -> None:
+        if node_id == self._identity.node_id:
+            self.on_give_way(engine, urgency)
+            return
+        peer = self._peers.get(node_id)
+        if peer is not None:
+            msg = gateway.GiveWay(engine=engine, urgency=urgency)
+            self._transport.send(peer.report.peer_address, encode_frame(msg, 0))
+
+    def urge_far(self, engine_id: str) -> None:
+        """An engine of another zone is crowded, as far as this node knows."""
+        if engine_id in self._watchers:
+            return
+        engine = engine_hash(engine_id)
+        known = [one for one in self._items.at(engine) if self._peers.get(one[1]) is not None]
+        excess = self._fleet.excess(engine_id)
+        for urgency, node_id in self._victims.choose(
+            engine, known, excess, self._clock.monotonic()
+        ):
+            self._send(engine, urgency, node_id)
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -95,6 +95,8 @@
         """Gives a service of the configuration in force."""
         self.on_change: Callable[[], None] = lambda: None
         """Called after a request was counted in or out."""
+        self.on_placed: Callable[[str], None] = lambda engine_id: None
+        """Called after a request was counted in at an engine."""
         self.on_crowded: Callable[[str], None] = lambda engine_id: None
         """Called when an online request was sent to an engine where batch must give way."""
 
@@ -311,6 +313,7 @@
         )
         self.use.enter(entry.engine_id, batch=batch, unread=unread, memory=memory)
         self.on_change()
+        self.on_placed(entry.engine_id)
         return placement
 
     def leave(self, placement: Placement) -> None:
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -235,13 +235,14 @@
         self._topics.on_change = self._reports.changed
         self._nodes.on_change = self._reports.look_again
         self._fleet.on_crowded = self._engine_crowded
+        self._fleet.on_placed = self._reports.watch.note_placed
         self._fleet.directory_unsettled = lambda: self._engines.unsettled(self._clock.monotonic())
         self._directory_follower.on_lost = self._engines.store_lost
         self._directory_follower.on_back = lambda: self._engines.store_back(self._clock.monotonic())
 
     def _engine_crowded(self, engine_id: str) -> None:
         self._runner.wake()
-        self._reports.urge(engine_id)
+        self._reports.watch.urge_far(engine_id)
 
     @property
     def ready(self) -> bool:
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -98,7 +98,8 @@
         reports.waiting_due = self.waiting_due
         reports.running_items = self.running_items
         reports.items_running = self.items_running
-        reports.on_give_way = self.give_way_at
+        reports.watch.on_give_way = self.give_way_at
+        reports.watch.own_urgencies = self._urgencies_at
 
     @property
     def in_progress(self) -> int:
@@ -284,7 +285,7 @@
         if placement is None:
             return False
         item.running = True
-        item.preempted = False
+        item.preempted = item.told_to_go = False
         item.placement = placement
         item.started_at = self._clock.monotonic()
         gevent.spawn(self._run, item, placement)
@@ -459,20 +460,31 @@
             item.answer.abort()
 
     def give_way_at(self, engine: int, urgency: int) -> None:
-        """Let the item go that a peer has found to be the least urgent one at an engine.
+        """Let an item go that is one of the least urgent ones of all nodes at an engine.
 
         Args:
             engine: The engine's hash.
-            urgency: That of the item, as this node told it; one that has become less urgent goes
-                in its place, so that a peer that asks again stops no second one.
+            urgency: That of the item, as this node told it. Nothing goes where all that run are
+                more urgent: the item has ended meanwhile.
         """
         for engine_id, running in self._running_by_engine().items():
-            if engine_hash(engine_id) != engine:
+            open_to = [item for item in running if not item.told_to_go]
+            if engine_hash(engine_id) != engine or not open_to:
                 continue
-            item = max(running, key=self._urgency)
-            if not item.preempted and self._urgency(item) >= urgency:
+            # One that gives way already, or of equals the one that has the least to read anew.
+            item = max(
+                open_to, key=lambda one: (self._urgency(one), one.preempted, -len(one.events))
+            )
+            if self._urgency(item) < urgency:
+                continue
+            item.told_to_go = True
+            if not item.preempted:
                 self._preempt(item)
 
+    def _urgencies_at(self, engine_id: str) -> list[int]:
+        running = self._running_by_engine().get(engine_id, ())
+        return [self._urgency(item) for item in running]
+
     def _running_by_engine(self) -> dict[str, list[RunningItem]]:
         by_engine: dict[str, list[RunningItem]] = {}
         for items in self._items.values():
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -8,7 +8,6 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock
-from postvalve.core.admission.engine_use import engine_hash
 from postvalve.core.batch.giving_way import RunningItems
 from postvalve.core.batch.item_order import encode_groups, group_by_due
 from postvalve.core.membership.load_report import (
@@ -17,7 +16,7 @@
     RunningItem,
     unpack_report,
 )
-from postvalve.core.membership.peers import Peer, PeerView
+from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.report_pace import (
     FAR_RATE,
     IDLE_INTERVAL,
@@ -29,6 +28,7 @@
 from postvalve.core.membership.zone_reporting import tells_by_digest
 from postvalve.core.randomness import RandomSource
 from postvalve.events import Event, EventLog
+from postvalve.gateway.engine_watch import EngineWatch
 from postvalve.gateway.fleet import EngineFleet
 from postvalve.gateway.zone_digests import ZoneDigests
 from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
@@ -37,8 +37,6 @@
 
 TARGETS_AGE = 0.5
 """Seconds between looks at who the peers are, and which of them are silent."""
-URGE_INTERVAL = 0.03
-"""Seconds between two reports out of turn to one peer."""
 MAX_SILENCE = 60.0
 """Seconds; longer silences of the store are told as this."""
 
@@ -68,8 +66,6 @@
         self._near = ReportPace(NEAR_RATE)
         self._far = ReportPace(FAR_RATE)
         self._sequence = 0
-        self._urged_at: dict[str, float] = {}
-        """When each peer was told last that its items should give way."""
         self._targets: tuple[list[str], list[str]] = ([], [])
         """Addresses of the peers in this node's zone, and in all others."""
         self._looked_at = float("-inf")
@@ -94,8 +90,8 @@
             generator,
         )
         self.zones.own_report = self._report
-        self.on_give_way: Callable[[int, int], None] = lambda engine, urgency: None
-        """Takes an engine's hash, and the urgency of the items that give way there."""
+        self.watch = EngineWatch(identity, clock, events, transport, fleet, peers, self.items)
+        self.watch.own_report = self._next
         self.on_report: Callable[[LoadReport], None] = lambda report: None
         fleet.on_change = self._changed.set
 
@@ -108,30 +104,6 @@
         self._looked_at = float("-inf")
         self._changed.set()
 
-    def urge(self, engine_id: str) -> None:
-        """Tell the node at once whose item gives way first at an engine.
-
-        The next report may be some tenths of a second away, and an online request waits there.
-        """
-        engine = engine_hash(engine_id)
-        for urgency, node_id in sorted(self.items.at(engine), reverse=True):
-            peer = self._peers.get(node_id)
-            if peer is not None:
-                self._urge(peer, engine, urgency)
-                return
-
-    def _urge(self, peer: Peer, engine: int, urgency: int) -> None:
-        now = self._clock.monotonic()
-        if now - self._urged_at.get(peer.node_id, float("-inf")) < URGE_INTERVAL:
-            return
-        self._urged_at[peer.node_id] = now
-        if self._peers.reports(peer.node_id):
-            self._transport.send(peer.report.peer_address, self._next())
-            return
-        # A node of a zone that is told by digest could not make this node's counts out of it.
-        msg = gateway.GiveWay(engine=engine, urgency=urgency)
-        self._transport.send(peer.report.peer_address, encode_frame(msg, 0))
-
     def _next(self) -> bytes:
         """The next report, as a datagram."""
         self._sequence += 1
@@ -172,7 +144,6 @@
         silent = self._peers.expire(now)
         for node_id in silent.nodes:
             self._forget(node_id)
-            self._urged_at.pop(node_id, None)
             self._events.emit(Event.PEER_SILENT, peer=node_id)
         for zone in silent.zones:
             self._forget(ZONE_PREFIX + zone)
@@ -221,7 +192,7 @@
                 self.zones.receive(msg, address)
                 return
             if isinstance(msg, gateway.GiveWay):
-                self.on_give_way(msg.engine, msg.urgency)
+                self.watch.on_give_way(msg.engine, msg.urgency)
                 return
             if not isinstance(msg, gateway.LoadReport):
                 return
@@ -238,4 +209,5 @@
         if first:
             self.look_again()
             self._events.emit(Event.PEER_HEARD, peer=report.node_id, incarnation=report.incarnation)
+        self.watch.look()
         self.on_report(report)
--- a/postvalve/gateway/running_item.py
+++ b/postvalve/gateway/running_item.py
@@ -29,6 +29,8 @@
     running: bool = False
     cancelled: bool = False
     preempted: bool = False
+    told_to_go: bool = False
+    """Whether a peer has told this node to stop its present attempt."""
     answer: EngineAnswer | None = None
     placement: Placement | None = None
     started_at: float = 0.0
--- /dev/null
+++ b/tests/test_engine_watch.py
@@ -0,0 +1,88 @@
+"""Batch items give way at once: who watches over an engine, and what it tells."""
+
+import unittest
+from unittest import mock
+
+import gevent
+
+from postvalve.core.admission.engine_use import engine_hash
+from postvalve.core.batch.giving_way import encode_running
+from postvalve.core.membership.report_pace import ReportPace
+from postvalve.events import Event
+from tests.gateway_support import BATCH_PATH, STREAM_PATH, Behaviour, GatewayFleet, wait_until
+from tests.test_gateway_jobs import job_body
+from tests.test_zone_digest import FleetCase
+
+
+class WatchTest(unittest.TestCase):
+    def test_items_go_before_any_report_in_turn_tells_of_the_requests(self):
+        fleet = GatewayFleet(nodes=3, engines=1)
+        self.addCleanup(fleet.stop)
+        wait_until(lambda: all(len(one.peers.all()) == 2 for one in fleet.nodes.values()))
+        fleet.engines[0].usual = Behaviour(pause=0.05, events=1_000)
+        fleet.request("n0", BATCH_PATH + "x", body=job_body("j", items=3), request_id="j")
+        for name in ("n1", "n2"):
+            items = fleet.nodes[name]._reports.items
+            wait_until(lambda items=items: len(items.at(engine_hash("e0"))) == 3)
+        # From now on nodes hear of each other only out of turn.
+        with mock.patch.object(ReportPace, "take_turn", return_value=False):
+            for number, name in enumerate(("n1", "n2", "n1")):
+                gevent.spawn(fleet.request, name, STREAM_PATH, request_id=f"r{number}")
+            wait_until(lambda: fleet.events("n0", Event.ROUTED_ITEM_PREEMPTED))
+            gevent.sleep(0.3)
+        # Four slots for three online requests and two items: one may wait among these.
+        self.assertEqual(len(fleet.events("n0", Event.ROUTED_ITEM_PREEMPTED)), 1)
+        told = [
+            one for name in fleet.nodes for one in fleet.events(name, Event.ITEM_TOLD_TO_GIVE_WAY)
+        ]
+        self.assertTrue(told)
+
+
+class WatcherTest(FleetCase):
+    def setUp(self):
+        super().setUp()
+        self.start(2, 4)
+        self.entries = [mock.Mock(engine_id=f"e{number}", zone="z0") for number in range(12)]
+        for node in self.nodes:
+            node.reports._fleet.listed_engines = lambda: self.entries
+            node.reports._fleet.excess = lambda engine_id: 0
+        self.play(2.0)
+
+    def watchers(self, node):
+        return {
+            one.engine_id: node.reports.watch._watcher_of(one.engine_id) for one in self.entries
+        }
+
+    def test_one_node_of_the_zone_watches_over_each_engine(self):
+        near = [node for node in self.nodes if node.identity.zone == "z0"]
+        views = [self.watchers(node) for node in near]
+        self.assertTrue(all(view == views[0] for view in views))
+        self.assertGreater(len(set(views[0].values())), 1)
+        self.assertLessEqual(set(views[0].values()), {node.name for node in near})
+
+    def test_nobody_of_another_zone_watches(self):
+        far = next(node for node in self.nodes if node.identity.zone == "z1")
+        self.assertEqual(set(self.watchers(far).values()), {None})
+
+    def test_the_watcher_tells_the_node_of_the_least_urgent_item(self):
+        near = [node for node in self.nodes if node.identity.zone == "z0"]
+        watcher = next(one for one in near if self.watchers(one)["e0"] == one.name)
+        holder, other = [one for one in near if one is not watcher][:2]
+        engine = engine_hash("e0")
+        holder.reports.items_running = lambda: encode_running([(engine, 90)])
+        other.reports.items_running = lambda: encode_running([(engine, 10)])
+        told = []
+        for node in (holder, other):
+            node.reports.watch.on_give_way = lambda engine, urgency, name=node.name: told.append(
+                (name, engine, urgency)
+            )
+        self.play(1.0)
+        watcher.reports._fleet.excess = lambda engine_id: 1 if engine_id == "e0" else 0
+        watcher.reports.watch.look()
+        watcher.reports.watch.look()
+        self.network.deliver()
+        self.assertEqual(told, [(holder.name, engine, 90)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,7 +8,13 @@
 from hypothesis import strategies as st
 
 from postvalve.core.admission.engine_use import EngineUse
-from postvalve.core.batch.giving_way import RunningItems, encode_running, giving_way
+from postvalve.core.batch.giving_way import (
+    TOLD_TIME,
+    RunningItems,
+    VictimChooser,
+    encode_running,
+    giving_way,
+)
 from postvalve.core.batch.item_order import (
     HOPELESS_PENALTY_MS,
     DurationEstimate,
@@ -292,6 +298,33 @@
         self.assertEqual(started, naive)
 
 
+class VictimTest(unittest.TestCase):
+    def setUp(self):
+        self.victims = VictimChooser()
+
+    def test_the_least_urgent_are_told_once(self):
+        running = [(10, "a"), (50, "b"), (40, "a")]
+        self.assertEqual(self.victims.choose(1, running, 2, 0.0), [(50, "b"), (40, "a")])
+        self.assertEqual(self.victims.choose(1, running, 2, 0.1), [])
+        # One has left the reports, and one more should give way.
+        self.assertEqual(self.victims.choose(1, [(10, "a"), (40, "a")], 2, 0.2), [(10, "a")])
+
+    def test_equal_items_of_one_node_are_told_one_by_one(self):
+        running = [(50, "b")] * 3
+        self.assertEqual(len(self.victims.choose(1, running, 1, 0.0)), 1)
+        self.assertEqual(len(self.victims.choose(1, running, 3, 0.1)), 2)
+
+    def test_an_item_that_stays_is_told_again(self):
+        running = [(50, "b")]
+        self.victims.choose(1, running, 1, 0.0)
+        self.assertEqual(self.victims.choose(1, running, 1, TOLD_TIME + 0.01), running)
+
+    def test_engines_are_apart_and_no_excess_tells_nobody(self):
+        self.assertEqual(self.victims.choose(1, [(5, "a")], 0, 0.0), [])
+        self.victims.choose(1, [(5, "a")], 1, 0.0)
+        self.assertEqual(self.victims.choose(2, [(5, "a")], 1, 0.0), [(5, "a")])
+
+
 class GivingWayTest(unittest.TestCase):
     def test_the_least_urgent_of_all_nodes_give_way(self):
         others = [(50, "b"), (10, "c")]
