A start builds only the settings' models that it uses; unreadable node records are told

Change: the base of checked settings has a module of its own; both failures have a log line. Test: test_node_directory.

--- a/postvalve/experiment/scenario.py
+++ b/postvalve/experiment/scenario.py
@@ -9,7 +9,7 @@
 from pydantic import Field
 
 from postvalve.exceptions import NotFoundError, SettingsError
-from postvalve.settings.process import Name, StrictModel
+from postvalve.settings.strict_model import Name, StrictModel
 from postvalve.settings.validation import InvalidSettingsGroup, check_document
 
 
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -151,7 +151,7 @@
             self._metrics,
         )
         self._topics = topics
-        self._nodes = NodeDirectory(self._identity, topics)
+        self._nodes = NodeDirectory(self._identity, topics, events)
         self._log = JobLog(settings, topics, clock, events)
         self._jobs = JobService(settings, self._identity, clock, events, self._log, short_id)
         self._reports = LoadReports(
--- a/postvalve/gateway/node_directory.py
+++ b/postvalve/gateway/node_directory.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from postvalve.events import Event, EventLog
 from postvalve.gateway.interfaces import KeyedRecord, KeyedTopics, StoreUnavailableError
 from postvalve.messages.generated import gateway
 
@@ -24,8 +25,11 @@
 class NodeDirectory:
     """Nodes that have announced themselves; some may be gone."""
 
-    def __init__(self, identity: gateway.NodeStarted, topics: KeyedTopics) -> None:
+    def __init__(
+        self, identity: gateway.NodeStarted, topics: KeyedTopics, events: EventLog
+    ) -> None:
         self._identity = identity
+        self._events = events
         self._topics = topics
         self._addresses: dict[str, tuple[str, str]] = {}
         self.on_change: Callable[[], None] = lambda: None
@@ -44,7 +48,8 @@
                 self._addresses = self._read()
                 self.on_change()
                 return
-            except StoreUnavailableError:
+            except StoreUnavailableError as exc:
+                self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, topic=NODE_TOPIC)
                 gevent.sleep(pause)
                 pause = min(MAX_ANNOUNCE_PAUSE, pause * 2)
 
@@ -54,15 +59,17 @@
         while more:
             part, more = self._topics.newest(NODE_TOPIC, 0, after)
             for record in part.records:
-                found[record.key] = _address(record.value)
+                found[record.key] = self._address(record)
                 after = record.key
             more = more and bool(part.records)
         return {node_id: one for node_id, one in found.items() if one[0]}
 
-
-def _address(value: bytes) -> tuple[str, str]:
-    try:
-        node = gateway.NodeStarted().parse(value)
-    except Exception:  # the codec raises whatever its inner calls raise
-        return "", ""
-    return node.peer_address, node.zone
+    def _address(self, record: KeyedRecord) -> tuple[str, str]:
+        try:
+            node = gateway.NodeStarted().parse(record.value)
+        except Exception as exc:  # the codec raises whatever its inner calls raise
+            self._events.emit(
+                Event.LOG_RECORD_INVALID, topic=NODE_TOPIC, key=record.key, error=repr(exc)
+            )
+            return "", ""
+        return node.peer_address, node.zone
--- a/postvalve/settings/fleet.py
+++ b/postvalve/settings/fleet.py
@@ -15,8 +15,8 @@
 from pydantic import AfterValidator, Field, model_validator
 
 from postvalve.exceptions import SettingsError
-from postvalve.settings.process import Name, StrictModel
 from postvalve.settings.selectors import parse_selector
+from postvalve.settings.strict_model import Name, StrictModel
 from postvalve.settings.validation import InvalidSettingsGroup, check_document
 from postvalve.states import TrafficClass
 
--- a/postvalve/settings/process.py
+++ b/postvalve/settings/process.py
@@ -6,9 +6,10 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Field
 
 from postvalve.exceptions import SettingsError
+from postvalve.settings.strict_model import Name, StrictModel
 from postvalve.settings.validation import InvalidSettingsGroup, check_document
 
 Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
@@ -17,15 +18,6 @@
 Url = Annotated[str, Field(pattern=r"^http://[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
 """A base URL by IP number, such as http://127.0.0.1:8080."""
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
-"""A name of an object: letters, digits, `_`, `.` and `-`."""
-
-
-class StrictModel(BaseModel):
-    """Base of all settings: unknown fields are mistakes, values don't change."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
 
 class HttpSettings(StrictModel):
     """Limits of the callers' HTTP interface."""
--- a/postvalve/settings/routes.py
+++ b/postvalve/settings/routes.py
@@ -10,7 +10,7 @@
 
 from pydantic import Field
 
-from postvalve.settings.process import StrictModel
+from postvalve.settings.strict_model import StrictModel
 
 
 class RepeatPolicy(enum.StrEnum):
--- a/tests/test_node_directory.py
+++ b/tests/test_node_directory.py
@@ -3,17 +3,20 @@
 import unittest
 
 from postvalve.emulator.keyed_topics import MemoryTopics
+from postvalve.events import Event
 from postvalve.gateway import gateway as gateway_module
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.gateway.job_log import JOB_TOPIC
 from postvalve.gateway.node_directory import NODE_TOPIC, NodeDirectory
 from postvalve.messages.generated import gateway
-from tests.gateway_support import GatewayFleet, wait_until
+from tests.gateway_support import GatewayFleet, QuietLog, wait_until
 
 
 def directory(topics, node_id):
     return NodeDirectory(
-        gateway.NodeStarted(node_id=node_id, peer_address=f"at-{node_id}", zone="z"), topics
+        gateway.NodeStarted(node_id=node_id, peer_address=f"at-{node_id}", zone="z"),
+        topics,
+        QuietLog(),
     )
 
 
@@ -35,12 +38,14 @@
         one.announce()
         self.assertEqual(set(one.addresses()), {"one"})
 
-    def test_unreadable_records_are_passed_over(self):
+    def test_unreadable_records_are_passed_over_and_told(self):
         topics = MemoryTopics()
         topics.append(NODE_TOPIC, 0, [KeyedRecord("bad", b"\xff\xff\xff")])
         one = directory(topics, "one")
         one.announce()
         self.assertEqual(set(one.addresses()), {"one"})
+        ((event, fields),) = one._events.written
+        self.assertEqual((event, fields["key"]), (Event.LOG_RECORD_INVALID, "bad"))
 
 
 class StartTest(unittest.TestCase):
