Batch items send no online request to another zone

Cause: an engine of the own zone that batch items fill counted as a full one (8,000 tokens), so a heap went to other zones (4,000), whose watchers do not hear of it, and waited there. Change: almost full and slots count online work alone; a slot that an item holds costs 2,000 tokens. Test: test_gateway_decisions, 'batch items send nobody to another zone'.

--- a/postvalve/core/routing/engine_choice.py
+++ b/postvalve/core/routing/engine_choice.py
@@ -18,8 +18,11 @@
 ZONE_TOKENS = 4_000
 """Tokens that may wait at an engine of the own zone before another zone's is better."""
 FULL_TOKENS = 4_000
-"""Tokens that an almost full engine counts for: requests that are under way elsewhere, and
-that this node has not heard of yet, may take its last slots."""
+"""Tokens that an engine counts for which online work almost fills: requests that are under way
+elsewhere, and that this node has not heard of yet, may take its last slots."""
+GIVE_WAY_TOKENS = 2_000
+"""Tokens that could be read while a batch item gives way: less than another zone costs, since the
+node that watches over an engine hears of requests from its own zone at once."""
 SLOT_TOKENS = 4_000
 """Tokens that could be read while a request waits for a slot, for each that waits before it."""
 LOAD_TOKENS = 1_500
@@ -27,7 +30,7 @@
 DRAWN = 2
 """Engines of the own zone, and of all others, that one choice looks at."""
 ALMOST_FULL = 0.85
-"""Share of its slots from which an engine counts as almost full."""
+"""Share of its slots that online work has from which an engine counts as almost full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +42,8 @@
     slots: int
     in_flight: int
     """Requests of all kinds and nodes."""
+    batch: int = 0
+    """Batch items among them, which give way."""
     suspect: bool = False
     """Whether it failed a moment ago."""
     unread: int = 0
@@ -51,6 +56,11 @@
         """Requests for each slot."""
         return self.in_flight / max(1, self.slots)
 
+    @property
+    def online(self) -> int:
+        """Online requests of all nodes."""
+        return self.in_flight - self.batch
+
 
 @dataclass(frozen=True, slots=True)
 class EngineChoice:
@@ -111,12 +121,14 @@
         cost = option.unread + LOAD_TOKENS * option.load
         if option.zone != self._zone:
             cost += ZONE_TOKENS
-        if option.load >= ALMOST_FULL:
+        if option.online >= ALMOST_FULL * option.slots:
             cost += FULL_TOKENS
+        elif option.in_flight >= option.slots:
+            cost += GIVE_WAY_TOKENS
         if option.memory_short > 0:
             # It waits for others to end, or makes the engine put another one back.
             cost += SLOT_TOKENS + option.memory_short
-        return cost + SLOT_TOKENS * max(0, option.in_flight - option.slots + 1)
+        return cost + SLOT_TOKENS * max(0, option.online - option.slots + 1)
 
     def _holder(self, options: Sequence[EngineOption], prefix_key: str) -> str | None:
         """The engine that likely keeps the shared parts; alike at all nodes of a zone."""
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -116,6 +116,7 @@
                     engine=engine_id,
                     state=entry.state.value,
                     service=entry.service,
+                    engine_zone=entry.zone,
                 )
         self._engines = engines
         updated, self._updated = self._updated, GeventEvent()
@@ -240,6 +241,7 @@
             entry.zone,
             entry.slots,
             count.total,
+            count.batch,
             self._is_suspect(entry.engine_id),
             count.unread,
             self._memory_short(entry, memory),
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -381,6 +381,7 @@
             Event.ROUTED_REQUEST_SLOW,
             request=request.terms.request_id,
             engine=self._engine_id,
+            engine_zone=placement.engine.zone,
             slots=placement.engine.slots,
             online=placement.online_seen,
             batch=placement.batch_seen,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -175,8 +175,8 @@
         self.assertEqual(use.report(), b"")
 
 
-def option(engine_id, zone, in_flight, suspect=False, unread=0):
-    return EngineOption(engine_id, zone, 10, in_flight, suspect, unread)
+def option(engine_id, zone, in_flight, suspect=False, unread=0, batch=0):
+    return EngineOption(engine_id, zone, 10, in_flight, batch, suspect, unread)
 
 
 class EngineChoiceTest(unittest.TestCase):
@@ -224,6 +224,13 @@
         self.assertLess(chosen.count("best"), 45)
         self.assertGreater(chosen.count("best"), 15)
 
+    def test_batch_items_send_nobody_to_another_zone(self):
+        filled = option("n", "near", 10, batch=8)
+        self.assertEqual(self.choose([filled, option("f", "far", 0)]), "n")
+        self.assertEqual(self.choose([option("m", "near", 9, batch=8), filled]), "m")
+        online = option("n", "near", 10, batch=0)
+        self.assertEqual(self.choose([online, option("f", "far", 9, batch=8)]), "f")
+
     def test_suspects_come_last(self):
         self.assertEqual(self.choose([option("n", "near", 0, True), option("f", "far", 9)]), "f")
 
