--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -10,8 +10,6 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock, milliseconds
-from postvalve.core.admission.engine_use import engine_hash
-from postvalve.core.batch.giving_way import encode_running, giving_way
 from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.batch.progress import SavedJob
@@ -24,6 +22,7 @@
 from postvalve.gateway.event_stream import event_data, event_id_of
 from postvalve.gateway.fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
+from postvalve.gateway.item_preemption import ItemPreemption
 from postvalve.gateway.item_progress import ProgressLog, unpack_segment
 from postvalve.gateway.job_log import JobLog
 from postvalve.gateway.job_service import JobService
@@ -91,15 +90,17 @@
         self._wakeup = GeventEvent()
         self._estimate = DurationEstimate()
         self._told_lost: set[str] = set()
-        self._peer_items = reports.items
+        self._preemption = ItemPreemption(
+            identity.node_id, fleet, reports.items, self._unfinished, self._urgency
+        )
         self._ended_lately: deque[tuple[float, load_report.RunningItem]] = deque()
         self.draining = False
         log.listen(self._jobs_changed)
         reports.waiting_due = self.waiting_due
         reports.running_items = self.running_items
-        reports.items_running = self.items_running
-        reports.watch.on_give_way = self.give_way_at
-        reports.watch.own_urgencies = self._urgencies_at
+        reports.items_running = self._preemption.report
+        reports.watch.on_give_way = self._preemption.stop_one
+        reports.watch.own_urgencies = self._preemption.urgencies_at
 
     @property
     def in_progress(self) -> int:
@@ -238,7 +239,7 @@
         while True:
             self._wakeup.wait(START_INTERVAL)
             self._wakeup.clear()
-            self._give_way()
+            self._preemption.look()
             if not self.draining:
                 self._start_items()
             gevent.sleep(LOOK_PAUSE)
@@ -450,69 +451,6 @@
             late=round(self._clock.wall() - item.due_at_ms / 1000, 2),
         )
 
-    # Giving way
-
-    def _give_way(self) -> None:
-        """Stop items at engines that run more than they have slots for."""
-        for engine_id, running in self._running_by_engine().items():
-            staying = [item for item in running if not item.preempted]
-            excess = self._fleet.excess(engine_id) - (len(running) - len(staying))
-            others = self._peer_items.at(engine_hash(engine_id))
-            urgencies = [self._urgency(item) for item in staying]
-            count = giving_way(self._identity.node_id, urgencies, others, excess)
-            # Of equally urgent ones, those that have the least to read anew.
-            staying.sort(key=lambda item: (-self._urgency(item), len(item.events)))
-            for item in staying[:count]:
-                self._preempt(item)
-
-    @staticmethod
-    def _preempt(item: RunningItem) -> None:
-        item.preempted = True
-        if item.answer is not None:
-            item.answer.abort()
-
-    def give_way_at(self, engine: int, urgency: int) -> None:
-        """Let an item go that is one of the least urgent ones of all nodes at an engine.
-
-        Args:
-            engine: The engine's hash.
-            urgency: That of the item, as this node told it. Nothing goes where all that run are
-                more urgent: the item has ended meanwhile.
-        """
-        for engine_id, running in self._running_by_engine().items():
-            open_to = [item for item in running if not item.told_to_go]
-            if engine_hash(engine_id) != engine or not open_to:
-                continue
-            # One that gives way already, or of equals the one that has the least to read anew.
-            item = max(
-                open_to, key=lambda one: (self._urgency(one), one.preempted, -len(one.events))
-            )
-            if self._urgency(item) < urgency:
-                continue
-            item.told_to_go = True
-            if not item.preempted:
-                self._preempt(item)
-
-    def _urgencies_at(self, engine_id: str) -> list[int]:
-        running = self._running_by_engine().get(engine_id, ())
-        return [self._urgency(item) for item in running]
-
-    def _running_by_engine(self) -> dict[str, list[RunningItem]]:
-        by_engine: dict[str, list[RunningItem]] = {}
-        for items in self._items.values():
-            for item in items.values():
-                if item.running and item.placement is not None:
-                    by_engine.setdefault(item.placement.engine.engine_id, []).append(item)
-        return by_engine
-
-    def items_running(self) -> bytes:
-        """Engines and urgencies of the items that run here, for the peers."""
-        return encode_running(
-            (engine_hash(engine_id), self._urgency(item))
-            for engine_id, items in self._running_by_engine().items()
-            for item in items
-        )
-
     def give_up_old(self) -> None:
         """End items that may be given up and can't be run, for ever."""
         while True:
