Parts that speak with peers share what they use; idle nodes report at rest

Three constructors took the same eight parameters. A node without far targets kept its far pace waiting and looked every 80 ms. The topic of jobs is polled every 0.4 s, not 0.25 (most of the priced calls).

--- a/postvalve/gateway/engine_watch.py
+++ b/postvalve/gateway/engine_watch.py
@@ -13,16 +13,13 @@
 
 import gevent
 
-from postvalve.clock import Clock
 from postvalve.core.admission.engine_use import engine_hash
 from postvalve.core.batch.giving_way import RunningItems, VictimChooser
 from postvalve.core.membership.ownership import preferred_owner
-from postvalve.core.membership.peers import PeerView
-from postvalve.events import Event, EventLog
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.events import Event
+from postvalve.gateway.peer_services import PeerServices
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
-from postvalve.node.transport import Transport
 
 TELL_DELAY = 0.005
 """Seconds in which requests gather before they are told: items of a job start together."""
@@ -33,22 +30,13 @@
 class EngineWatch:
     """This node's part in it."""
 
-    def __init__(
-        self,
-        identity: gateway.NodeStarted,
-        clock: Clock,
-        events: EventLog,
-        transport: Transport,
-        fleet: EngineFleet,
-        peers: PeerView,
-        items: RunningItems,
-    ) -> None:
-        self._identity = identity
-        self._clock = clock
-        self._events = events
-        self._transport = transport
-        self._fleet = fleet
-        self._peers = peers
+    def __init__(self, services: PeerServices, items: RunningItems) -> None:
+        self._identity = services.identity
+        self._clock = services.clock
+        self._events = services.events
+        self._transport = services.transport
+        self._fleet = services.fleet
+        self._peers = services.peers
         self._items = items
         self._victims = VictimChooser()
         self._watchers: dict[str, str] = {}
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -49,6 +49,7 @@
 from postvalve.gateway.load_reports import MAX_SILENCE, LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.node_directory import NodeDirectory
+from postvalve.gateway.peer_services import PeerServices
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.routed_run import RunServices
 from postvalve.gateway.status import engine_rows, job_rows, peer_rows
@@ -155,14 +156,16 @@
         self._log = JobLog(settings, topics, clock, events)
         self._jobs = JobService(settings, self._identity, clock, events, self._log, short_id)
         self._reports = LoadReports(
-            self._identity,
-            clock,
-            events,
-            self._transport,
-            self._fleet,
-            self.peers,
-            self._nodes.addresses,
-            generator,
+            PeerServices(
+                self._identity,
+                clock,
+                events,
+                self._transport,
+                self._fleet,
+                self.peers,
+                self._nodes.addresses,
+                generator,
+            )
         )
         self._ends = EndWriter(self._log, events, settings.call_bytes, short_id)
         self._progress = ProgressLog(
--- a/postvalve/gateway/job_log.py
+++ b/postvalve/gateway/job_log.py
@@ -27,8 +27,9 @@
 REQUEST_TOPIC = "requests"
 FOLLOW_WAIT = 2.0
 """Seconds that a read of the job topic waits for a record."""
-FOLLOW_PAUSE = 0.25
-"""Seconds between such reads."""
+FOLLOW_PAUSE = 0.4
+"""Seconds between such reads. Each is priced, and what was acknowledged need not be known for a
+second; a result that is waited for comes this much later at the most."""
 REPEAT_PAUSE = 0.1
 """Seconds before a failed call is repeated, doubled for each later one."""
 MAX_REPEAT_PAUSE = 0.8
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -7,7 +7,6 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
-from postvalve.clock import Clock
 from postvalve.core.batch.giving_way import RunningItems
 from postvalve.core.batch.item_order import encode_groups, group_by_due
 from postvalve.core.membership.load_report import (
@@ -16,7 +15,6 @@
     RunningItem,
     unpack_report,
 )
-from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.report_pace import (
     FAR_RATE,
     IDLE_INTERVAL,
@@ -26,14 +24,12 @@
 )
 from postvalve.core.membership.zone_digest import ZONE_PREFIX
 from postvalve.core.membership.zone_reporting import tells_by_digest
-from postvalve.core.randomness import RandomSource
-from postvalve.events import Event, EventLog
+from postvalve.events import Event
 from postvalve.gateway.engine_watch import EngineWatch
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.peer_services import PeerServices
 from postvalve.gateway.zone_digests import ZoneDigests
 from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
 from postvalve.messages.generated import gateway
-from postvalve.node.transport import Transport
 
 TARGETS_AGE = 0.5
 """Seconds between looks at who the peers are, and which of them are silent."""
@@ -44,25 +40,14 @@
 class LoadReports:
     """Sends this node's report and takes those of the others."""
 
-    def __init__(
-        self,
-        identity: gateway.NodeStarted,
-        clock: Clock,
-        events: EventLog,
-        transport: Transport,
-        fleet: EngineFleet,
-        peers: PeerView,
-        nodes: Callable[[], dict[str, tuple[str, str]]],
-        generator: RandomSource,
-    ) -> None:
-        """Set up; `nodes` gives peer address and zone of all nodes that started, by id."""
-        self._identity = identity
-        self._clock = clock
-        self._events = events
-        self._transport = transport
-        self._fleet = fleet
-        self._peers = peers
-        self._nodes = nodes
+    def __init__(self, services: PeerServices) -> None:
+        self._services = services
+        self._identity = services.identity
+        self._clock = services.clock
+        self._events = services.events
+        self._transport = services.transport
+        self._fleet = services.fleet
+        self._peers = services.peers
         self._near = ReportPace(NEAR_RATE)
         self._far = ReportPace(FAR_RATE)
         self._sequence = 0
@@ -78,22 +63,12 @@
         self.items_running: Callable[[], bytes] = bytes
         self.store_failing: Callable[[], bool] = bool
         self.items = RunningItems()
-        self.zones = ZoneDigests(
-            identity,
-            clock,
-            events,
-            transport,
-            fleet,
-            peers,
-            self.items,
-            self._known_nodes,
-            generator,
-        )
+        self.zones = ZoneDigests(services, self.items)
         self.zones.own_report = self._report
-        self.watch = EngineWatch(identity, clock, events, transport, fleet, peers, self.items)
+        self.watch = EngineWatch(services, self.items)
         self.watch.own_report = self._next
         self.on_report: Callable[[LoadReport], None] = lambda report: None
-        fleet.on_change = self._changed.set
+        self._fleet.on_change = self._changed.set
 
     def changed(self) -> None:
         """Report soon."""
@@ -131,7 +106,7 @@
         due = [
             addresses
             for pace, addresses in zip((self._near, self._far), self._targets, strict=True)
-            if addresses and pace.take_turn(len(addresses), now)
+            if pace.take_turn(len(addresses), now) and addresses
         ]
         if not due:
             return
@@ -153,16 +128,8 @@
         self._fleet.use.forget(name)
         self.items.forget(name)
 
-    def _known_nodes(self) -> dict[str, tuple[str, str]]:
-        """Peer address and zone of all other nodes, by id."""
-        nodes = dict(self._nodes())
-        for peer in self._peers.all():
-            nodes[peer.node_id] = (peer.report.peer_address, peer.report.zone)
-        nodes.pop(self._identity.node_id, None)
-        return nodes
-
     def _find_targets(self) -> tuple[list[str], list[str]]:
-        nodes = self._known_nodes().values()
+        nodes = self._services.known_nodes().values()
         near = [address for address, zone in nodes if zone == self._identity.zone]
         far = [address for address, zone in nodes if zone != self._identity.zone]
         return near, [] if tells_by_digest(len(far)) else far
--- a/postvalve/gateway/zone_digests.py
+++ b/postvalve/gateway/zone_digests.py
@@ -6,10 +6,8 @@
 
 import gevent
 
-from postvalve.clock import Clock
 from postvalve.core.batch.giving_way import RunningItems
 from postvalve.core.membership.load_report import LoadReport
-from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneDigestError, unpack_digest
 from postvalve.core.membership.zone_reporting import (
     LOOK_INTERVAL,
@@ -17,12 +15,10 @@
     reporter_of,
     tells_by_digest,
 )
-from postvalve.core.randomness import RandomSource
-from postvalve.events import Event, EventLog
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.events import Event
+from postvalve.gateway.peer_services import PeerServices
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
-from postvalve.node.transport import Transport
 
 SPARE_INTERVAL = 1.0
 """Seconds between digests that go to one more node of a zone, drawn by chance: the one that should
@@ -32,28 +28,16 @@
 class ZoneDigests:
     """Tells other zones of this one while they have many nodes, and this one of them."""
 
-    def __init__(
-        self,
-        identity: gateway.NodeStarted,
-        clock: Clock,
-        events: EventLog,
-        transport: Transport,
-        fleet: EngineFleet,
-        peers: PeerView,
-        items: RunningItems,
-        nodes: Callable[[], dict[str, tuple[str, str]]],
-        generator: RandomSource,
-    ) -> None:
-        """Set up; `nodes` gives peer address and zone of all known nodes, by id."""
-        self._identity = identity
-        self._clock = clock
-        self._events = events
-        self._transport = transport
-        self._fleet = fleet
-        self._peers = peers
+    def __init__(self, services: PeerServices, items: RunningItems) -> None:
+        self._identity = identity = services.identity
+        self._clock = clock = services.clock
+        self._events = services.events
+        self._transport = services.transport
+        self._fleet = services.fleet
+        self._peers = services.peers
+        self._nodes = services.known_nodes
+        self._random = services.generator
         self._items = items
-        self._nodes = nodes
-        self._random = generator
         self._reporting = ZoneReporting(
             identity.node_id, identity.zone, identity.incarnation, clock.monotonic()
         )
--- a/tests/test_zone_digest.py
+++ b/tests/test_zone_digest.py
@@ -35,6 +35,7 @@
 )
 from postvalve.events import Event
 from postvalve.gateway.load_reports import LoadReports
+from postvalve.gateway.peer_services import PeerServices
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
 
@@ -282,14 +283,16 @@
         transport = mock.Mock()
         transport.send = lambda address, data: network.send(self, address, data)
         self.reports = LoadReports(
-            self.identity,
-            clock,
-            self.log,
-            transport,
-            mock.Mock(use=self.use, listed_engines=list),
-            self.peers,
-            lambda: directory,
-            network.chance,
+            PeerServices(
+                self.identity,
+                clock,
+                self.log,
+                transport,
+                mock.Mock(use=self.use, listed_engines=list),
+                self.peers,
+                lambda: directory,
+                network.chance,
+            )
         )
 
     def step(self):
