An item presses where many wait beside it

Change: how long an item still needs counts the items that wait in its zone for each slot that such items may take; before it is known how long items run all press, as before.

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -155,9 +155,8 @@
         Items fill the gaps between the heaps of online work, and give way when one comes. Those
         that have time leave more room, so that fewer have to.
         """
-        total = self.total(engine_id)
         fraction = RESERVED_FRACTION if pressing else RELAXED_FRACTION
-        return slots - math.ceil(slots * fraction) - total.total
+        return slots - math.ceil(slots * fraction) - self.total(engine_id).total
 
     def excess(self, engine_id: str, slots: int) -> int:
         """Batch items that should give way: the engine's queue has grown too long."""
@@ -167,6 +166,11 @@
         return max(0, min(total.batch, total.total - allowed))
 
 
+def relaxed_slots(slots: int) -> int:
+    """Slots of an engine that batch items which have time may take."""
+    return slots - math.ceil(slots * RELAXED_FRACTION)
+
+
 def _encode(counts: Mapping[int, UseCount]) -> bytes:
     return b"".join(
         _ENTRY.pack(
--- a/postvalve/core/batch/item_order.py
+++ b/postvalve/core/batch/item_order.py
@@ -21,8 +21,9 @@
 """Estimates are taken so many times longer than they are."""
 ESTIMATE_WEIGHT = 0.1
 """Weight of a new sample in an estimate."""
-PRESSING_FACTOR = 2.0
-"""An item is pressing when so many times what it still needs is left until it is due."""
+PRESSING_FACTOR = 1.5
+"""An item is pressing when less than so many times what it and those that wait beside it still need
+is left until it is due."""
 LEAST_LEFT = 0.15
 """Share of its estimate that an item needs at least, however long it has run."""
 
@@ -59,16 +60,19 @@
     return due_at_ms
 
 
-def is_pressing(due_at_ms: int, now_ms: int, seconds_left: float) -> bool:
+def is_pressing(due_at_ms: int, now_ms: int, seconds_left: float, queue: float) -> bool:
     """Whether an item should start soon to be in time; not one that can't be in time any more.
 
     Args:
         due_at_ms: When it is due, in milliseconds of the epoch.
         now_ms: Likewise.
-        seconds_left: Seconds that it still needs.
+        seconds_left: Seconds that it still needs; 0 while that is not known, and then all press.
+        queue: Items that wait beside it, for each slot that items may take without pressing.
     """
-    left = due_at_ms - now_ms
-    return seconds_left * 1000 <= left < PRESSING_FACTOR * seconds_left * 1000
+    if seconds_left <= 0:
+        return True
+    left = (due_at_ms - now_ms) / 1000
+    return seconds_left <= left < PRESSING_FACTOR * seconds_left * (1 + queue)
 
 
 def startable(own_due: Sequence[int], peers_due: Iterable[tuple[int, int]], room: int) -> int:
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -8,7 +8,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock
-from postvalve.core.admission.engine_use import EngineUse
+from postvalve.core.admission.engine_use import EngineUse, relaxed_slots
 from postvalve.core.admission.holding import EngineRoom, expected_first
 from postvalve.core.admission.service_pace import ServicePace
 from postvalve.core.randomness import RandomSource
@@ -264,6 +264,11 @@
         entries = self._batch_engines(service, pressing)
         return sum(max(0, self._room(entry, pressing)) for entry in entries)
 
+    def relaxed_slots(self, service: str) -> int:
+        """Slots that batch items which have time may take, free or not; one at the least."""
+        entries = self._batch_engines(service, False)
+        return max(1, sum(relaxed_slots(entry.slots) for entry in entries))
+
     def _batch_engines(self, service: str, pressing: bool) -> list[EngineEntry]:
         """Engines where batch items may start.
 
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -264,7 +264,8 @@
             if job is not None:
                 by_service.setdefault(self._service_of(job), []).append(item)
         for service, items in by_service.items():
-            pressing = [item for item in items if self._is_pressing(item)]
+            queue = self._zone_queue(items) / self._fleet.relaxed_slots(service)
+            pressing = [item for item in items if self._is_pressing(item, queue)]
             self._start_those(pressing, service, pressing=True)
             self._start_those([one for one in items if not one.running], service, pressing=False)
 
@@ -279,9 +280,13 @@
             if not self._start(item, service, pressing=pressing):
                 break
 
-    def _is_pressing(self, item: RunningItem) -> bool:
+    def _zone_queue(self, items: list[RunningItem]) -> int:
+        """Items that wait in this zone, these here among them."""
+        return len(items) + sum(count for _, count in self._peers.waiting(self._identity.zone))
+
+    def _is_pressing(self, item: RunningItem, queue: float) -> bool:
         left = self._estimate.seconds_left(item.output_tokens, item.run_seconds)
-        return is_pressing(item.due_at_ms, milliseconds(self._clock.wall()), left)
+        return is_pressing(item.due_at_ms, milliseconds(self._clock.wall()), left, queue)
 
     def _service_of(self, job: BoardJob) -> str:
         # The configuration in force decides, as it does for every other request.
