--- a/postvalve/core/batch/item_order.py
+++ b/postvalve/core/batch/item_order.py
@@ -21,7 +21,7 @@
 """Estimates are taken so many times longer than they are."""
 ESTIMATE_WEIGHT = 0.1
 """Weight of a new sample in an estimate."""
-PRESSING_FACTOR = 1.5
+PRESSING_FACTOR = 2.5
 """An item is pressing when less than so many times what it and those that wait beside it still need
 is left until it is due."""
 LEAST_LEFT = 0.15
