Nodes wake up only for what is due

Three loops looked 10 to 12 times a second with nothing to do: the runner without jobs, the digests of a node that is no reporter, and reports whose turn had not come. Tests: ReportPaceTest, test_zone_digest, test_gateway_jobs.

--- a/postvalve/core/membership/report_pace.py
+++ b/postvalve/core/membership/report_pace.py
@@ -39,10 +39,13 @@
 
     def take_turn(self, peers: int, now: float) -> bool:
         """Whether a report goes out at monotonic time `now`, to a group of so many peers."""
-        interval = min(IDLE_INTERVAL, max(LEAST_INTERVAL, peers / self.rate))
-        since = now - self._sent_at
-        if since < (interval if self._changed else IDLE_INTERVAL):
+        if self.seconds_left(peers, now) > 0:
             return False
         self._sent_at = now
         self._changed = False
         return True
+
+    def seconds_left(self, peers: int, now: float) -> float:
+        """Seconds from `now` until a report goes out to a group of so many peers."""
+        interval = min(IDLE_INTERVAL, max(LEAST_INTERVAL, peers / self.rate))
+        return self._sent_at + (interval if self._changed else IDLE_INTERVAL) - now
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -27,7 +27,9 @@
 DIRECT_PEERS = int(FAR_RATE * DIGEST_INTERVAL)
 """Nodes of other zones up to which each node reports to them itself."""
 LOOK_INTERVAL = 0.08
-"""Seconds between looks whether a digest is due."""
+"""Seconds between looks of the reporter whether a digest is due."""
+IDLE_LOOK_INTERVAL = 0.5
+"""Seconds between looks of all others whether they have become the reporter."""
 MEMBERS_INTERVAL = 2.0
 """Seconds after which the list of members is told again though it is the same."""
 LISTEN_TIME = 1.0
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -35,6 +35,8 @@
 
 START_INTERVAL = 0.1
 """Seconds between looks for room, when no event tells of any."""
+IDLE_INTERVAL = 1.0
+"""The same while this node works on no job; a job that it gets wakes it."""
 LOOK_PAUSE = 0.02
 """Seconds between looks at the least: each report of a peer asks for one."""
 EVENT_SILENCE = 2.0
@@ -237,7 +239,7 @@
     def run(self) -> None:
         """Start items for ever, as there is room."""
         while True:
-            self._wakeup.wait(START_INTERVAL)
+            self._wakeup.wait(START_INTERVAL if self._items else IDLE_INTERVAL)
             self._wakeup.clear()
             self._preemption.look()
             if not self.draining:
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -88,9 +88,18 @@
         """Report for ever."""
         while True:
             self.look()
+            if self._near.waiting or self._far.waiting:
+                gevent.sleep(max(LEAST_INTERVAL, self._seconds_left()))
+                continue
             gevent.sleep(LEAST_INTERVAL)
-            if not (self._near.waiting or self._far.waiting):
-                self._changed.wait(IDLE_INTERVAL - LEAST_INTERVAL)
+            self._changed.wait(IDLE_INTERVAL - LEAST_INTERVAL)
+
+    def _seconds_left(self) -> float:
+        """Seconds until the next report that has something to tell."""
+        now = self._clock.monotonic()
+        groups = zip((self._near, self._far), self._targets, strict=True)
+        left = [pace.seconds_left(len(peers), now) for pace, peers in groups if pace.waiting]
+        return min(left, default=0.0)
 
     def look(self) -> None:
         """Report to the groups whose turn it is."""
--- a/postvalve/gateway/zone_digests.py
+++ b/postvalve/gateway/zone_digests.py
@@ -10,6 +10,7 @@
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneDigestError, unpack_digest
 from postvalve.core.membership.zone_reporting import (
+    IDLE_LOOK_INTERVAL,
     LOOK_INTERVAL,
     ZoneReporting,
     reporter_of,
@@ -50,7 +51,7 @@
     def run(self) -> None:
         """Tell and pass on for ever."""
         while True:
-            gevent.sleep(LOOK_INTERVAL)
+            gevent.sleep(LOOK_INTERVAL if self._reports else IDLE_LOOK_INTERVAL)
             self.look()
 
     # Telling
