--- a/tests/test_zone_digest.py
+++ b/tests/test_zone_digest.py
@@ -355,6 +355,21 @@
             self.assertEqual({engine: node.use.total(engine).total for engine in naive}, naive)
             self.assertEqual(node.peers.count(), len(self.nodes) - 1)
 
+    def test_nothing_counts_twice_when_nodes_go_over_to_digests(self):
+        self.start(2, 4)
+        for node in self.nodes:
+            node.use.enter("e0", batch=False)
+        self.play(2.0)
+        self.assertTrue(all(node.use.total("e0").total == 8 for node in self.nodes))
+        for module in ("load_reports", "zone_digests"):
+            patch = mock.patch(f"postvalve.gateway.{module}.tells_by_digest", return_value=True)
+            patch.start()
+            self.addCleanup(patch.stop)
+        for _ in range(8):
+            self.play(0.25)
+            self.assertEqual({node.use.total("e0").total for node in self.nodes}, {8})
+        self.assertTrue(all(node.peers.zones() for node in self.nodes))
+
     def test_nodes_know_who_runs_which_item_in_other_zones(self):
         self.start(3, 12)
         runner = self.nodes[0]
