Counts of engines and peers are worked out once, and only when they change

Hypothesis: a node's processor time is many small things, none of them large. Change: hashes of engines are kept; a report that says the same as the last one changes nothing; defaults are made when they are needed; an engine's counts are looked up once for a placement; watchers are worked out anew when nodes or engines change. No decision changes. Tests: 159 of the modules that use it, passed.

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import struct
 from collections.abc import Iterable, Mapping
@@ -33,6 +34,11 @@
 for seconds, and among them an online request would wait for one of those."""
 
 
+HASHES_KEPT = 8_192
+"""Hashes of engines that are kept in memory: more than the planned 2,300, and those that left."""
+
+
+@functools.lru_cache(HASHES_KEPT)
 def engine_hash(engine_id: str) -> int:
     """The 32 bits by which reports name an engine."""
     return xxhash.xxh32_intdigest(engine_id.encode())
@@ -61,6 +67,8 @@
     def __init__(self) -> None:
         self._own: dict[int, UseCount] = {}
         self._peers: dict[str, dict[int, UseCount]] = {}
+        self._reports: dict[str, bytes] = {}
+        """What each peer told last."""
         self._totals: dict[int, UseCount] = {}
 
     def enter(self, engine_id: str, *, batch: bool, unread: int = 0, memory: int = 0) -> None:
@@ -97,7 +105,10 @@
                 count.online += difference
 
     def _total(self, key: int) -> UseCount:
-        return self._totals.setdefault(key, UseCount())
+        total = self._totals.get(key)
+        if total is None:
+            total = self._totals[key] = UseCount()
+        return total
 
     def report(self) -> bytes:
         """This node's own counts, for its peers."""
@@ -117,6 +128,9 @@
 
     def observe(self, node_id: str, report: bytes) -> None:
         """Take the counts of a peer in, in place of its former ones."""
+        if self._reports.get(node_id) == report:
+            return
+        self._reports[node_id] = report
         self._subtract(self._peers.get(node_id, {}))
         counts: dict[int, UseCount] = {}
         whole = len(report) - len(report) % _ENTRY.size
@@ -131,6 +145,7 @@
 
     def forget(self, node_id: str) -> None:
         """Drop the counts of a peer that is gone."""
+        self._reports.pop(node_id, None)
         self._subtract(self._peers.pop(node_id, {}))
 
     def _subtract(self, counts: dict[int, UseCount]) -> None:
@@ -142,8 +157,8 @@
             total.memory -= count.memory
 
     def total(self, engine_id: str) -> UseCount:
-        """Requests of all nodes at an engine."""
-        return self._totals.get(engine_hash(engine_id), UseCount())
+        """Requests of all nodes at an engine; callers only read it, and it goes on counting."""
+        return self._total(engine_hash(engine_id))
 
     def own(self, engine_id: str) -> UseCount:
         """Requests of this node at an engine."""
--- a/postvalve/core/batch/giving_way.py
+++ b/postvalve/core/batch/giving_way.py
@@ -27,9 +27,14 @@
     def __init__(self) -> None:
         self._by_source: dict[str, dict[int, list[tuple[int, str]]]] = {}
         """Urgency and node of each item, by engine and by who told of it: a node, or a zone."""
+        self._reports: dict[str, bytes] = {}
+        """What each node told last."""
 
     def observe(self, node_id: str, report: bytes) -> None:
         """Take a peer's report in, in place of its former one."""
+        if self._reports.get(node_id) == report:
+            return
+        self._reports[node_id] = report
         self._by_source[node_id] = _by_engine(
             (engine, due, node_id) for engine, due in _iter(_ENTRY, report)
         )
@@ -49,6 +54,7 @@
 
     def forget(self, source: str) -> None:
         """Drop a peer, or a zone, that is gone."""
+        self._reports.pop(source, None)
         self._by_source.pop(source, None)
 
     def at(self, engine: int) -> list[tuple[int, str]]:
--- a/postvalve/gateway/engine_watch.py
+++ b/postvalve/gateway/engine_watch.py
@@ -41,6 +41,8 @@
         self._victims = VictimChooser()
         self._watchers: dict[str, str] = {}
         """Node that watches over each engine of this zone."""
+        self._watchers_of: tuple[list[str], list[str]] = ([], [])
+        """Nodes and engines for which that was worked out."""
         self._looked_at = float("-inf")
         self._untold: set[str] = set()
         """Watchers that have not been told yet of the newest requests."""
@@ -72,6 +74,9 @@
         nodes = [one.node_id for one in self._peers.neighbours(zone) if not one.report.leaving]
         nodes.append(self._identity.node_id)
         near = [one.engine_id for one in self._fleet.listed_engines() if one.zone == zone]
+        if self._watchers_of == (nodes, near):
+            return
+        self._watchers_of = (nodes, near)
         watchers = {engine_id: preferred_owner(engine_id, nodes) for engine_id in near}
         self._watchers = {key: one for key, one in watchers.items() if one is not None}
 
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -8,7 +8,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock
-from postvalve.core.admission.engine_use import EngineUse, relaxed_slots
+from postvalve.core.admission.engine_use import EngineUse, UseCount, relaxed_slots
 from postvalve.core.admission.holding import EngineRoom, expected_first
 from postvalve.core.admission.service_pace import ServicePace
 from postvalve.core.randomness import RandomSource
@@ -66,6 +66,46 @@
         return self.online_seen + self.batch_seen < self.engine.slots
 
 
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """An engine that may take an online request, as this node sees it now."""
+
+    entry: EngineEntry
+    option: EngineOption
+    room: EngineRoom
+
+
+def _room_of(entry: EngineEntry, count: UseCount) -> EngineRoom:
+    return EngineRoom(entry.slots, count.online, count.batch, count.unread)
+
+
+def _memory_short(used: int, tokens: int, memory_tokens: int) -> int:
+    """Tokens by which an engine's memory is too small for one more request.
+
+    Args:
+        used: Tokens that its requests may need.
+        tokens: Those that this one may need.
+        memory_tokens: The engine's memory; 0 where it is not known.
+    """
+    if not memory_tokens or not used:
+        # Whether it takes a request that is larger than its memory is the engine's to say.
+        return 0
+    return max(0, used + tokens - int(memory_tokens * USABLE_MEMORY))
+
+
+def _timely(
+    candidates: list[_Candidate], pace: ServicePace, tokens: int, left: float
+) -> list[EngineOption]:
+    """Engines by which a request can be in time; else those with a free slot; else all."""
+    timely = [
+        one.option
+        for one in candidates
+        if pace.known and expected_first(one.room, tokens, pace) + pace.margin <= left
+    ]
+    free = [one.option for one in candidates if one.room.online < one.room.slots]
+    return timely or free or [one.option for one in candidates]
+
+
 class EngineFleet:
     """Engines of the directory, with the load and standing of each."""
 
@@ -165,7 +205,10 @@
         return engine_id in self._engines
 
     def _standing_of(self, engine_id: str) -> _Standing:
-        return self._standing.setdefault(engine_id, _Standing())
+        standing = self._standing.get(engine_id)
+        if standing is None:
+            standing = self._standing[engine_id] = _Standing()
+        return standing
 
     def _is_suspect(self, engine_id: str) -> bool:
         return self._standing_of(engine_id).suspect_until > self._clock.monotonic()
@@ -178,11 +221,7 @@
         """Load of each sound engine of a service; of all where none is sound."""
         entries = self.engines(service)
         sound = [one for one in entries if not self._is_suspect(one.engine_id)] or entries
-        return [self._room_of(entry) for entry in sound]
-
-    def _room_of(self, entry: EngineEntry) -> EngineRoom:
-        count = self.use.total(entry.engine_id)
-        return EngineRoom(entry.slots, count.online, count.batch, count.unread)
+        return [_room_of(entry, self.use.total(entry.engine_id)) for entry in sound]
 
     def place_online(
         self, service: str, terms: RequestTerms, excluded: Iterable[str], left: float
@@ -196,47 +235,31 @@
             left: Seconds within which its first event is in time.
         """
         skipped = set(excluded)
-        entries = {one.engine_id: one for one in self.engines(service)}
         memory = terms.shared_tokens + terms.own_tokens + terms.output_tokens
-        options = [
-            self._option(entry, memory)
-            for entry in entries.values()
+        spec = self.service_named(service)
+        memory_tokens = spec.memory_tokens if spec is not None else 0
+        candidates = [
+            self._candidate(entry, memory, memory_tokens)
+            for entry in self.engines(service)
             if entry.engine_id not in skipped
         ]
-        if not options:
+        if not candidates:
             return None
-        timely = self._timely(options, entries, service, terms.own_tokens, left)
-        best = self._chooser.choose(timely or options, terms.prefix_key, terms.shared_tokens)
+        pace = self.pace(service)
+        options = _timely(candidates, pace, terms.own_tokens, left)
+        best = self._chooser.choose(options, terms.prefix_key, terms.shared_tokens)
+        chosen = next(one for one in candidates if one.option.engine_id == best.engine_id)
         unread = terms.own_tokens + best.shared_unread
-        chosen = entries[best.engine_id]
-        expected = expected_first(self._room_of(chosen), unread, self.pace(service))
-        placement = self._enter(chosen, False, unread, memory)
+        expected = expected_first(chosen.room, unread, pace)
+        placement = self._enter(chosen.entry, False, unread, memory)
         placement.expected = expected
-        if self.excess(chosen.engine_id):
-            self.on_crowded(chosen.engine_id)
+        if self.excess(best.engine_id):
+            self.on_crowded(best.engine_id)
         return placement
 
-    def _timely(
-        self,
-        options: list[EngineOption],
-        entries: dict[str, EngineEntry],
-        service: str,
-        tokens: int,
-        left: float,
-    ) -> list[EngineOption]:
-        """Those by which the request can be in time; if there are none, those with a free slot."""
-        pace = self.pace(service)
-        rooms = [(one, self._room_of(entries[one.engine_id])) for one in options]
-        timely = [
-            one
-            for one, room in rooms
-            if pace.known and expected_first(room, tokens, pace) + pace.margin <= left
-        ]
-        return timely or [one for one, room in rooms if room.online < room.slots]
-
-    def _option(self, entry: EngineEntry, memory: int) -> EngineOption:
+    def _candidate(self, entry: EngineEntry, memory: int, memory_tokens: int) -> _Candidate:
         count = self.use.total(entry.engine_id)
-        return EngineOption(
+        option = EngineOption(
             entry.engine_id,
             entry.zone,
             entry.slots,
@@ -244,20 +267,9 @@
             count.batch,
             self._is_suspect(entry.engine_id),
             count.unread,
-            self._memory_short(entry, memory),
+            _memory_short(count.memory, memory, memory_tokens),
         )
-
-    def _memory_short(self, entry: EngineEntry, tokens: int) -> int:
-        """Tokens by which an engine's memory is too small for one more request of `tokens`."""
-        service = self.service_named(entry.service)
-        if service is None or not service.memory_tokens:
-            return 0
-        used = self.use.total(entry.engine_id).memory
-        if not used:
-            # Whether it takes a request that is larger than its memory is the engine's to say.
-            return 0
-        needed = used + tokens
-        return max(0, needed - int(service.memory_tokens * USABLE_MEMORY))
+        return _Candidate(entry, option, _room_of(entry, count))
 
     def batch_room(self, service: str, *, pressing: bool) -> int:
         """Batch items that the service's engines have room for now."""
@@ -302,6 +314,8 @@
             pressing: Whether it has to start soon; else it leaves more room to online work.
         """
         skipped = set(excluded)
+        spec = self.service_named(service)
+        memory_tokens = spec.memory_tokens if spec is not None else 0
         rooms = [
             (
                 self._room(entry, pressing),
@@ -310,7 +324,10 @@
                 entry,
             )
             for entry in self._batch_engines(service, pressing)
-            if entry.engine_id not in skipped and not self._memory_short(entry, prompt + output)
+            if entry.engine_id not in skipped
+            and not _memory_short(
+                self.use.total(entry.engine_id).memory, prompt + output, memory_tokens
+            )
         ]
         free = [one for one in rooms if one[0] > 0]
         if not free:
