Ends of items have a layout of their own; texts that came second are dropped whole

Two things, both in the records of ends. 1. Weighed: reading ends only where a job is asked for (the board must know which items have ended to count waiting tokens, so no). Records in the form before are not read: an acceptance of form 2 is told as unreadable (601), as those of form 1 are; end open jobs before all nodes are replaced. 2. It dropped one record for each claim, and all only for the end that counted. Now as many as the counted end has, for each claim. Test with a text of 768 KB: six records were left, now none. Tests: 73 of the touched modules passed; properties of the layout (round trip, cut, other bytes).

--- a/postvalve/core/batch/job_board.py
+++ b/postvalve/core/batch/job_board.py
@@ -16,11 +16,12 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 import betterproto
 
+from postvalve.core.batch.item_end import ItemEnd, unpack_end
 from postvalve.core.batch.job_items import ItemSpec, JobItemsError, unpack_items
 from postvalve.messages.generated import gateway
 
@@ -28,9 +29,10 @@
 """Milliseconds that a job is kept beyond the time for which it must stay readable."""
 
 
-JOB_FORM = 2
-"""Form of the records of jobs. Those of the first one held whole requests and answers; they are
-not read, and an acceptance in it is told as unreadable."""
+JOB_FORM = 3
+"""Form of the records of jobs. Those of the first one held whole requests and answers, and ends of
+the second one had another layout; they are not read, and an acceptance in one of them is told as
+unreadable."""
 
 
 class RecordKind(enum.StrEnum):
@@ -42,11 +44,11 @@
     END = "end"
 
 
-_MESSAGES: dict[str, type[betterproto.Message]] = {
-    RecordKind.ACCEPT: gateway.JobAccepted,
-    RecordKind.CLAIM: gateway.JobClaimed,
-    RecordKind.ITEM: gateway.ItemEnded,
-    RecordKind.END: gateway.JobEnded,
+_READERS: dict[str, Callable[[bytes], betterproto.Message | ItemEnd]] = {
+    RecordKind.ACCEPT: lambda value: gateway.JobAccepted().parse(value),
+    RecordKind.CLAIM: lambda value: gateway.JobClaimed().parse(value),
+    RecordKind.ITEM: unpack_end,
+    RecordKind.END: lambda value: gateway.JobEnded().parse(value),
 }
 
 
@@ -64,7 +66,7 @@
     claim_id: str
     node_id: str
     incarnation: int
-    results: list[gateway.ItemEnded] = field(default_factory=list)
+    results: list[ItemEnd] = field(default_factory=list)
     finished: set[int] = field(default_factory=set)
     ended: bool = False
     keys: list[str] = field(default_factory=list)
@@ -128,14 +130,13 @@
             return None
         self._seen_offset = offset
         kind, _, rest = key.partition("/")
-        message_type = _MESSAGES.get(kind)
-        if message_type is None:
+        read = _READERS.get(kind)
+        if read is None:
             return None
         if not value:
             return self._drop(kind, rest)
         try:
-            message = message_type().parse(value)
-            return self._apply(key, message)
+            return self._apply(key, read(value))
         except Exception:  # the codec raises whatever its inner calls raise
             self.unreadable.append(key)
         return None
@@ -146,17 +147,17 @@
             return job_id
         return None
 
-    def _apply(self, key: str, message: betterproto.Message) -> str | None:
+    def _apply(self, key: str, message: betterproto.Message | ItemEnd) -> str | None:
         if isinstance(message, gateway.JobAccepted):
             return self._accept(key, message)
-        assert isinstance(message, (gateway.JobClaimed, gateway.ItemEnded, gateway.JobEnded))
+        assert isinstance(message, (gateway.JobClaimed, ItemEnd, gateway.JobEnded))
         job = self.jobs.get(message.job_id)
         if job is None:
             return None
         job.keys.append(key)
         if isinstance(message, gateway.JobClaimed):
             return _claim(job, message)
-        if isinstance(message, gateway.ItemEnded):
+        if isinstance(message, ItemEnd):
             return _end_item(job, message)
         job.ended = True
         return job.job_id
@@ -207,7 +208,7 @@
     return job.job_id
 
 
-def _end_item(job: BoardJob, message: gateway.ItemEnded) -> str | None:
+def _end_item(job: BoardJob, message: ItemEnd) -> str | None:
     index = message.item_index
     if job.ended or index in job.finished or index >= len(job.items):
         return None
--- a/postvalve/gateway/end_writer.py
+++ b/postvalve/gateway/end_writer.py
@@ -8,13 +8,13 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
+from postvalve.core.batch.item_end import ItemEnd, ItemState
 from postvalve.core.batch.job_board import RecordKind, record_key
 from postvalve.events import Event, EventLog
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
 from postvalve.gateway.job_log import JobLog
 from postvalve.gateway.result_texts import text_prefix
 from postvalve.gateway.stored_values import ValueRef
-from postvalve.messages.generated import gateway
 
 COMMIT_PATIENCE = 4.0
 """Seconds of repetition until a failed append is told; then it is repeated again."""
@@ -36,7 +36,7 @@
     index: int
     claim_id: str
     """The claim under which it ran."""
-    state: gateway.ItemState
+    state: ItemState
     text: bytes = b""
     """What it has given, packed; empty for one that is dead."""
 
@@ -119,13 +119,6 @@
 
     def _record(self, ended: EndedItem, ref: ValueRef | None) -> KeyedRecord:
         key = record_key(RecordKind.ITEM, ended.job_id, str(ended.index), self._new_id())
-        record = gateway.ItemEnded(
-            job_id=ended.job_id,
-            item_index=ended.index,
-            state=ended.state,
-            claim_id=ended.claim_id,
-        )
-        if ref is not None:
-            record.text_partition, record.text_offset = ref.partition, ref.offset
-            record.text_records, record.text_bytes = ref.records, ref.size
-        return KeyedRecord(key, bytes(record))
+        text = (ref.partition, ref.offset, ref.records, ref.size) if ref is not None else ()
+        end = ItemEnd(ended.job_id, ended.index, ended.state, ended.claim_id, *text)
+        return KeyedRecord(key, end.pack())
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -10,6 +10,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.batch.progress import SavedJob
@@ -365,13 +366,13 @@
         if judgement is Judgement.ACCEPTED:
             return
         if judgement is Judgement.HOPELESS:
-            self._end(item, gateway.ItemState.ITEM_STATE_DEAD, b"")
+            self._end(item, ItemState.DEAD, b"")
             return
         if judgement is Judgement.FAILED:
             item.failures += 1
             job = self._log.board.jobs[item.job_id]
             if item.failures >= max(1, job.accepted.max_attempts):
-                self._end(item, gateway.ItemState.ITEM_STATE_DEAD, b"")
+                self._end(item, ItemState.DEAD, b"")
                 return
             raise AttemptError(f"the item failed: {answer.status}", Verdict.RAN)
         if judgement is Judgement.REPLACED:
@@ -435,16 +436,16 @@
     def _complete(self, item: RunningItem) -> None:
         if not item.cancelled:
             self._estimate.observe(item.seconds_run(self._clock.monotonic()), item.output_tokens)
-            self._end(item, gateway.ItemState.ITEM_STATE_COMPLETED, b"\n".join(item.events))
+            self._end(item, ItemState.COMPLETED, b"\n".join(item.events))
 
-    def _end(self, item: RunningItem, state: gateway.ItemState, text: bytes) -> None:
+    def _end(self, item: RunningItem, state: ItemState, text: bytes) -> None:
         items = self._items.get(item.job_id, {})
         items.pop(item.index, None)
         item.cancelled = True
         self._progress.forget(item)
         ended = load_report.RunningItem(job_id=item.job_id, item_index=item.index)
         self._ended_lately.append((self._clock.monotonic(), ended))
-        completed = state == gateway.ItemState.ITEM_STATE_COMPLETED
+        completed = state == ItemState.COMPLETED
         packed = pack_text(text) if completed else b""
         self._ends.add(EndedItem(item.job_id, item.index, item.claim_id, state, packed))
         outcome = "completed" if completed else "dead"
@@ -469,4 +470,4 @@
                     continue
                 for item in list(items.values()):
                     if not item.running:
-                        self._end(item, gateway.ItemState.ITEM_STATE_DEAD, b"")
+                        self._end(item, ItemState.DEAD, b"")
--- a/postvalve/gateway/job_service.py
+++ b/postvalve/gateway/job_service.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.item_end import ItemEnd, ItemState
 from postvalve.core.batch.job_board import JOB_FORM, BoardJob, RecordKind, record_key
 from postvalve.core.batch.job_items import ItemSpec, pack_items
 from postvalve.events import Event, EventLog
@@ -308,7 +309,7 @@
         listed = tuple(_listed(job, *one) for one in zip(ends, texts, strict=False))
         return ResultPage(len(job.items), listed, position + len(listed))
 
-    def _texts(self, ends: list[gateway.ItemEnded]) -> list[bytes]:
+    def _texts(self, ends: list[ItemEnd]) -> list[bytes]:
         """Texts of the first of these ends, as many as one page holds.
 
         Raises:
@@ -433,10 +434,10 @@
         self._events.emit(Event.ROUTED_JOB_ENDED, job=job_id, listed=len(job.results))
 
 
-def _listed(job: BoardJob, result: gateway.ItemEnded, text: bytes) -> ListedResult:
+def _listed(job: BoardJob, result: ItemEnd, text: bytes) -> ListedResult:
     return ListedResult(
         item_id=job.items[result.item_index].item_id,
-        completed=result.state == gateway.ItemState.ITEM_STATE_COMPLETED,
+        completed=result.state == ItemState.COMPLETED,
         text=text,
     )
 
--- a/postvalve/gateway/result_texts.py
+++ b/postvalve/gateway/result_texts.py
@@ -8,10 +8,10 @@
 
 import xxhash
 
+from postvalve.core.batch.item_end import ItemEnd
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.gateway.interfaces import GatewaySettings, KeyedTopics
 from postvalve.gateway.stored_values import ValueRef, ValueStore
-from postvalve.messages.generated import gateway
 
 TEXT_TOPIC = "texts"
 CACHE_BYTES = 2 * 1024 * 1024
@@ -61,7 +61,7 @@
             self._keep(prefix, text)
         return refs
 
-    def get(self, ends: Sequence[gateway.ItemEnded]) -> list[bytes]:
+    def get(self, ends: Sequence[ItemEnd]) -> list[bytes]:
         """Texts of ended items, from memory or from the store.
 
         Raises:
@@ -77,7 +77,7 @@
             self._keep(prefix, packed)
         return texts
 
-    def _text(self, end: gateway.ItemEnded, read: dict[str, bytes]) -> bytes:
+    def _text(self, end: ItemEnd, read: dict[str, bytes]) -> bytes:
         if not end.text_records:
             return b""
         prefix = _prefix(end)
@@ -86,7 +86,7 @@
         self._cache.move_to_end(prefix)
         return unpack_text(self._cache[prefix])
 
-    def cached(self, end: gateway.ItemEnded) -> bool:
+    def cached(self, end: ItemEnd) -> bool:
         """Whether a text needs no read."""
         return not end.text_records or _prefix(end) in self._cache
 
@@ -104,26 +104,23 @@
         Raises:
             StoreUnavailableError: the next try goes on.
         """
+        # An item's whole text is the same in each run, and so takes as many records.
+        records = {end.item_index: end.text_records for end in job.results}
         keys: dict[int, list[str]] = {}
         for claim_id, node_id in job.claims:
-            keys.setdefault(self._partition_of(node_id), []).extend(
-                key
-                for index in range(len(job.items))
-                for key in ValueRef(0, text_prefix(job.job_id, index, claim_id), 0, 1, 0).keys
-            )
-        for end in job.results:
-            if end.text_records > 1:
-                ref = _ref(end)
-                keys.setdefault(ref.partition, []).extend(ref.keys[1:])
+            kept = keys.setdefault(self._partition_of(node_id), [])
+            for index in range(len(job.items)):
+                prefix = text_prefix(job.job_id, index, claim_id)
+                kept.extend(ValueRef(0, prefix, 0, max(1, records.get(index, 1)), 0).keys)
         for partition, dropped in keys.items():
             self._values.drop(partition, dropped)
 
 
-def _prefix(end: gateway.ItemEnded) -> str:
+def _prefix(end: ItemEnd) -> str:
     return text_prefix(end.job_id, end.item_index, end.claim_id)
 
 
-def _ref(end: gateway.ItemEnded) -> ValueRef:
+def _ref(end: ItemEnd) -> ValueRef:
     return ValueRef(
         end.text_partition, _prefix(end), end.text_offset, end.text_records, end.text_bytes
     )
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.job_board import JobBoard
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
@@ -96,7 +97,7 @@
 
     def add(self, count, size):
         for index in range(count):
-            state = gateway.ItemState.ITEM_STATE_COMPLETED
+            state = ItemState.COMPLETED
             self.writer.add(EndedItem("j", index, "c", state, b"x" * size))
 
     def test_ends_are_written_in_order_and_in_calls_that_fit(self):
--- a/tests/test_job_board.py
+++ b/tests/test_job_board.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from postvalve.core.batch.item_end import ItemEnd, ItemEndError, ItemState, unpack_end
 from postvalve.core.batch.job_board import JOB_FORM, JobBoard, RecordKind, board_of, record_key
 from postvalve.core.batch.job_items import ItemSpec, JobItemsError, pack_items, unpack_items
 from postvalve.messages.generated import gateway
@@ -28,12 +29,7 @@
 
 
 def ended(index, text_offset=1, job_id="j"):
-    return gateway.ItemEnded(
-        job_id=job_id,
-        item_index=index,
-        state=gateway.ItemState.ITEM_STATE_COMPLETED,
-        text_offset=text_offset,
-    )
+    return ItemEnd(job_id, index, ItemState.COMPLETED, "c", text_offset=text_offset)
 
 
 def claimed(claim, replaces, node="n1"):
@@ -42,6 +38,10 @@
     )
 
 
+def _value(message):
+    return message.pack() if isinstance(message, ItemEnd) else bytes(message)
+
+
 class Topic:
     """A keyed topic: everything in order, and the newest record of each key."""
 
@@ -49,7 +49,7 @@
         self.log = []
 
     def add(self, kind, message, *parts):
-        self.log.append((len(self.log), record_key(kind, *parts), bytes(message)))
+        self.log.append((len(self.log), record_key(kind, *parts), _value(message)))
 
     def newest(self):
         return list({key: (offset, key, value) for offset, key, value in self.log}.values())
@@ -119,9 +119,10 @@
     def test_acceptances_in_another_form_are_told(self):
         board = JobBoard()
         former = accepted()
-        former.form = 0
-        board.observe(0, "accept/j/c0", bytes(former))
-        self.assertEqual((board.jobs, board.unreadable), ({}, ["accept/j/c0"]))
+        for offset, form in enumerate(range(JOB_FORM)):
+            former.form = form
+            board.observe(offset, "accept/j/c0", bytes(former))
+        self.assertEqual((board.jobs, board.unreadable), ({}, ["accept/j/c0"] * JOB_FORM))
 
     def test_every_claim_is_remembered(self):
         self.topic.add(RecordKind.CLAIM, claimed("c1", "c0", "n1"), "j", "c1")
@@ -131,6 +132,43 @@
         self.assertEqual(job.holders, ["n0", "n1"])
 
 
+class ItemEndTest(unittest.TestCase):
+    short = st.integers(0, 2**16 - 1)
+    ends = st.builds(
+        ItemEnd,
+        st.text(max_size=40),
+        short,
+        st.sampled_from(ItemState),
+        st.text(max_size=40),
+        short,
+        st.integers(0, 2**64 - 1),
+        short,
+        st.integers(0, 2**32 - 1),
+    )
+
+    @given(ends)
+    def test_an_end_comes_back_as_it_was(self, end):
+        self.assertEqual(unpack_end(end.pack()), end)
+
+    @given(ends, st.data())
+    def test_a_cut_end_is_none(self, end, data):
+        whole = end.pack()
+        size = data.draw(st.integers(0, len(whole) - 1))
+        with self.assertRaises(ItemEndError):
+            unpack_end(whole[:size])
+
+    @given(st.binary(max_size=120))
+    def test_other_bytes_are_none_or_an_end(self, data):
+        with contextlib.suppress(ItemEndError):
+            self.assertEqual(unpack_end(data).pack(), data)
+
+    def test_an_unknown_state_is_none(self):
+        whole = bytearray(ended(1).pack())
+        whole[2] = 7
+        with self.assertRaises(ItemEndError):
+            unpack_end(bytes(whole))
+
+
 class ItemTableTest(unittest.TestCase):
     numbers = st.integers(0, 2**32 - 1)
     items = st.lists(
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -1,12 +1,14 @@
 """The job topic under a store that loses, delays and forgets."""
 
 import itertools
+import random
 import unittest
 from unittest import mock
 
 import gevent
 
 from postvalve.clock import SystemClock
+from postvalve.core.batch.item_end import ItemEnd, ItemState
 from postvalve.core.batch.job_board import JOB_FORM, RecordKind, record_key
 from postvalve.core.batch.job_items import ItemSpec, pack_items
 from postvalve.emulator.keyed_topics import MemoryTopics
@@ -54,8 +56,8 @@
 
 
 def end_record(index):
-    ended = gateway.ItemEnded(job_id="j", item_index=index, claim_id="c")
-    return KeyedRecord(record_key(RecordKind.ITEM, "j", str(index), "nonce"), bytes(ended))
+    end = ItemEnd("j", index, ItemState.COMPLETED, "c")
+    return KeyedRecord(record_key(RecordKind.ITEM, "j", str(index), "nonce"), end.pack())
 
 
 def positions(log):
@@ -184,7 +186,7 @@
         self.new_id = map(str, itertools.count()).__next__
 
     def end(self, *indexes, claim="c"):
-        state = gateway.ItemState.ITEM_STATE_COMPLETED
+        state = ItemState.COMPLETED
         writer = EndWriter(self.log, QuietLog(), SETTINGS.call_bytes, self.new_id)
         writer._write(
             [EndedItem("j", index, claim, state, pack_text(self.texts[index])) for index in indexes]
@@ -239,8 +241,15 @@
         self.assertEqual(self.read(job_log(self.topics)), {0: b"short"})
 
     def test_dropped_jobs_leave_no_text_not_even_of_a_second_end(self):
+        self.drop_after_second_end(b"another run")
+
+    def test_dropped_jobs_leave_no_later_record_of_a_second_end(self):
+        self.texts[0] = random.Random(5).randbytes(3 * SETTINGS.record_bytes)
+        self.drop_after_second_end(self.texts[0])
+
+    def drop_after_second_end(self, text):
         self.end(0, 1)
-        self.texts[0] = b"another run"
+        self.texts[0] = text
         claim = gateway.JobClaimed(job_id="j", claim_id="c2", replaces="c", node_id="n")
         key = record_key(RecordKind.CLAIM, "j", "c2")
         self.log.append([KeyedRecord(key, bytes(claim))], 0.0)
