Load reports go without the codec's wrapping; a far node's word to give way is logged

A load report is one field of bytes in a layout of our own, and the codec took 7.8 us to unwrap it (timed warm; 0.25 of 3.06 s in the profile of a node of 71). It now stands straight after the frame's header. Other messages keep the codec. Nodes of the form before are told as unreadable (PEER_MESSAGE_INVALID) while both run. Items at an engine that runs no more than it should cost a look at all peers' items on each wake-up; now none.

--- a/postvalve/gateway/engine_watch.py
+++ b/postvalve/gateway/engine_watch.py
@@ -41,6 +41,8 @@
         self._victims = VictimChooser()
         self._watchers: dict[str, str] = {}
         """Node that watches over each engine of this zone."""
+        self._watched: list[str] = []
+        """Engines that this node watches over."""
         self._watchers_of: tuple[list[str], list[str]] = ([], [])
         """Nodes and engines for which that was worked out."""
         self._looked_at = float("-inf")
@@ -79,6 +81,8 @@
         self._watchers_of = (nodes, near)
         watchers = {engine_id: preferred_owner(engine_id, nodes) for engine_id in near}
         self._watchers = {key: one for key, one in watchers.items() if one is not None}
+        own = self._identity.node_id
+        self._watched = [key for key, one in self._watchers.items() if one == own]
 
     def _tell(self) -> None:
         watchers, self._untold = self._untold, set()
@@ -95,9 +99,8 @@
 
     def look(self) -> None:
         """Tell items to go where an engine that this node watches over runs too many."""
-        for engine_id, watcher in self._watchers.items():
-            if watcher == self._identity.node_id:
-                self._relieve(engine_id)
+        for engine_id in self._watched:
+            self._relieve(engine_id)
 
     def _relieve(self, engine_id: str) -> None:
         engine, own = engine_hash(engine_id), self._identity.node_id
@@ -105,9 +108,12 @@
         running = self._items.at(engine) if excess > 0 else []
         if excess > 0:
             running += [(urgency, own) for urgency in self.own_urgencies(engine_id)]
-        for urgency, node_id in self._victims.choose(
-            engine, running, excess, self._clock.monotonic()
-        ):
+        self._tell_victims(engine_id, running, excess)
+
+    def _tell_victims(self, engine_id: str, running: list[tuple[int, str]], excess: int) -> None:
+        """Tell the least urgent of the items that run at an engine to go, each once."""
+        engine, now = engine_hash(engine_id), self._clock.monotonic()
+        for urgency, node_id in self._victims.choose(engine, running, excess, now):
             self._events.emit(
                 Event.ITEM_TOLD_TO_GIVE_WAY, engine=engine_id, peer=node_id, excess=excess
             )
@@ -128,8 +134,4 @@
             return
         engine = engine_hash(engine_id)
         known = [one for one in self._items.at(engine) if self._peers.get(one[1]) is not None]
-        excess = self._fleet.excess(engine_id)
-        for urgency, node_id in self._victims.choose(
-            engine, known, excess, self._clock.monotonic()
-        ):
-            self._send(engine, urgency, node_id)
+        self._tell_victims(engine_id, known, self._fleet.excess(engine_id))
--- a/postvalve/gateway/item_preemption.py
+++ b/postvalve/gateway/item_preemption.py
@@ -33,6 +33,8 @@
         for engine_id, running in self._running().items():
             staying = [item for item in running if not item.preempted]
             excess = self._fleet.excess(engine_id) - (len(running) - len(staying))
+            if excess <= 0:
+                continue
             others = self._peer_items.at(engine_hash(engine_id))
             urgencies = [self._urgency(item) for item in staying]
             count = giving_way(self._node_id, urgencies, others, excess)
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -28,7 +28,13 @@
 from postvalve.gateway.engine_watch import EngineWatch
 from postvalve.gateway.peer_services import PeerServices
 from postvalve.gateway.zone_digests import ZoneDigests
-from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
+from postvalve.messages.framing import (
+    FrameError,
+    Message,
+    PackedReport,
+    decode_datagram,
+    encode_frame,
+)
 from postvalve.messages.generated import gateway
 
 TARGETS_AGE = 0.5
@@ -82,7 +88,7 @@
     def _next(self) -> bytes:
         """The next report, as a datagram."""
         self._sequence += 1
-        return encode_frame(gateway.LoadReport(packed=self._report().pack()), 0)
+        return encode_frame(PackedReport(self._report().pack()), 0)
 
     def run(self) -> None:
         """Report for ever."""
@@ -163,19 +169,19 @@
     def receive(self, data: bytes, address: str) -> None:
         """Take a datagram."""
         try:
-            msg = decode_datagram(data)
-            if isinstance(msg, gateway.ZoneDigest):
-                self.zones.receive(msg, address)
-                return
-            if isinstance(msg, gateway.GiveWay):
-                self.watch.on_give_way(msg.engine, msg.urgency)
-                return
-            if not isinstance(msg, gateway.LoadReport):
-                return
-            report = unpack_report(msg.packed)
+            self._take(decode_datagram(data), address)
         except (FrameError, LoadReportError) as exc:
             self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(exc))
-            return
+
+    def _take(self, msg: Message, address: str) -> None:
+        if isinstance(msg, PackedReport):
+            self._take_report(unpack_report(msg.data))
+        elif isinstance(msg, gateway.ZoneDigest):
+            self.zones.receive(msg, address)
+        elif isinstance(msg, gateway.GiveWay):
+            self.watch.on_give_way(msg.engine, msg.urgency)
+
+    def _take_report(self, report: LoadReport) -> None:
         now = self._clock.monotonic()
         first = self._peers.get(report.node_id) is None
         if not self._peers.observe(report, now):
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -15,7 +15,25 @@
 HEADER = struct.Struct("!IBQ")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
-_MESSAGE_KINDS: tuple[type[betterproto.Message], ...] = (
+
+@dataclass(frozen=True, slots=True)
+class PackedReport:
+    """A load report in its own layout (`core/membership/load_report`), straight after the header.
+
+    A node of a large zone reads some hundred a second; the codec took 8 us to unwrap one field of
+    bytes, and more than half of what reading a report costs.
+    """
+
+    data: bytes
+
+    def __bytes__(self) -> bytes:
+        return self.data
+
+
+Message = betterproto.Message | PackedReport
+"""What a frame holds."""
+
+_MESSAGE_KINDS: tuple[type[Message], ...] = (
     peer.Acknowledgement,
     peer.AdmissionRequest,
     peer.AdmissionReply,
@@ -29,7 +47,7 @@
     peer.ConfigurationReply,
     peer.Heartbeat,
     peer.ZoneDigest,
-    gateway.LoadReport,
+    PackedReport,
     gateway.RevisionFetch,
     gateway.RevisionReply,
     gateway.StoreAppend,
@@ -55,7 +73,7 @@
     correlation_id: int
 
 
-def encode_frame(message: betterproto.Message, correlation_id: int) -> bytes:
+def encode_frame(message: Message, correlation_id: int) -> bytes:
     """Encode one message with its header."""
     body = bytes(message)
     return HEADER.pack(len(body), _KIND_OF_TYPE[type(message)], correlation_id) + body
@@ -85,17 +103,23 @@
     """
     if len(body) != header.length:
         raise FrameError("frame is cut")
-    return parse_message(_MESSAGE_KINDS[header.kind], body)
+    kind = _MESSAGE_KINDS[header.kind]
+    if issubclass(kind, PackedReport):
+        raise FrameError("load reports travel as datagrams")
+    return parse_message(kind, body)
 
 
-def decode_datagram(data: bytes) -> betterproto.Message:
+def decode_datagram(data: bytes) -> Message:
     """Decode a datagram, which is one whole frame.
 
     Raises:
         FrameError: when it is not.
     """
     header = decode_header(data[: HEADER.size])
-    return decode_body(header, data[HEADER.size :])
+    body = data[HEADER.size :]
+    if _MESSAGE_KINDS[header.kind] is PackedReport and len(body) == header.length:
+        return PackedReport(body)
+    return decode_body(header, body)
 
 
 def parse_message(message_type: type[betterproto.Message], data: bytes) -> betterproto.Message:
--- a/postvalve/node/membership_service.py
+++ b/postvalve/node/membership_service.py
@@ -5,8 +5,6 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-import betterproto
-
 from postvalve.clock import milliseconds
 from postvalve.core.membership.ownership import rank_owners
 from postvalve.core.membership.view import (
@@ -17,7 +15,7 @@
 )
 from postvalve.events import Event
 from postvalve.exceptions import PlatformError
-from postvalve.messages.framing import FrameError, decode_datagram, encode_frame
+from postvalve.messages.framing import FrameError, Message, decode_datagram, encode_frame
 from postvalve.messages.generated import peer
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.context import NodeContext
@@ -210,7 +208,7 @@
         except FrameError as error:
             self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(error))
 
-    def _take(self, message: betterproto.Message) -> None:
+    def _take(self, message: Message) -> None:
         now = self._clock.monotonic()
         if isinstance(message, peer.Heartbeat):
             self._observe(message, now, direct=True)
--- a/tests/test_engine_events.py
+++ b/tests/test_engine_events.py
@@ -7,7 +7,15 @@
 from hypothesis import strategies as st
 
 from postvalve.exceptions import AttemptError, Verdict
-from postvalve.messages.framing import FrameError, decode_datagram
+from postvalve.messages.framing import (
+    HEADER,
+    FrameError,
+    PackedReport,
+    decode_body,
+    decode_datagram,
+    decode_header,
+    encode_frame,
+)
 from postvalve.messages.records_codec import parse_record
 from postvalve.node.batch.completion import join_events
 from postvalve.services.engine import DONE_EVENT
@@ -48,7 +56,7 @@
                 continue
 
     @settings(derandomize=True, max_examples=300)
-    @given(st.integers(0, 14), st.binary(max_size=40))
+    @given(st.integers(0, 21), st.binary(max_size=40))
     def test_any_body_of_a_known_kind(self, kind, body):
         header = len(body).to_bytes(4, "big") + bytes([kind]) + bytes(8)
         try:
@@ -56,6 +64,19 @@
         except FrameError:
             return
 
+    @given(st.binary(max_size=40))
+    def test_a_packed_report_comes_back_as_it_was(self, data):
+        frame = encode_frame(PackedReport(data), 0)
+        self.assertEqual(decode_datagram(frame), PackedReport(data))
+        for cut in (frame[:-1], frame + b"x"):
+            with self.assertRaises(FrameError):
+                decode_datagram(cut)
+
+    def test_a_packed_report_is_no_request(self):
+        frame = encode_frame(PackedReport(b"r"), 0)
+        with self.assertRaises(FrameError):
+            decode_body(decode_header(frame[: HEADER.size]), frame[HEADER.size :])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_engine_watch.py
+++ b/tests/test_engine_watch.py
@@ -13,6 +13,8 @@
 from tests.test_gateway_jobs import job_body
 from tests.test_zone_digest import FleetCase
 
+_TOLD = Event.ITEM_TOLD_TO_GIVE_WAY
+
 
 class WatchTest(unittest.TestCase):
     def test_items_go_before_any_report_in_turn_tells_of_the_requests(self):
@@ -83,6 +85,19 @@
         self.network.deliver()
         self.assertEqual(told, [(holder.name, engine, 90)])
 
+    def test_a_node_of_another_zone_tells_items_to_go_and_logs_it(self):
+        holder = next(node for node in self.nodes if node.identity.zone == "z0")
+        far = next(node for node in self.nodes if node.identity.zone == "z1")
+        told = []
+        holder.reports.watch.on_give_way = lambda engine, urgency: told.append(urgency)
+        far.reports._fleet.excess = lambda engine_id: 1
+        far.reports.items.at = lambda engine: [(90, holder.name)]
+        far.reports.watch.urge_far("e0")
+        self.network.deliver()
+        self.assertEqual(told, [90])
+        logged = [fields for event, fields in far.log.written if event is _TOLD]
+        self.assertEqual(logged, [{"engine": "e0", "peer": holder.name, "excess": 1}])
+
 
 if __name__ == "__main__":
     unittest.main()
