--- /dev/null
+++ b/postvalve/gateway/directory_reader.py
@@ -0,0 +1,87 @@
+"""Follows the engines' directory, and gives its entries to the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import gevent
+
+from postvalve.clock import Clock
+from postvalve.core.membership.engine_directory import KEEP_TIME, EngineDirectory
+from postvalve.events import Event, EventLog
+from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.interfaces import EngineEntry, KeyedRecord, KeyedTopics
+from postvalve.gateway.topic_follower import TopicFollower
+
+READ_WAIT = 2.0
+"""Seconds that a read of the directory waits."""
+READ_PAUSE = 0.6
+"""Seconds between such reads, in which changes gather."""
+KEPT_LOOK = 0.01
+"""Seconds between looks at entries that lapsed, at the least."""
+
+DirectoryParser = Callable[[KeyedRecord], EngineEntry | None]
+"""Reads one entry of the directory; None for one that can't be read."""
+
+
+class DirectoryReader:
+    """What this node reads of the directory."""
+
+    def __init__(
+        self,
+        topics: KeyedTopics,
+        topic: str,
+        parse: DirectoryParser,
+        fleet: EngineFleet,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self._parse = parse
+        self._fleet = fleet
+        self._clock = clock
+        self._events = events
+        self._entries: EngineDirectory[EngineEntry] = EngineDirectory()
+        self.on_change: Callable[[], None] = lambda: None
+        """Called after the fleet has got the entries."""
+        self._follower = TopicFollower(
+            topics, clock, events, topic, self._observe, wait=READ_WAIT, pause=READ_PAUSE
+        )
+        self._follower.on_lost = self._entries.store_lost
+        self._follower.on_back = lambda: self._entries.store_back(clock.monotonic())
+        fleet.directory_unsettled = lambda: self._entries.unsettled(clock.monotonic())
+
+    def run(self) -> None:
+        """Follow for ever."""
+        self._follower.run()
+
+    def _observe(self, records: Sequence[KeyedRecord], whole: bool) -> None:
+        changes = [(record.key, self._entry_of(record)) for record in records]
+        missing = self._entries.observe(changes, whole, self._clock.monotonic())
+        if missing:
+            self._events.emit(Event.ENGINES_LAPSED, engines=missing, seconds=KEEP_TIME)
+            gevent.spawn(self._drop_lapsed)
+        self._use()
+
+    def _entry_of(self, record: KeyedRecord) -> EngineEntry | None:
+        if not record.value:
+            return None
+        entry = self._parse(record)
+        if entry is None:
+            self._events.emit(
+                Event.ENGINE_UNREADABLE, engine=record.key, entry=repr(record.value[:200])
+            )
+        return entry
+
+    def _drop_lapsed(self) -> None:
+        """Drop entries that did not come back, each in its time.
+
+        The loop's timers start from a time that is some milliseconds old and may fire that much
+        too early, so one look after `KEEP_TIME` could be the last and come too soon.
+        """
+        while (left := self._entries.seconds_kept(self._clock.monotonic())) is not None:
+            gevent.sleep(max(KEPT_LOOK, left))
+            self._use()
+
+    def _use(self) -> None:
+        self._fleet.update(self._entries.entries(self._clock.monotonic()))
+        self.on_change()
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -5,7 +5,7 @@
 import json
 import random
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,15 +15,14 @@
 
 from postvalve.clock import Clock, milliseconds
 from postvalve.core.admission.connection_share import resting_limit
-from postvalve.core.membership.engine_directory import KEEP_TIME, EngineDirectory
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import PeerUnavailableError
 from postvalve.gateway.application import GatewayApplication
 from postvalve.gateway.configuration import ConfigurationHolder, Parser
+from postvalve.gateway.directory_reader import DirectoryParser, DirectoryReader
 from postvalve.gateway.end_writer import EndWriter
 from postvalve.gateway.engine_connections import ConnectionPool
 from postvalve.gateway.fleet import EngineFleet
@@ -31,9 +30,7 @@
 from postvalve.gateway.http_server import GatewayServer, plain_server
 from postvalve.gateway.interfaces import (
     Dialect,
-    EngineEntry,
     GatewaySettings,
-    KeyedRecord,
     KeyedTopics,
     StoreUnavailableError,
 )
@@ -51,28 +48,18 @@
 from postvalve.gateway.node_directory import NodeDirectory
 from postvalve.gateway.peer_services import PeerServices
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
+from postvalve.gateway.revision_fetch import RevisionFetcher
 from postvalve.gateway.routed_run import RunServices
 from postvalve.gateway.status import engine_rows, job_rows, peer_rows
 from postvalve.gateway.topic_follower import TopicFollower
 from postvalve.gateway.waiting_room import WaitingRoom
 from postvalve.messages.generated import gateway
-from postvalve.node.peer_link import Channel
 from postvalve.node.transport import NetworkTransport
 from postvalve.settings.routes import RouteSpec, ServiceSpec
 
 CONFIGURATION_WAIT = 10.0
 """Seconds that a read of the operator's topic waits."""
 CONFIGURATION_PAUSE = 0.05
-DIRECTORY_WAIT = 2.0
-"""Seconds that a read of the engines' directory waits."""
-DIRECTORY_PAUSE = 0.6
-"""Seconds between such reads, in which changes gather."""
-KEPT_LOOK = 0.01
-"""Seconds between looks at entries that lapsed, at the least."""
-FETCH_TIMEOUT = 1.0
-"""Seconds until a peer's revision is given up."""
-FETCH_DELAY = 0.3
-"""Seconds in which a newer revision that a peer has may still come from the store."""
 HOUSEKEEPING_INTERVAL = 1.0
 STATUS_PATH = "/status"
 """Path at the metrics address that tells what the node believes."""
@@ -86,9 +73,6 @@
 IDLE_FACTOR = 2.0
 """Resting connections are kept so many times longer than clients may use them."""
 
-DirectoryParser = Callable[[KeyedRecord], EngineEntry | None]
-"""Reads one entry of the engines' directory; None for one that can't be read."""
-
 
 @dataclass(frozen=True, slots=True)
 class GatewayPlatform:
@@ -126,7 +110,6 @@
         self._drain_signal = GeventEvent()
         self._usable = GeventEvent()
         """Set once there are a configuration and engines."""
-        self._engines: EngineDirectory[EngineEntry] = EngineDirectory()
         self._greenlets: list[gevent.Greenlet] = []
         generator = random.Random()
         self._identity = gateway.NodeStarted(
@@ -143,6 +126,7 @@
         self.configuration = ConfigurationHolder(
             platform.configuration_key, platform.parse_configuration, events
         )
+        self._revisions = RevisionFetcher(self.configuration, self._transport, events)
         self._relay = RelayServer(platform.topics)
         topics = RelayedTopics(
             platform.topics,
@@ -222,10 +206,9 @@
             topics, clock, events, platform.configuration_topic,
             self.configuration.observe, wait=CONFIGURATION_WAIT, pause=CONFIGURATION_PAUSE,
         )  # fmt: skip
-        self._directory_follower = TopicFollower(
-            topics, clock, events, platform.directory_topic,
-            self._observe_directory, wait=DIRECTORY_WAIT, pause=DIRECTORY_PAUSE,
-        )  # fmt: skip
+        self._directory = DirectoryReader(
+            topics, platform.directory_topic, platform.parse_engine, self._fleet, clock, events
+        )
         self._connect()
 
     def _connect(self) -> None:
@@ -242,9 +225,7 @@
         self._nodes.on_change = self._reports.look_again
         self._fleet.on_crowded = self._engine_crowded
         self._fleet.on_placed = self._reports.watch.note_placed
-        self._fleet.directory_unsettled = lambda: self._engines.unsettled(self._clock.monotonic())
-        self._directory_follower.on_lost = self._engines.store_lost
-        self._directory_follower.on_back = lambda: self._engines.store_back(self._clock.monotonic())
+        self._directory.on_change = self._directory_changed
 
     def _engine_crowded(self, engine_id: str) -> None:
         self._runner.wake()
@@ -269,7 +250,7 @@
             self._metrics_server.start()
         for task in (
             self._configuration_follower.run,
-            self._directory_follower.run,
+            self._directory.run,
             self._reports.run,
             self._reports.zones.run,
             self._runner.run,
@@ -350,43 +331,12 @@
 
     def _serve_peer(self, message: betterproto.Message) -> betterproto.Message:
         if isinstance(message, gateway.RevisionFetch):
-            return gateway.RevisionReply(
-                revision=max(0, self.configuration.revision), document=self.configuration.document
-            )
+            return self._revisions.reply()
         return self._relay.serve(message)
 
     # What the store tells
 
-    def _observe_directory(self, records: Sequence[KeyedRecord], whole: bool) -> None:
-        changes = [(record.key, self._engine_of(record)) for record in records]
-        missing = self._engines.observe(changes, whole, self._clock.monotonic())
-        if missing:
-            self._events.emit(Event.ENGINES_LAPSED, engines=missing, seconds=KEEP_TIME)
-            gevent.spawn(self._drop_lapsed)
-        self._use_directory()
-
-    def _drop_lapsed(self) -> None:
-        """Drop entries that did not come back, each in its time.
-
-        The loop's timers start from a time that is some milliseconds old and may fire that much
-        too early, so one look after `KEEP_TIME` could be the last and come too soon.
-        """
-        while (left := self._engines.seconds_kept(self._clock.monotonic())) is not None:
-            gevent.sleep(max(KEPT_LOOK, left))
-            self._use_directory()
-
-    def _engine_of(self, record: KeyedRecord) -> EngineEntry | None:
-        if not record.value:
-            return None
-        entry = self._platform.parse_engine(record)
-        if entry is None:
-            self._events.emit(
-                Event.ENGINE_UNREADABLE, engine=record.key, entry=repr(record.value[:200])
-            )
-        return entry
-
-    def _use_directory(self) -> None:
-        self._fleet.update(self._engines.entries(self._clock.monotonic()))
+    def _directory_changed(self) -> None:
         self._note_usable()
         self._runner.wake()
 
@@ -415,33 +365,13 @@
     # What peers tell
 
     def _peer_reported(self, report: LoadReport) -> None:
-        self._consider_revision(report.revision, report.node_id, report.peer_address)
+        self._revisions.consider(report.revision, report.node_id, report.peer_address)
         self._runner.note_peers()
 
     def _zone_reported(self, digest: ZoneDigest) -> None:
-        self._consider_revision(digest.revision, digest.reporter, digest.peer_address)
+        self._revisions.consider(digest.revision, digest.reporter, digest.peer_address)
         self._runner.note_peers()
 
-    def _consider_revision(self, revision: int, node_id: str, address: str) -> None:
-        """Get a newer revision that a peer has, unless the store brings it in a moment."""
-        if revision > max(0, self.configuration.revision):
-            gevent.spawn_later(FETCH_DELAY, self._fetch_revision, revision, node_id, address)
-
-    def _fetch_revision(self, revision: int, node_id: str, address: str) -> None:
-        known = max(0, self.configuration.revision)
-        if revision <= known:
-            return
-        request = gateway.RevisionFetch(known_revision=known)
-        try:
-            reply = self._transport.call(address, Channel.ADMISSION, request, FETCH_TIMEOUT)
-        except PeerUnavailableError as exc:
-            self._events.emit(
-                Event.REVISION_NOT_FETCHED, peer=node_id, revision=revision, error=exc.message
-            )
-            return
-        if isinstance(reply, gateway.RevisionReply) and reply.document:
-            self.configuration.adopt(reply.document, node_id)
-
     # Housekeeping
 
     def _keep_house(self) -> None:
