A test that a client's leaving ends its attempt can fail

With the watch over clients taken out (gevent.spawn(self._on_gone)) all tests of test_gateway_online stayed green, in a scratch copy: a silent engine's attempt ended by the engine's silence, and the test took that for the client's leaving. It now holds that off and waits for less than the route's time: red without the line, green with it.

--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -211,10 +211,12 @@
     def test_client_that_leaves_a_thinking_engine_ends_its_attempt(self):
         for engine in self.fleet.engines:
             engine.usual = Behaviour(silent=True)
-        connection = self.fleet.open("n0", STREAM_PATH)
-        wait_until(lambda: sum(len(one.heads) for one in self.fleet.engines) == 1)
-        connection.close()
-        wait_until(lambda: self.fleet.events("n0", Event.ROUTED_ATTEMPT_FAILED))
+        # Neither the engine's silence nor the route's time (5 s) ends the attempt before.
+        with mock.patch.object(routed_run, "HEAD_SILENCE", 60.0):
+            connection = self.fleet.open("n0", STREAM_PATH)
+            wait_until(lambda: sum(len(one.heads) for one in self.fleet.engines) == 1)
+            connection.close()
+            wait_until(lambda: self.fleet.events("n0", Event.ROUTED_ATTEMPT_FAILED), patience=3.0)
         self.assertEqual(sum(len(one.heads) for one in self.fleet.engines), 1)
 
 
