--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -61,6 +61,8 @@
         self.silent = False
         self.foreign = False
         self.surplus = b""
+        self.late_surplus = b""
+        """Bytes that come while the connection rests."""
         self.pause = 0.0
         self.thinks = 0.0
         """Seconds before the head."""
@@ -179,6 +181,9 @@
                 self.cut_by_peer += 1
                 return False
         connection.sendall(b"0\r\n\r\n" + behaviour.surplus)
+        if behaviour.late_surplus:
+            gevent.sleep(0.05)
+            connection.sendall(behaviour.late_surplus)
         return True
 
     @staticmethod
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -89,6 +89,17 @@
             self.assertEqual(answer.body, whole_stream(f"r{number}"))
         self.assertEqual(sum(one.connections for one in self.fleet.engines), 4)
 
+    def test_connection_on_which_bytes_came_while_it_rested_is_not_used_again(self):
+        extra = b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nContent-Length: 1\r\n\r\nX"
+        for engine in self.fleet.engines:
+            engine.usual = Behaviour(late_surplus=extra)
+        for number in range(4):
+            answer = self.fleet.request("n0", STREAM_PATH, request_id=f"r{number}")
+            self.assertEqual(answer.body, whole_stream(f"r{number}"))
+            gevent.sleep(0.15)
+        self.assertEqual(sum(one.connections for one in self.fleet.engines), 4)
+        self.assertEqual(self.fleet.events("n0", Event.ROUTED_ATTEMPT_FAILED), [])
+
     def test_answer_to_another_request_is_not_passed_on(self):
         self.plan(Behaviour(foreign=True))
         answer = self.fleet.request("n0", STREAM_PATH)
