--- a/postvalve/core/membership/load_report.py
+++ b/postvalve/core/membership/load_report.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 _HEAD = struct.Struct("!QIQHB")
@@ -107,13 +108,7 @@
 def _unpack(data: bytes) -> LoadReport:
     incarnation, sequence, revision, silence, flags = _HEAD.unpack_from(data)
     *lengths, running = _LENGTHS.unpack_from(data, _HEAD.size)
-    parts = []
-    start = _HEAD.size + _LENGTHS.size
-    for length in lengths:
-        parts.append(data[start : start + length])
-        start += length
-    if start > len(data):
-        raise LoadReportError("load report is cut")
+    parts, start = split_parts(data, _HEAD.size + _LENGTHS.size, lengths)
     node_id, peer_address, zone, engine_use, items_running, items_waiting = parts
     return LoadReport(
         node_id=node_id.decode(),
@@ -132,6 +127,21 @@
     )
 
 
+def split_parts(data: bytes, start: int, lengths: Iterable[int]) -> tuple[list[bytes], int]:
+    """Parts of given lengths that follow each other from `start` on, and where they end.
+
+    Raises:
+        LoadReportError: the bytes are cut.
+    """
+    parts = []
+    for length in lengths:
+        parts.append(data[start : start + length])
+        start += length
+    if start > len(data):
+        raise LoadReportError(f"{len(data)} bytes of {start}")
+    return parts, start
+
+
 def unpack_running(data: bytes, start: int, count: int) -> list[RunningItem]:
     """Undo `pack_running` for `count` items that begin at `start`.
 
--- a/postvalve/core/membership/zone_digest.py
+++ b/postvalve/core/membership/zone_digest.py
@@ -20,6 +20,7 @@
     LoadReportError,
     RunningItem,
     pack_running,
+    split_parts,
     unpack_running,
 )
 
@@ -165,13 +166,7 @@
 def _unpack(data: bytes) -> ZoneDigest:
     incarnation, sequence, revision, size, version, listed, running = _HEAD.unpack_from(data)
     lengths = _LENGTHS.unpack_from(data, _HEAD.size)
-    parts = []
-    start = _HEAD.size + _LENGTHS.size
-    for length in lengths:
-        parts.append(data[start : start + length])
-        start += length
-    if start > len(data):
-        raise ZoneDigestError("zone digest is cut")
+    parts, start = split_parts(data, _HEAD.size + _LENGTHS.size, lengths)
     zone, reporter, address, engine_use, items_running, items_waiting = parts
     members, start = _unpack_members(data, start, size if listed else 0)
     return ZoneDigest(
