--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -11,7 +11,8 @@
 
 ITEM_MARK = "i-"
 """Begins the ids of batch items."""
-ONLINE = Behaviour(events=6, pause=0.03)
+ONLINE = Behaviour(events=6, pause=0.03, thinks=0.15)
+"""Half of the time goes by before the head, so that faults strike requests without an event too."""
 ITEM = Behaviour(events=40, pause=0.05)
 SLOTS = 4
 
