Tests take ports that nobody else is given

Ruled out: ports of connections (0 of 300 after 2,000 connections: Linux takes those from the other half). The soak's proxies and processes made such requests more frequent. A fault of the tests' support, not of the product. Change: ports are taken from below those among which the system chooses, each process of a test run from a place of its own; the fleet script likewise.

--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -1,7 +1,10 @@
 """Gateways, engines and a store in one process, over loopback sockets."""
 
 import contextlib
+import itertools
 import json
+import os
+import random
 import socket as sockets
 import time
 
@@ -29,14 +32,24 @@
 ONCE_PATH = "/once/"
 BATCH_PATH = "/batch/"
 SERVICE = "s"
+FIRST_PORT, LAST_PORT = 10_000, 14_000
+"""Ports for tests: below those among which Linux chooses (32,768 and up)."""
+_PORTS = itertools.count(random.Random(os.getpid()).randrange(LAST_PORT - FIRST_PORT))
+"""Processes of one test run begin at places of their own."""
 PATIENCE = 30.0
 """Seconds that tests wait for what must come; never a measure."""
 
 
 def free_port():
-    with contextlib.closing(sockets.socket()) as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    """A port that nobody listens at, and that nobody is given before it is listened at.
+
+    A port that the system chose, and that was closed again, may be chosen for another server.
+    """
+    while True:
+        port = FIRST_PORT + next(_PORTS) % (LAST_PORT - FIRST_PORT)
+        with contextlib.closing(sockets.socket()) as one, contextlib.suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            return port
 
 
 def wait_until(condition, patience=PATIENCE):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,7 +15,14 @@
 
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.platform.fleet import CONFIGURATION_KEY, CONFIGURATION_TOPIC, DIRECTORY_TOPIC
-from tests.gateway_support import BATCH_PATH, HOST, ONCE_PATH, SERVICE, STREAM_PATH
+from tests.gateway_support import (
+    BATCH_PATH,
+    HOST,
+    ONCE_PATH,
+    SERVICE,
+    STREAM_PATH,
+    free_port,
+)
 from tests.soak.promises import Span
 from tests.soak.proxy import Proxy
 from tests.soak.store import pack_record
@@ -29,24 +36,11 @@
 """Seconds that a leaving engine serves on."""
 
 
-def free_ports(count):
-    """Ports that nobody listens at now."""
-    held = [socket.socket() for _ in range(count)]
-    for one in held:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
-
-
 def port_pair():
     """A port that nobody listens at, and neither at the next one."""
     while True:
-        (port,) = free_ports(1)
-        with contextlib.suppress(OSError), socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", port))
-            second.bind(("127.0.0.1", port + 1))
+        port, following = free_port(), free_port()
+        if following == port + 1:
             return port
 
 
@@ -100,7 +94,7 @@
 
     def __init__(self, name, zone, folder, store_port):
         self.name = name
-        self.front, self.ready = free_ports(2)
+        self.front, self.ready = free_port(), free_port()
         peer = port_pair()
         self.metrics = peer + 1
         self.way = Proxy(store_port)
@@ -131,7 +125,7 @@
     def start(self):
         self.births += 1
         self.engine_id = f"e{self.number}-{self.births}"
-        (port,) = free_ports(1)
+        port = free_port()
         self.link = Proxy(port)
         words = ["tests.soak.engine", self.engine_id, str(port)]
         self.process = Process(self.engine_id, self.folder, words)
@@ -144,7 +138,7 @@
     def __init__(self, folder):
         self.folder = folder
         self.spans = []
-        (self.store_port,) = free_ports(1)
+        self.store_port = free_port()
         self.store = Process("store", folder, ["tests.soak.store", str(self.store_port)])
         self._calls = HTTPClient("127.0.0.1", port=self.store_port, concurrency=20)
         self.engines, self.nodes = [], []
