Sight: how old a node's knowledge of engines and configuration is

Change: followers know up to when all that was acknowledged is known (a read that was held and found nothing is good until the end of its wait); 610 and 611 tell that age, 410 and 411 within what time a change must have happened, 210 and 515 the directory's age, 213 also revision and its age; 615 is new (a topic is old); two gauges; the status document. No decision changes.

--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -94,6 +94,7 @@
     STORE_HISTORY_GONE = (612, "info", "history of a topic was dropped; newest records read")
     STORE_OUT_OF_REACH = (613, "warning", "store out of this node's reach; a peer is asked")
     STORE_REACHED = (614, "info", "store within this node's reach again")
+    STORE_TOPIC_OLD = (615, "warning", "what is known of a topic is old")
     LOG_RECORD_INVALID = (601, "error", "log record cannot be read")
 
     @property
--- a/postvalve/gateway/application.py
+++ b/postvalve/gateway/application.py
@@ -24,6 +24,7 @@
 from postvalve.gateway.engine_connections import EngineAnswer
 from postvalve.gateway.http_calls import HttpCall, HttpReply, JobCalls, error_reply
 from postvalve.gateway.http_server import CONNECTION_KEY, HEADERS_KEY, TARGET_KEY, CutAnswer
+from postvalve.gateway.knowledge import Knowledge
 from postvalve.gateway.routed_run import RoutedRequest, RoutedRun, RunServices
 from postvalve.settings.routes import RouteSpec
 
@@ -79,6 +80,7 @@
         """Whether new requests are refused."""
         self._runs: set[RoutedRun] = set()
         self.in_progress = 0
+        self.knowledge: Callable[[], Knowledge] = Knowledge
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Serve one request."""
@@ -133,6 +135,7 @@
             code=error.code,
             verdict=error.verdict.value,
             age=round(self._clock.monotonic() - arrived_at, 3),
+            **self.knowledge().fields(),
             error=error.message,
         )
 
--- a/postvalve/gateway/directory_reader.py
+++ b/postvalve/gateway/directory_reader.py
@@ -49,16 +49,26 @@
         self._follower.on_lost = self._entries.store_lost
         self._follower.on_back = lambda: self._entries.store_back(clock.monotonic())
         fleet.directory_unsettled = lambda: self._entries.unsettled(clock.monotonic())
+        fleet.directory_age = lambda: self._follower.age
 
     def run(self) -> None:
         """Follow for ever."""
         self._follower.run()
 
+    def tell_if_old(self) -> None:
+        """See `TopicFollower`."""
+        self._follower.tell_if_old()
+
     def _observe(self, records: Sequence[KeyedRecord], whole: bool) -> None:
         changes = [(record.key, self._entry_of(record)) for record in records]
         missing = self._entries.observe(changes, whole, self._clock.monotonic())
         if missing:
-            self._events.emit(Event.ENGINES_LAPSED, engines=missing, seconds=KEEP_TIME)
+            self._events.emit(
+                Event.ENGINES_LAPSED,
+                engines=missing,
+                seconds=KEEP_TIME,
+                age=round(self._follower.age, 3),
+            )
             gevent.spawn(self._drop_lapsed)
         self._use()
 
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -128,6 +128,8 @@
         """Set, and replaced, when the directory was taken in."""
         self.directory_unsettled: Callable[[], bool] = bool
         """Tells whether engines may live that the directory does not list at the moment."""
+        self.directory_age: Callable[[], float] = float
+        """Gives the seconds of which this node does not know how the directory changed."""
         self._standing: dict[str, _Standing] = {}
         self._warm_at: dict[str, float] = {}
         """Monotonic seconds at which engines that told to be cold are warm."""
@@ -149,7 +151,9 @@
             if engine_id not in engines:
                 self._pool.drop(former.address)
                 self._standing.pop(engine_id, None)
-                self._events.emit(Event.ENGINE_GONE, engine=engine_id)
+                self._events.emit(
+                    Event.ENGINE_GONE, engine=engine_id, within=round(self.directory_age(), 3)
+                )
         self._note_cold(engines)
         for engine_id, entry in engines.items():
             known = self._engines.get(engine_id)
@@ -160,6 +164,7 @@
                     state=entry.state.value,
                     service=entry.service,
                     engine_zone=entry.zone,
+                    within=round(self.directory_age(), 3),
                 )
         self._engines = engines
         updated, self._updated = self._updated, GeventEvent()
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -43,6 +43,7 @@
 from postvalve.gateway.job_claims import JobClaims
 from postvalve.gateway.job_log import JobLog
 from postvalve.gateway.job_service import JobService
+from postvalve.gateway.knowledge import Knowledge
 from postvalve.gateway.load_reports import MAX_SILENCE, LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.node_directory import NodeDirectory
@@ -226,6 +227,14 @@
         self._fleet.on_crowded = self._engine_crowded
         self._fleet.on_placed = self._reports.watch.note_placed
         self._directory.on_change = self._directory_changed
+        self.application.knowledge = self._knowledge
+
+    def _knowledge(self) -> Knowledge:
+        return Knowledge(
+            self._fleet.directory_age(),
+            self.configuration.revision,
+            self._configuration_follower.age,
+        )
 
     def _engine_crowded(self, engine_id: str) -> None:
         self._runner.wake()
@@ -312,6 +321,7 @@
             "draining": self._draining,
             "ready": self.ready,
             "configuration_revision": self.configuration.revision,
+            "knowledge": self._knowledge().fields(),
             "store": "by a peer" if self._topics.failing else "own",
             "store_silence": round(min(MAX_SILENCE, self._log.silence()), 2),
             "nodes": peer_rows(self.peers, self._clock.monotonic()),
@@ -325,6 +335,9 @@
         return self._exposition(path)
 
     def _exposition(self, path: str) -> tuple[str, bytes]:
+        knowledge = self._knowledge()
+        self._metrics.directory_age.set(knowledge.directory_age)
+        self._metrics.revision_age.set(knowledge.revision_age)
         self._metrics.connections.set(self._pool.opened)
         self._metrics.dropped_log_lines.set(self._events.dropped)
         return "200 OK", self._metrics.exposition()
@@ -377,6 +390,8 @@
     def _keep_house(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_INTERVAL)
+            self._directory.tell_if_old()
+            self._configuration_follower.tell_if_old()
             table = self.configuration.table
             services = table.configuration.services if table else ()
             bounds = (one.max_connections for one in services)
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -434,6 +434,7 @@
             events=len(item.events),
             failures=item.failures,
             verdict=error.verdict.value,
+            directory_age=round(self._fleet.directory_age(), 3),
             error=error.message,
         )
 
--- a/postvalve/gateway/metrics.py
+++ b/postvalve/gateway/metrics.py
@@ -40,6 +40,16 @@
         self.connections = Gauge(
             "postvalve_engine_connections_opened", "Since the start", registry=self.registry
         )
+        self.directory_age = Gauge(
+            "postvalve_directory_age_seconds",
+            "Of which changes of the engines' directory are not known",
+            registry=self.registry,
+        )
+        self.revision_age = Gauge(
+            "postvalve_configuration_age_seconds",
+            "Of which changes of the configuration are not known",
+            registry=self.registry,
+        )
         self.dropped_log_lines = Gauge(
             "postvalve_log_lines_dropped", "Since the start", registry=self.registry
         )
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -266,6 +266,7 @@
             verdict=error.verdict.value,
             age=round(self._clock.monotonic() - self._request.arrived_at, 3),
             events=self._progress.events,
+            directory_age=round(self._fleet.directory_age(), 3),
             error=error.message,
         )
         self._release()
--- a/postvalve/gateway/topic_follower.py
+++ b/postvalve/gateway/topic_follower.py
@@ -17,6 +17,11 @@
 ERROR_PAUSE = 0.25
 """Seconds after a failed read, doubled for each later one."""
 MAX_ERROR_PAUSE = 1.0
+OLD_AFTER = 2.0
+"""Seconds after which what is known of a topic counts as old: the shortest time within which a
+deployment lets acknowledged changes go unheeded."""
+MAX_AGE = 60.0
+"""Seconds; greater ages are told as this."""
 
 Listener = Callable[[Sequence[KeyedRecord], bool], None]
 """Takes records in offset order, and whether they are the whole present state."""
@@ -51,6 +56,7 @@
         self._pause = pause
         self._lock = RLock()
         self._lost = False
+        self._told_old = False
         self.on_lost: Callable[[], None] = lambda: None
         """Called when the store does not answer, once until it does again."""
         self.on_back: Callable[[], None] = lambda: None
@@ -66,6 +72,23 @@
         """Whether the present state was read once."""
         return self.next_offset >= 0
 
+    @property
+    def age(self) -> float:
+        """Seconds of which this node does not know what was acknowledged in them."""
+        return min(MAX_AGE, self._clock.monotonic() - self.fresh_at)
+
+    def tell_if_old(self) -> None:
+        """Log, once until it is up to date again, that what is known is old."""
+        old = self.loaded and self.age > OLD_AFTER
+        if old and not self._told_old:
+            self._events.emit(
+                Event.STORE_TOPIC_OLD,
+                topic=self._topic,
+                age=round(self.age, 3),
+                offset=self.next_offset,
+            )
+        self._told_old = old
+
     def run(self) -> None:
         """Follow for ever."""
         pause = ERROR_PAUSE
@@ -94,8 +117,12 @@
         with self._lock:
             self._take(part.records, part.next_offset)
             if part.next_offset >= part.end_offset:
-                # A waiting read that brought nothing was up to date until it returned.
-                self.fresh_at = max(self.fresh_at, started)
+                self.fresh_at = max(self.fresh_at, self._read_at(started, bool(part.records)))
+
+    def _read_at(self, started: float, found: bool) -> float:
+        """When the store looked, at the earliest: a read that found nothing was held until then."""
+        held_until = started + self._wait
+        return held_until if not found and self._clock.monotonic() >= held_until else started
 
     def catch_up(self) -> None:
         """Read what is there now.
@@ -172,10 +199,20 @@
         if self._lost:
             self._lost = False
             self.on_back()
-            self._events.emit(Event.STORE_REGAINED, topic=self._topic, offset=self.next_offset)
+            self._events.emit(
+                Event.STORE_REGAINED,
+                topic=self._topic,
+                offset=self.next_offset,
+                age=round(self.age, 3),
+            )
 
     def _note_lost(self, error: PlatformError) -> None:
         if not self._lost:
             self._lost = True
             self.on_lost()
-            self._events.emit(Event.STORE_LOST, topic=self._topic, error=error.message)
+            self._events.emit(
+                Event.STORE_LOST,
+                topic=self._topic,
+                error=error.message,
+                age=round(self.age, 3),
+            )
