--- /dev/null
+++ b/tests/test_stale_knowledge.py
@@ -0,0 +1,151 @@
+"""What the store has acknowledged is known in time, whatever stands still on the way to it."""
+
+import json
+import unittest
+
+import gevent
+
+from postvalve.core.membership.load_report import LoadReport
+from postvalve.core.membership.peers import PeerView
+from postvalve.emulator.keyed_topics import MemoryTopics
+from postvalve.emulator.virtual_time import VirtualClock, run_virtual
+from postvalve.exceptions import PeerUnavailableError, Verdict
+from postvalve.gateway.directory_reader import DirectoryReader
+from postvalve.gateway.engine_connections import ConnectionPool
+from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.interfaces import KeyedRecord
+from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
+from postvalve.platform.fleet import DIRECTORY_TOPIC, parse_engine
+from tests.gateway_support import SERVICE, OwnTopics, QuietLog
+
+SHORTEST_DRAIN = 2.0
+"""Seconds for which a leaving engine may still get requests on the smallest deployments."""
+REPORT_INTERVAL = 0.4
+"""Seconds between reports of peers here."""
+
+
+class PeerNetwork:
+    """Peers that make calls; one that stands still answers nothing, and does not report."""
+
+    def __init__(self, store, names):
+        self.server = RelayServer(store)
+        self.names = names
+        self.frozen = set()
+
+    def call(self, address, channel, message, timeout):
+        started_frozen = address in self.frozen
+        if not started_frozen:
+            reply = self._serve(message)
+            if address not in self.frozen:
+                return reply
+        gevent.sleep(timeout)
+        raise PeerUnavailableError("no answer", Verdict.MAY_HAVE_RUN)
+
+    def _serve(self, message):
+        return self.server.serve(type(message)().parse(bytes(message)))
+
+
+class Node:
+    """The parts of a node that follow the engines' directory, under virtual time."""
+
+    def __init__(self, loop, peers=("a", "b")):
+        self.store = MemoryTopics()
+        self.clock = VirtualClock(loop)
+        self.log = QuietLog()
+        self.own = OwnTopics(self.store)
+        self.network = PeerNetwork(self.store, peers)
+        self.peers = PeerView("me")
+        self.fleet = EngineFleet("z", self.clock, self.log, ConnectionPool(self.clock), None)
+        topics = RelayedTopics(
+            self.own, "z", self.clock, self.log, self.network, self.peers, GatewayMetrics()
+        )
+        self.reader = DirectoryReader(
+            topics, DIRECTORY_TOPIC, parse_engine, self.fleet, self.clock, self.log
+        )
+        gevent.spawn(self._report)
+        gevent.spawn(self.reader.run)
+
+    def _report(self):
+        for sequence in range(1, 10_000):
+            for name in self.network.names:
+                if name not in self.network.frozen:
+                    self._observe(name, sequence)
+            self.peers.expire(self.clock.monotonic())
+            gevent.sleep(REPORT_INTERVAL)
+
+    def _observe(self, name, sequence):
+        report = LoadReport(name, 1, sequence, peer_address=name, zone="z")
+        self.peers.observe(report, self.clock.monotonic())
+
+    def list_engine(self, name, state="ready"):
+        entry = {"service": SERVICE, "address": "127.0.0.1:1", "slots": 4, "state": state}
+        record = KeyedRecord(name, json.dumps(entry).encode())
+        self.store.append(DIRECTORY_TOPIC, 0, [record])
+
+    def drop_engine(self, name):
+        self.store.append(DIRECTORY_TOPIC, 0, [KeyedRecord(name, b"")])
+
+    def offered(self):
+        return sorted(one.engine_id for one in self.fleet.engines(SERVICE))
+
+
+def offered_after(node, leave, seconds):
+    """Let an engine leave; returns what takes new work so many seconds later."""
+    leave()
+    gevent.sleep(seconds)
+    return node.offered()
+
+
+class FrozenPeerTest(unittest.TestCase):
+    """A node asks the store by a peer, and the peer stands still."""
+
+    def leave_beside_a_frozen_peer(self, phase):
+        def session(loop):
+            node = Node(loop)
+            for name in ("e1", "e2"):
+                node.list_engine(name)
+            gevent.sleep(3.0)
+            node.own.cut = Verdict.NOT_RUN
+            gevent.sleep(4.0 + phase)
+            node.network.frozen = {"a", "b"}
+            node.own.cut = None
+            gevent.sleep(1.0)
+            return offered_after(node, lambda: node.list_engine("e1", "draining"), SHORTEST_DRAIN)
+
+        return run_virtual(session)
+
+    def test_a_leaving_is_known_though_the_peer_that_was_asked_stands_still(self):
+        for step in range(20):
+            with self.subTest(phase=step / 10):
+                self.assertEqual(self.leave_beside_a_frozen_peer(step / 10), ["e2"])
+
+
+class LeftMeanwhileTest(unittest.TestCase):
+    """An engine leaves while only this node does not reach the store."""
+
+    def leave_beside_a_cut(self, verdict, peers, cut_for, left_at):
+        def session(loop):
+            node = Node(loop, peers)
+            for name in ("e1", "e2"):
+                node.list_engine(name)
+            gevent.sleep(3.0)
+            node.own.cut = verdict
+            gevent.sleep(left_at)
+            node.drop_engine("e1")
+            gevent.sleep(cut_for - left_at)
+            node.own.cut = None
+            gevent.sleep(SHORTEST_DRAIN - (cut_for - left_at))
+            return node.offered()
+
+        return run_virtual(session)
+
+    def test_an_engine_that_left_is_not_taken_for_one_that_lapsed(self):
+        for left_at in (0.1, 0.5, 0.9, 1.1):
+            with self.subTest(left_at=left_at):
+                offered = self.leave_beside_a_cut(Verdict.NOT_RUN, (), 1.2, left_at)
+                self.assertEqual(offered, ["e2"])
+
+
+if __name__ == "__main__":
+    unittest.main()
