A follower waits no longer than 1 s for a peer, and its own way is sought beside it

A node that the store turns away reads by a peer, 1.0 s wait and 2.0 s more; the peer froze and each follower was blind for 3 s, also after the node's own way was back, since the try of the own way was one of those reads. Change: a relayed read waits 0.5 s and 0.5 s more (longer once two in a row are unanswered, a slow store is likelier then); a peer is asked only within 1.1 s of its last report; one that did not answer is passed over for 2 s, several at once; the own way is tried by a probe of its own every 0.8 s, which holds nothing up; the first try after a failure comes at 0.05 s, not 0.25. Reads of the directory wait 0.8 s (2.0), of the configuration 1.0 s (10). Two old tests of RelayedTopics asserted that a read itself finds the way back; they now ask that the probe does, and that calls follow it.

--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -95,6 +95,7 @@
     STORE_OUT_OF_REACH = (613, "warning", "store out of this node's reach; a peer is asked")
     STORE_REACHED = (614, "info", "store within this node's reach again")
     STORE_TOPIC_OLD = (615, "warning", "what is known of a topic is old")
+    STORE_STILL_OUT_OF_REACH = (616, "info", "store still out of this node's reach")
     LOG_RECORD_INVALID = (601, "error", "log record cannot be read")
 
     @property
--- a/postvalve/gateway/directory_reader.py
+++ b/postvalve/gateway/directory_reader.py
@@ -13,9 +13,10 @@
 from postvalve.gateway.interfaces import EngineEntry, KeyedRecord, KeyedTopics
 from postvalve.gateway.topic_follower import TopicFollower
 
-READ_WAIT = 2.0
-"""Seconds that a read of the directory waits."""
-READ_PAUSE = 0.6
+READ_WAIT = 0.8
+"""Seconds that a read of the directory waits. A way that falls silent is noticed so much later, and
+what an engine's leaving leaves is 2 s on the smallest deployments."""
+READ_PAUSE = 0.3
 """Seconds between such reads, in which changes gather."""
 KEPT_LOOK = 0.01
 """Seconds between looks at entries that lapsed, at the least."""
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -58,8 +58,9 @@
 from postvalve.node.transport import NetworkTransport
 from postvalve.settings.routes import RouteSpec, ServiceSpec
 
-CONFIGURATION_WAIT = 10.0
-"""Seconds that a read of the operator's topic waits."""
+CONFIGURATION_WAIT = 1.0
+"""Seconds that a read of the operator's topic waits. A way that falls silent is noticed so much
+later, and a revision must be in force everywhere within 2 s on the smallest deployments."""
 CONFIGURATION_PAUSE = 0.05
 HOUSEKEEPING_INTERVAL = 1.0
 STATUS_PATH = "/status"
--- a/postvalve/gateway/job_log.py
+++ b/postvalve/gateway/job_log.py
@@ -26,7 +26,8 @@
 JOB_TOPIC = "jobs"
 REQUEST_TOPIC = "requests"
 FOLLOW_WAIT = 2.0
-"""Seconds that a read of the job topic waits for a record."""
+"""Seconds that a read of the job topic waits for a record. Answers that need the board to be up to
+date read beside it (`is_fresh`), so a way that falls silent may be noticed so much later."""
 FOLLOW_PAUSE = 0.4
 """Seconds between such reads. Each is priced, and what was acknowledged need not be known for a
 second; a result that is waited for comes this much later at the most."""
--- a/postvalve/gateway/relayed_topics.py
+++ b/postvalve/gateway/relayed_topics.py
@@ -7,12 +7,19 @@
 from typing import TypeVar
 
 import betterproto
+import gevent
 
 from postvalve.clock import Clock
 from postvalve.core.membership.peers import PeerView
-from postvalve.core.membership.store_path import StorePath, relay_address
+from postvalve.core.membership.store_path import (
+    SLOW_ANSWER,
+    AvoidedPeers,
+    RelayPatience,
+    StorePath,
+    relay_address,
+)
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import PeerUnavailableError, Verdict
+from postvalve.exceptions import PeerUnavailableError, PlatformError, Verdict
 from postvalve.gateway.interfaces import (
     HistoryGoneError,
     KeyedRecord,
@@ -26,10 +33,13 @@
 from postvalve.node.peer_link import Channel
 from postvalve.node.transport import Transport
 
-RELAY_TIMEOUT = 2.0
-"""Seconds until a relayed call counts as unanswered, beyond the time that it may wait."""
-MAX_RELAYED_WAIT = 1.0
-"""Seconds that a relayed read waits at most, so that a lost peer is noticed."""
+MAX_RELAYED_WAIT = 0.5
+"""Seconds that a relayed read waits at most: what this node knows ages while it waits for a peer
+that was lost, and its own way may be back before."""
+PROBE = "Probe"
+"""The kind of call that looks whether the store answers, in metrics."""
+PROBE_BYTES = 1
+"""Bytes asked for to see whether the store answers."""
 
 Result = TypeVar("Result")
 _Outcome = gateway.StoreOutcome
@@ -56,8 +66,9 @@
         self._peers = peers
         self._metrics = metrics
         self._path = StorePath()
-        self._avoided = ""
-        """The peer that failed last."""
+        self._patience = RelayPatience()
+        self._avoided = AvoidedPeers()
+        self._probing = False
         self.on_change: Callable[[], None] = lambda: None
 
     @property
@@ -86,6 +97,8 @@
         call = gateway.StoreRead(
             topic=topic, part=part, offset=offset, wait_ms=int(relayed_wait * 1000), limit=limit
         )
+        if self._path.failing:
+            self._look_for_own_way(topic, part, offset)
         return self._call(
             lambda: self._own.read(topic, part, offset, wait, limit), call, _slice, relayed_wait
         )
@@ -108,27 +121,46 @@
     ) -> Result:
         kind = type(call).__name__
         relay = self._relay() if self._path.failing else None
-        if relay is not None and not self._path.try_own(self._clock.monotonic()):
+        if relay is not None:
             return result(self._relayed(relay, call, wait))
         try:
-            answer = own()
+            return self._by_own_way(kind, own)
         except StoreUnavailableError as exc:
-            self._metrics.store_calls.labels(kind, "failed").inc()
-            self._note(False, exc.message)
             relay = self._relay()
             # An append that may be done must not be repeated under the same keys.
             once = isinstance(call, gateway.StoreAppend) and exc.verdict is not Verdict.NOT_RUN
             if relay is None or once:
                 raise
+        return result(self._relayed(relay, call, wait))
+
+    def _by_own_way(self, kind: str, own: Callable[[], Result]) -> Result:
+        try:
+            answer = own()
+        except StoreUnavailableError as exc:
+            self._metrics.store_calls.labels(kind, "failed").inc()
+            self._note(False, exc.message)
+            raise
         except (HistoryGoneError, PositionTakenError):
             self._metrics.store_calls.labels(kind, "answered").inc()
             self._note(True)
             raise
-        else:
-            self._metrics.store_calls.labels(kind, "answered").inc()
-            self._note(True)
-            return answer
-        return result(self._relayed(relay, call, wait))
+        self._metrics.store_calls.labels(kind, "answered").inc()
+        self._note(True)
+        return answer
+
+    def _look_for_own_way(self, topic: str, part: int, offset: int) -> None:
+        """See now and then whether the store is within own reach again, beside all calls."""
+        if not self._probing and self._path.try_own(self._clock.monotonic()):
+            self._probing = True
+            gevent.spawn(self._probe, topic, part, offset)
+
+    def _probe(self, topic: str, part: int, offset: int) -> None:
+        try:
+            self._by_own_way(PROBE, lambda: self._own.read(topic, part, offset, 0.0, PROBE_BYTES))
+        except PlatformError as exc:
+            self._events.emit(Event.STORE_STILL_OUT_OF_REACH, error=exc.message)
+        finally:
+            self._probing = False
 
     def _note(self, answered: bool, error: str = "") -> None:
         if not self._path.note(answered):
@@ -138,16 +170,19 @@
         self.on_change()
 
     def _relay(self) -> str | None:
-        return relay_address(self._peers, self._zone, self._avoided)
+        now = self._clock.monotonic()
+        return relay_address(self._peers, self._zone, now, self._avoided.at(now))
 
     def _relayed(self, address: str, call: betterproto.Message, wait: float) -> gateway.StoreReply:
         self._metrics.store_calls.labels(type(call).__name__, "by a peer").inc()
+        patience = self._patience.seconds if wait else SLOW_ANSWER
         try:
-            reply = self._transport.call(address, Channel.BATCH, call, wait + RELAY_TIMEOUT)
+            reply = self._transport.call(address, Channel.BATCH, call, wait + patience)
         except PeerUnavailableError as exc:
-            self._avoided = address
+            self._avoided.add(address, self._clock.monotonic())
+            self._patience.note(False)
             raise StoreUnavailableError(f"relay {address}: {exc.message}", exc.verdict) from exc
-        self._avoided = ""
+        self._patience.note(True)
         assert isinstance(reply, gateway.StoreReply)
         if reply.outcome == _Outcome.STORE_OUTCOME_DONE:
             return reply
--- a/postvalve/gateway/topic_follower.py
+++ b/postvalve/gateway/topic_follower.py
@@ -14,8 +14,10 @@
 
 READ_BYTES = 1024 * 1024
 """Bytes asked for in one read."""
-ERROR_PAUSE = 0.25
-"""Seconds after a failed read, doubled for each later one."""
+ERROR_PAUSE = 0.05
+"""Seconds after a failed read: another way is there, or a new connection."""
+ERROR_PAUSE_FACTOR = 4.0
+"""By which each later failure makes the pause longer."""
 MAX_ERROR_PAUSE = 1.0
 OLD_AFTER = 2.0
 """Seconds after which what is known of a topic counts as old: the shortest time within which a
@@ -100,7 +102,7 @@
             except PlatformError as error:
                 self._note_lost(error)
                 gevent.sleep(pause)
-                pause = min(MAX_ERROR_PAUSE, pause * 2)
+                pause = min(MAX_ERROR_PAUSE, pause * ERROR_PAUSE_FACTOR)
 
     def _step(self) -> None:
         if not self.loaded:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -254,8 +254,15 @@
         self.cut = None
         """The verdict of each call while the node can't reach the store."""
         self.refused = 0
+        self.silent = False
+        """Whether calls are never answered."""
+        self.held = 0
+        """Calls that were not."""
 
     def _check(self):
+        if self.silent:
+            self.held += 1
+            gevent.sleep(PATIENCE)
         if self.cut is not None:
             self.refused += 1
             raise StoreUnavailableError("cut off", self.cut)
--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -3,14 +3,19 @@
 import json
 import unittest
 
+import gevent
 from hypothesis import given
 from hypothesis import strategies as st
 
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.store_path import (
+    AVOID_TIME,
     FAILING_AFTER,
+    HEARD_WITHIN,
     PROBE_INTERVAL,
+    AvoidedPeers,
+    RelayPatience,
     StorePath,
     relay_address,
 )
@@ -64,14 +69,34 @@
         self.assertEqual(tried, [True, False, False, False] * 2 + [True])
 
     def test_a_peer_of_the_zone_that_reaches_the_store(self):
-        self.assertIsNone(relay_address(view(), "z"))
+        self.assertIsNone(relay_address(view(), "z", 0.0))
         failing = report("a", store_failing=True)
         leaving = report("b", leaving=True)
-        self.assertIsNone(relay_address(view(failing, leaving), "z"))
+        self.assertIsNone(relay_address(view(failing, leaving), "z", 0.0))
         far, near = report("c", zone="far"), report("d")
-        self.assertEqual(relay_address(view(failing, leaving, far), "z"), "at-c")
-        self.assertEqual(relay_address(view(failing, far, near), "z"), "at-d")
-        self.assertEqual(relay_address(view(far, near), "z", "at-d"), "at-c")
+        self.assertEqual(relay_address(view(failing, leaving, far), "z", 0.0), "at-c")
+        self.assertEqual(relay_address(view(failing, far, near), "z", 0.0), "at-d")
+        self.assertEqual(relay_address(view(far, near), "z", 0.0, ["at-d"]), "at-c")
+        self.assertIsNone(relay_address(view(far, near), "z", 0.0, ["at-c", "at-d"]))
+
+    def test_a_peer_that_has_fallen_silent_is_not_asked(self):
+        peers = view(report("a"))
+        self.assertEqual(relay_address(peers, "z", HEARD_WITHIN), "at-a")
+        self.assertIsNone(relay_address(peers, "z", HEARD_WITHIN + 0.1))
+
+    def test_a_peer_that_did_not_answer_is_passed_over_for_a_while(self):
+        avoided = AvoidedPeers()
+        avoided.add("at-a", 5.0)
+        self.assertIn("at-a", avoided.at(5.0 + AVOID_TIME - 0.1))
+        self.assertNotIn("at-b", avoided.at(5.0))
+        self.assertNotIn("at-a", avoided.at(5.0 + AVOID_TIME))
+
+    def test_patience_grows_only_where_several_do_not_answer(self):
+        patience, seconds = RelayPatience(), []
+        for answered in (False, False, False, False, True, False):
+            seconds.append(patience.seconds)
+            patience.note(answered)
+        self.assertEqual(seconds, [0.5, 0.5, 1.0, 2.0, 2.0, 0.5])
 
 
 class PeerTransport:
@@ -162,9 +187,8 @@
     def test_the_verdict_of_the_way_to_the_peer_counts(self):
         self.cut()
         for verdict in (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN):
-            self.topics._avoided = ""
+            self.topics._avoided = AvoidedPeers()
             self.transport.error = PeerUnavailableError("gone", verdict)
-            self.topics._path.try_own(0.0)
             with self.assertRaises(StoreUnavailableError) as error:
                 self.topics.append("t", 0, [KeyedRecord("k", b"v")])
             self.assertIs(error.exception.verdict, verdict)
@@ -172,7 +196,6 @@
     def test_the_verdict_of_the_peers_store_counts(self):
         self.cut()
         self.store.lost_answers = 1
-        self.topics._path.try_own(0.0)
         with self.assertRaises(StoreUnavailableError) as error:
             self.topics.append("t", 0, [KeyedRecord("k", b"v")])
         self.assertIs(error.exception.verdict, Verdict.MAY_HAVE_RUN)
@@ -181,16 +204,28 @@
         self.cut()
         self.own.cut = None
         self.topics.read("t", 0, 0, 0.0, 100)
+        gevent.sleep(0)
         self.assertFalse(self.topics.failing)
+        self.topics.read("t", 0, 0, 0.0, 100)
         counted = self.metrics.store_calls.labels
         values = [
             counted("StoreRead", outcome)._value.get()
             for outcome in ("answered", "failed", "by a peer")
         ]
-        self.assertEqual(values, [1, FAILING_AFTER, FAILING_AFTER])
+        self.assertEqual(values, [1, FAILING_AFTER, FAILING_AFTER + 1])
+        self.assertEqual(counted("Probe", "answered")._value.get(), 1)
         told = [event for event, _ in self.log.written]
         self.assertEqual(told, [Event.STORE_OUT_OF_REACH, Event.STORE_REACHED])
 
+    def test_an_own_way_that_stays_lost_holds_no_call_up(self):
+        self.cut()
+        self.own.silent = True
+        for _ in range(3):
+            self.assertEqual(self.topics.read("t", 0, 0, 0.0, 100).next_offset, 0)
+            gevent.sleep(0)
+        self.assertEqual(self.own.held, 1)
+        self.assertTrue(self.topics.failing)
+
     @given(st.lists(st.booleans(), max_size=30))
     def test_a_cut_loses_and_doubles_no_append(self, cuts):
         """Against the store alone: the same records in the same order."""
