Connections that fall silent for good are given up, and no other that rests beside them is used

To the store: a waiting read had 1.5 s beyond its wait whatever the store's latency, and the next call could take another silent connection from the pool. To peers: a connection was closed only by a reset, so one that fell silent failed every call for ever, relayed reads and fetched revisions included; and callers of a peer that takes no connection waited one after the other for 1 s each. To engines: a further attempt could take another silent connection. Ruled out: shared by the library's pool: it looks at a resting socket only for bytes and an end. Change: a waiting read is given up 0.4 s after its wait while the store is quick (1.5 s otherwise, also after one such read); after a call that timed out, no resting connection to the store is used again; a peer's connection that gave nothing during a whole call is closed; who waited for a connection that failed fails with it; connecting to the store takes 0.6 s at most (1.0), to a peer 0.5 s (1.0); after an attempt without an answer a request takes a connection of its own; a node ends connections of peers that are gone without a word.

--- a/postvalve/gateway/engine_connections.py
+++ b/postvalve/gateway/engine_connections.py
@@ -211,18 +211,23 @@
         self.opened = 0
         """Connections opened since the start."""
 
-    def start(self, address: str, request: bytes, deadline: float) -> EngineAnswer:
+    def start(
+        self, address: str, request: bytes, deadline: float, *, fresh: bool = False
+    ) -> EngineAnswer:
         """Send a request; returns its answer, of which nothing was read yet.
 
         Args:
             address: IP:PORT of the engine.
             request: Head and body.
             deadline: Monotonic seconds.
+            fresh: Whether it takes a connection of its own: many that rest may have fallen
+                silent at the same time.
 
         Raises:
             AttemptError: NOT_RUN when nothing was sent, else MAY_HAVE_RUN.
         """
-        connection = self._take(address) or self._open(address, deadline)
+        resting = None if fresh else self._take(address)
+        connection = resting or self._open(address, deadline)
         answer = EngineAnswer(self, address, connection, deadline)
         try:
             connection.settimeout(max(0.05, min(2.0, deadline - self.clock.monotonic())))
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -74,6 +74,8 @@
     """Times that every engine has refused the request."""
     runs: int = 0
     """Engines that may have run the request."""
+    unanswered: bool = False
+    """Whether an attempt failed without an answer to it."""
     tried: set[str] = field(default_factory=set)
     last_event_id: int | None = None
     events: int = 0
@@ -186,7 +188,9 @@
             self._progress.last_event_id,
         )
         data = request_bytes(request.method, request.target, headers, request.body)
-        answer = self._services.pool.start(placement.engine.address, data, request.deadline)
+        answer = self._services.pool.start(
+            placement.engine.address, data, request.deadline, fresh=self._progress.unanswered
+        )
         self._answer = answer
         answer.read_head(self._patience(HEAD_SILENCE))
         self._judge(answer)
@@ -252,6 +256,7 @@
         answer, engine_id = self._answer, self._engine_id
         if error.verdict is not Verdict.NOT_RUN:
             self._progress.runs += 1
+            self._progress.unanswered = True
         judged = answer is not None and answer.status > 0 and error.verdict is Verdict.NOT_RUN
         over = self._client_gone or self._clock.monotonic() >= self._request.deadline
         if judged:
--- a/postvalve/node/peer_link.py
+++ b/postvalve/node/peer_link.py
@@ -8,6 +8,7 @@
 
 import enum
 import itertools
+from collections import Counter
 from collections.abc import Callable
 
 import betterproto
@@ -27,9 +28,9 @@
     decode_header,
     encode_frame,
 )
-from postvalve.sockets import send_at_once
+from postvalve.sockets import end_when_silent, send_at_once
 
-CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 0.5
 """Seconds to open a connection to a peer."""
 MAX_HANDLERS_PER_CONNECTION = 1024
 """Requests of one peer connection that are served at once."""
@@ -87,6 +88,7 @@
 
     def _serve(self, connection: socket, address: object) -> None:
         send_at_once(connection)
+        end_when_silent(connection)
         write_lock = RLock()
         handlers = Pool(MAX_HANDLERS_PER_CONNECTION)
         try:
@@ -134,22 +136,37 @@
         self._write_lock = RLock()
         self._waiting: dict[int, AsyncResult] = {}
         self._correlation_ids = itertools.count(1)
+        self._frames = 0
+        """Replies read since the start."""
         self.closed = False
         gevent.spawn(self._read_replies)
 
     def call(self, message: betterproto.Message, timeout: float) -> betterproto.Message:
         """Send a request and wait for its reply.
 
+        A connection that gave nothing in all that time may have fallen silent for good: it is
+        closed, so that the next call opens another.
+
         Raises:
             PeerUnavailableError: with MAY_HAVE_RUN, since the request was sent.
         """
+        frames = self._frames
         correlation_id = next(self._correlation_ids)
         result = self._waiting[correlation_id] = AsyncResult()
         try:
             with self._write_lock:
                 self._socket.sendall(encode_frame(message, correlation_id))
             return result.get(timeout=timeout)
-        except (OSError, gevent.Timeout) as error:
+        except gevent.Timeout as error:
+            silent = self._frames == frames
+            if silent:
+                self._waiting.pop(correlation_id, None)
+                self.close()
+            told = "no reply, and nothing else" if silent else "no reply"
+            raise PeerUnavailableError(
+                f"peer: {told} in {timeout:.1f} s", Verdict.MAY_HAVE_RUN
+            ) from error
+        except OSError as error:
             raise PeerUnavailableError(f"peer: {error!r}", Verdict.MAY_HAVE_RUN) from error
         finally:
             self._waiting.pop(correlation_id, None)
@@ -158,6 +175,7 @@
         try:
             while frame := read_frame(self._socket):
                 message, correlation_id = frame
+                self._frames += 1
                 result = self._waiting.get(correlation_id)
                 # A late reply has no waiter any more and is dropped.
                 if result is not None:
@@ -183,6 +201,8 @@
     def __init__(self) -> None:
         self._connections: dict[tuple[str, Channel], PeerConnection] = {}
         self._opening: dict[tuple[str, Channel], RLock] = {}
+        self._failed: Counter[tuple[str, Channel]] = Counter()
+        """Connections that could not be opened."""
 
     def call(
         self, address: str, channel: Channel, message: betterproto.Message, timeout: float
@@ -196,13 +216,19 @@
 
     def _connection(self, address: str, channel: Channel) -> PeerConnection:
         key = (address, channel)
+        failed = self._failed[key]
         with self._opening.setdefault(key, RLock()):
             connection = self._connections.get(key)
-            if connection is None or connection.closed:
-                try:
-                    connection = self._connections[key] = PeerConnection(address)
-                except OSError as error:
-                    raise PeerUnavailableError(f"peer: {error!r}", Verdict.NOT_RUN) from error
+            if connection is not None and not connection.closed:
+                return connection
+            if self._failed[key] != failed:
+                # Callers that waited don't wait once more, one after the other.
+                raise PeerUnavailableError("peer: connecting failed just now", Verdict.NOT_RUN)
+            try:
+                connection = self._connections[key] = PeerConnection(address)
+            except OSError as error:
+                self._failed[key] += 1
+                raise PeerUnavailableError(f"peer: {error!r}", Verdict.NOT_RUN) from error
             return connection
 
     def close(self) -> None:
--- a/postvalve/platform/store.py
+++ b/postvalve/platform/store.py
@@ -25,7 +25,7 @@
 APPEND_PATH = "/api/log-append"
 READ_PATH = "/api/log-read"
 NEWEST_PATH = "/api/log-newest"
-CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 0.6
 """Seconds to open a connection to the store."""
 ANSWER_TIMEOUT = 1.5
 """Seconds until a call counts as unanswered, beyond the time that it may wait."""
@@ -45,6 +45,23 @@
 _OFFSETS = struct.Struct("!QQ")
 
 
+class AnswerPatience:
+    """How long an answer of the store is waited for, by how quickly it answers lately."""
+
+    def __init__(self) -> None:
+        # A store that all nodes ask at once, after they all started, answers slowly.
+        self._latency = FIRST_LATENCY
+
+    def seconds(self, wait: float) -> float:
+        """For a call that the store may hold for `wait` seconds."""
+        quick = self._latency <= QUICK_LATENCY
+        return wait + (QUICK_ANSWER_TIMEOUT if quick else ANSWER_TIMEOUT)
+
+    def note(self, seconds: float) -> None:
+        """A call took so long, beyond the time for which it was held."""
+        self._latency += LATENCY_WEIGHT * (seconds - self._latency)
+
+
 class PlatformStore:
     """Keyed topics of the platform's store."""
 
@@ -52,8 +69,7 @@
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._clients: dict[float, HTTPClient] = {}
-        # A store that all nodes ask at once, after they all started, answers slowly.
-        self._latency = FIRST_LATENCY
+        self._patience = AnswerPatience()
 
     def _client(self, timeout: float) -> HTTPClient:
         return HTTPClient(
@@ -65,15 +81,11 @@
         )
 
     def _client_for(self, wait: float) -> HTTPClient:
-        quick = not wait and self._latency <= QUICK_LATENCY
-        timeout = QUICK_ANSWER_TIMEOUT if quick else wait + ANSWER_TIMEOUT
+        timeout = self._patience.seconds(wait)
         if timeout not in self._clients:
             self._clients[timeout] = self._client(timeout)
         return self._clients[timeout]
 
-    def _note_latency(self, seconds: float) -> None:
-        self._latency += LATENCY_WEIGHT * (seconds - self._latency)
-
     def append(
         self, topic: str, part: int, records: Sequence[KeyedRecord], at: int | None = None
     ) -> int:
@@ -134,11 +146,15 @@
         except ConnectionRefusedError as error:
             raise StoreUnavailableError(f"store: {error!r}", Verdict.NOT_RUN) from error
         except Exception as error:  # sockets, parser and pool raise unrelated types
-            if isinstance(error, TimeoutError) and not wait:
-                self._note_latency(time.monotonic() - started)
+            if isinstance(error, TimeoutError):
+                self._patience.note(time.monotonic() - started - wait)
+                # Connections that rest may have fallen silent like this one: none is used again.
+                self._clients = {}
             raise StoreUnavailableError(f"store: {error!r}", Verdict.MAY_HAVE_RUN) from error
-        if not wait:
-            self._note_latency(time.monotonic() - started)
+        elapsed = time.monotonic() - started
+        if elapsed >= wait:
+            # A waiting read that is answered sooner says nothing of how quickly that was.
+            self._patience.note(elapsed - wait)
         return response.status_code, content
 
     @staticmethod
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -24,6 +24,10 @@
         self._open = {"to": Event(), "from": Event()}
         self.hold()
         self._pairs = set()
+        self._silent = set()
+        """Pairs on which nothing is passed on any more."""
+        self.accepted = 0
+        """Connections since the start."""
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -36,6 +40,10 @@
         for name, event in self._open.items():
             event.clear() if name in directions else event.set()
 
+    def silence(self):
+        """Let every open connection say nothing more; new ones work."""
+        self._silent |= self._pairs
+
     def reset(self):
         """Reset every connection."""
         for pair in list(self._pairs):
@@ -57,24 +65,28 @@
             return
         pair = (client, server)
         self._pairs.add(pair)
+        self.accepted += 1
         try:
             pumps = [
-                gevent.spawn(self._pump, client, server, "to"),
-                gevent.spawn(self._pump, server, client, "from"),
+                gevent.spawn(self._pump, pair, client, server, "to"),
+                gevent.spawn(self._pump, pair, server, client, "from"),
             ]
             gevent.joinall(pumps)
         finally:
             self._pairs.discard(pair)
+            self._silent.discard(pair)
             for conn in pair:
                 conn.close()
 
-    def _pump(self, source, target, direction):
+    def _pump(self, pair, source, target, direction):
         with contextlib.suppress(OSError):
             while data := source.recv(BLOCK):
                 gevent.sleep(self.delay)
                 self._open[direction].wait()
-                target.sendall(data)
-            target.shutdown(sockets.SHUT_WR)
+                if pair not in self._silent:
+                    target.sendall(data)
+            if pair not in self._silent:
+                target.shutdown(sockets.SHUT_WR)
             return
         # A reset goes on as one.
         source.close()
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,204 @@
+"""Open connections that fall silent for good, while new ones work."""
+
+import json
+import unittest
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from postvalve.clock import SystemClock
+from postvalve.events import Event
+from postvalve.exceptions import AttemptError, PeerUnavailableError, Verdict
+from postvalve.gateway.engine_connections import ConnectionPool
+from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
+from postvalve.messages.generated import gateway
+from postvalve.node.peer_link import Channel
+from postvalve.node.transport import NetworkTransport
+from postvalve.platform.store import (
+    ANSWER_TIMEOUT,
+    QUICK_ANSWER_TIMEOUT,
+    AnswerPatience,
+    PlatformStore,
+)
+from tests.gateway_support import (
+    STREAM_PATH,
+    Behaviour,
+    GatewayFleet,
+    QuietLog,
+    StandInEngine,
+    free_port,
+    wait_until,
+)
+from tests.soak.proxy import Proxy
+
+
+class AnswerPatienceTest(unittest.TestCase):
+    def patience(self, *latencies):
+        patience = AnswerPatience()
+        for seconds in latencies:
+            patience.note(seconds)
+        return patience
+
+    def test_a_store_that_is_quick_is_given_up_soon_by_waiting_reads_too(self):
+        patience = self.patience(*[0.01] * 5)
+        self.assertEqual(patience.seconds(0.0), QUICK_ANSWER_TIMEOUT)
+        self.assertEqual(patience.seconds(0.8), 0.8 + QUICK_ANSWER_TIMEOUT)
+
+    def test_a_store_that_is_slow_or_not_known_gets_its_time(self):
+        for patience in (self.patience(), self.patience(*[0.01] * 5, 0.4)):
+            self.assertEqual(patience.seconds(0.8), 0.8 + ANSWER_TIMEOUT)
+
+    def test_it_is_quick_again_after_a_few_answers(self):
+        patience = self.patience(*[0.01] * 5, QUICK_ANSWER_TIMEOUT, *[0.005] * 3)
+        self.assertEqual(patience.seconds(0.0), QUICK_ANSWER_TIMEOUT)
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self):
+        self.server = WSGIServer(("127.0.0.1", 0), self.serve, log=None, error_log=None)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.proxy = Proxy(self.server.server_port)
+        self.addCleanup(self.proxy.stop)
+        self.store = PlatformStore(f"127.0.0.1:{self.proxy.port}")
+
+    def serve(self, environ, start_response):
+        environ["wsgi.input"].read()
+        content = json.dumps({"offset": 1, "end": 2}).encode()
+        start_response("200 OK", [("Content-Length", str(len(content)))])
+        return [content]
+
+    def append(self):
+        return self.store.append("jobs", 0, [KeyedRecord("k", b"v")])
+
+    def test_after_one_silent_connection_no_other_that_rests_is_used(self):
+        for _ in range(20):
+            self.append()
+        gevent.joinall([gevent.spawn(self.append) for _ in range(4)], raise_error=True)
+        accepted = self.proxy.accepted
+        self.assertGreaterEqual(accepted, 4)
+        self.proxy.silence()
+        with self.assertRaises(StoreUnavailableError):
+            self.append()
+        self.assertEqual(self.append(), 1)
+        self.assertEqual(self.proxy.accepted, accepted + 1)
+
+
+class PeerTest(unittest.TestCase):
+    def setUp(self):
+        port = free_port()
+        self.server = NetworkTransport(f"127.0.0.1:{port}", QuietLog())
+        self.server.serve(self.answer, lambda data, sender: None)
+        self.addCleanup(self.server.stop)
+        self.proxy = Proxy(port)
+        self.addCleanup(self.proxy.stop)
+        self.client = NetworkTransport(f"127.0.0.1:{free_port()}", QuietLog())
+        self.addCleanup(self.client.stop)
+        self.hold = 0.0
+
+    def answer(self, message):
+        gevent.sleep(self.hold)
+        return gateway.RevisionReply(revision=7)
+
+    def call(self, timeout=5.0):
+        address = f"127.0.0.1:{self.proxy.port}"
+        request = gateway.RevisionFetch(known_revision=1)
+        return self.client.call(address, Channel.BATCH, request, timeout).revision
+
+    def test_a_connection_that_said_nothing_is_opened_anew(self):
+        self.assertEqual(self.call(), 7)
+        self.proxy.silence()
+        with self.assertRaises(PeerUnavailableError) as failed:
+            self.call(timeout=0.2)
+        self.assertIs(failed.exception.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(self.call(), 7)
+        self.assertEqual(self.proxy.accepted, 2)
+
+    def test_a_call_that_is_slow_beside_others_that_are_answered_ends_no_connection(self):
+        self.assertEqual(self.call(), 7)
+        self.hold = 1.0
+        slow = gevent.spawn(self.call, 0.4)
+        gevent.sleep(0.1)
+        self.hold = 0.0
+        self.assertEqual(self.call(), 7)
+        with self.assertRaises(PeerUnavailableError):
+            slow.get()
+        self.assertEqual(self.call(), 7)
+        self.assertEqual(self.proxy.accepted, 1)
+
+    def test_callers_that_waited_for_a_connection_that_failed_fail_with_it(self):
+        self.proxy.stop()
+        calls = [gevent.spawn(self.call) for _ in range(3)]
+        gevent.joinall(calls)
+        for one in calls:
+            self.assertIs(one.exception.verdict, Verdict.NOT_RUN)
+
+
+class EngineTest(unittest.TestCase):
+    def setUp(self):
+        self.engine = StandInEngine("e0")
+        self.addCleanup(self.engine.stop)
+        self.proxy = Proxy(self.engine.port)
+        self.addCleanup(self.proxy.stop)
+        self.pool = ConnectionPool(SystemClock())
+
+    def send(self, **options):
+        request = (
+            b"POST /x HTTP/1.1\r\nRequest-Id: r\r\nExpect-Instance: e0\r\nContent-Length: 0\r\n\r\n"
+        )
+        deadline = SystemClock().monotonic() + 5.0
+        address = f"127.0.0.1:{self.proxy.port}"
+        answer = self.pool.start(address, request, deadline, **options)
+        try:
+            answer.read_head(0.2)
+            while answer.read_event(0.2):
+                pass
+        except AttemptError:
+            answer.abort()
+            raise
+        finally:
+            answer.close()
+
+    def test_a_further_attempt_may_ask_for_a_new_connection(self):
+        self.send()
+        self.send()
+        self.assertEqual(self.proxy.accepted, 1)
+        self.proxy.silence()
+        with self.assertRaises(AttemptError):
+            self.send()
+        self.send()
+        self.send(fresh=True)
+        self.assertEqual(self.proxy.accepted, 3)
+
+
+class RequestTest(unittest.TestCase):
+    def test_a_request_is_served_though_all_connections_to_engines_are_silent(self):
+        fleet = GatewayFleet(nodes=1, engines=2)
+        self.addCleanup(fleet.stop)
+        for engine in fleet.engines:
+            engine.usual = Behaviour(thinks=0.05)
+        proxies = [Proxy(engine.port) for engine in fleet.engines]
+        for engine, proxy in zip(fleet.engines, proxies, strict=True):
+            self.addCleanup(proxy.stop)
+            engine.port = proxy.port
+            fleet.list_engine(engine)
+        node = fleet.nodes["n0"]
+        listed = sorted(engine.address for engine in fleet.engines)
+        wait_until(lambda: sorted(one.address for one in node._fleet.listed_engines()) == listed)
+
+        def serve(number):
+            return fleet.request("n0", STREAM_PATH, request_id=f"r{number}")
+
+        first = [gevent.spawn(serve, number) for number in range(8)]
+        gevent.joinall(first)
+        self.assertEqual({one.value.status for one in first}, {200})
+        for proxy in proxies:
+            self.assertGreater(proxy.accepted, 1)
+            proxy.silence()
+        answer = serve(100)
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertLessEqual(len(fleet.events("n0", Event.ROUTED_ATTEMPT_FAILED)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
