Nothing is sent to an engine that left while its connection was opened or an item was read

Opening a connection takes up to 0.6 s, which with a directory that is 1.5 s old makes more than the 2 s of a leaving; an item's request may be read from the store for seconds first, and the check after it asked only whether the engine was listed, which a leaving one is. Change: fleet.takes_work (listed, ready, not replaced) is asked again when the connection is there, right before sending, for requests and items; where it says no, the attempt did not run.

--- a/postvalve/gateway/engine_connections.py
+++ b/postvalve/gateway/engine_connections.py
@@ -8,6 +8,7 @@
 
 import socket as sockets
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -212,7 +213,13 @@
         """Connections opened since the start."""
 
     def start(
-        self, address: str, request: bytes, deadline: float, *, fresh: bool = False
+        self,
+        address: str,
+        request: bytes,
+        deadline: float,
+        *,
+        wanted: Callable[[], bool],
+        fresh: bool = False,
     ) -> EngineAnswer:
         """Send a request; returns its answer, of which nothing was read yet.
 
@@ -220,6 +227,8 @@
             address: IP:PORT of the engine.
             request: Head and body.
             deadline: Monotonic seconds.
+            wanted: Tells, once there is a connection, whether the engine still takes work: it may
+                have left while one was opened.
             fresh: Whether it takes a connection of its own: many that rest may have fallen
                 silent at the same time.
 
@@ -228,6 +237,9 @@
         """
         resting = None if fresh else self._take(address)
         connection = resting or self._open(address, deadline)
+        if not wanted():
+            connection.close()
+            raise AttemptError("the engine takes no work any more", Verdict.NOT_RUN)
         answer = EngineAnswer(self, address, connection, deadline)
         try:
             connection.settimeout(max(0.05, min(2.0, deadline - self.clock.monotonic())))
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -202,11 +202,18 @@
         return [
             entry
             for entry in self._engines.values()
-            if entry.service == service
-            and entry.state is EngineState.READY
-            and not self._standing_of(entry.engine_id).replaced
+            if entry.service == service and self.takes_work(entry.engine_id)
         ]
 
+    def takes_work(self, engine_id: str) -> bool:
+        """Whether an engine is listed, does not leave, and was not replaced."""
+        entry = self._engines.get(engine_id)
+        return (
+            entry is not None
+            and entry.state is EngineState.READY
+            and not self._standing_of(engine_id).replaced
+        )
+
     def listed_engines(self) -> list[EngineEntry]:
         """All engines of the directory."""
         return list(self._engines.values())
@@ -217,10 +224,6 @@
             return "replaced"
         return "suspect" if self._is_suspect(entry.engine_id) else entry.state.value
 
-    def listed(self, engine_id: str) -> bool:
-        """Whether an engine is in the directory."""
-        return engine_id in self._engines
-
     def _standing_of(self, engine_id: str) -> _Standing:
         standing = self._standing.get(engine_id)
         if standing is None:
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -344,19 +344,24 @@
             return
         item_id = job.items[item.index].item_id
         req = self._jobs.item_request(job, item.index)
-        if item.cancelled or not self._fleet.listed(placement.engine.engine_id):
+        engine = placement.engine
+
+        def wanted() -> bool:
+            return self._fleet.takes_work(engine.engine_id)
+
+        if item.cancelled or not wanted():
             return
         headers = self._dialect.attempt_headers(
             self._dialect.item_headers(
                 [(one.name, one.value) for one in req.headers], item_id, job.accepted.host
             ),
-            placement.engine.engine_id,
+            engine.engine_id,
             None,
             item.last_event_id,
         )
         data = request_bytes("POST", req.target, headers, req.body)
         deadline = self._clock.monotonic() + ITEM_TIME
-        answer = item.answer = self._pool.start(placement.engine.address, data, deadline)
+        answer = item.answer = self._pool.start(engine.address, data, deadline, wanted=wanted)
         if item.cancelled:
             answer.abort()
             return
@@ -364,7 +369,7 @@
         self._judge(item, placement, item_id, answer)
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
-            self._fleet.note_success(placement.engine.engine_id)
+            self._fleet.note_success(engine.engine_id)
             self._complete(item)
 
     def _judge(
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -188,8 +188,13 @@
             self._progress.last_event_id,
         )
         data = request_bytes(request.method, request.target, headers, request.body)
+        engine = placement.engine
         answer = self._services.pool.start(
-            placement.engine.address, data, request.deadline, fresh=self._progress.unanswered
+            engine.address,
+            data,
+            request.deadline,
+            wanted=lambda: self._fleet.takes_work(engine.engine_id),
+            fresh=self._progress.unanswered,
         )
         self._answer = answer
         answer.read_head(self._patience(HEAD_SILENCE))
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -148,7 +148,7 @@
         )
         deadline = SystemClock().monotonic() + 5.0
         address = f"127.0.0.1:{self.proxy.port}"
-        answer = self.pool.start(address, request, deadline, **options)
+        answer = self.pool.start(address, request, deadline, wanted=lambda: True, **options)
         try:
             answer.read_head(0.2)
             while answer.read_event(0.2):
