Soak: engines that leave, connections that fall silent, kept connections, faults in series

Change: two more promises (no request reaches an engine 2 s after its leaving was acknowledged, from nodes that nothing befell for 3 s; a kept connection answers what an engine ran, also around planned work), and that no process ends by itself. Clients keep connections until the process is gone.

--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -402,9 +402,14 @@
     with contextlib.suppress(OSError):
         while part := connection.recv(65536):
             data += part
-    head, _, body = data.partition(b"\r\n\r\n")
+    return parse_answer(data)
+
+
+def parse_answer(data):
+    """What bytes hold of an answer; status 0 while the head is not whole."""
+    head, end, body = data.partition(b"\r\n\r\n")
     lines = head.decode().split("\r\n")
-    if not lines[0]:
+    if not end:
         return Answer(0, {}, b"", False)
     headers = {}
     for line in lines[1:]:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,7 +13,7 @@
 
 from tests.soak.clients import Clients, runs_in
 from tests.soak.faults import KINDS, schedule
-from tests.soak.fleet import Fleet
+from tests.soak.fleet import ENGINES, NODES, Fleet
 from tests.soak.promises import CALM_AFTER, Promises
 
 PUBLISH_PAUSE = 7.0
@@ -28,15 +28,14 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed, seconds, kinds, folder, tell=print):
+    def __init__(self, seed, seconds, kinds, folder, tell=print, *, nodes=NODES, engines=ENGINES):
         self.seed = seed
         self.seconds = seconds
         self.kinds = kinds
         self.folder = folder
         self._tell = tell
         self.promises = Promises()
-        self.fleet = Fleet(folder)
-        self.promises.spans = self.fleet.spans
+        self.fleet = Fleet(folder, self.promises, nodes, engines)
         self.clients = Clients(self.fleet, self.promises, seed)
 
     def run(self):
@@ -115,14 +114,18 @@
     parser.add_argument(
         "--seeds", action="store_true", help="every seed of seeds.txt, one after the other"
     )
+    parser.add_argument("--nodes", type=int, default=NODES)
+    parser.add_argument("--engines", type=int, default=ENGINES)
+    parser.add_argument("--runs", type=int, default=1, help="so many seeds that follow --seed")
     arguments = parser.parse_args()
     kinds = [kind for kind in arguments.faults.split(",") if kind]
     unknown = sorted(set(kinds) - KINDS.keys())
     if unknown or not kinds:
         parser.error(f"unknown faults {unknown}; there are: {', '.join(KINDS)}")
     drawn = arguments.seed if arguments.seed is not None else random.randrange(10**6)
-    seeds = failed_seeds() if arguments.seeds else [drawn]
-    held = [run(seed, arguments.minutes, kinds, arguments.keep) for seed in seeds]
+    seeds = failed_seeds() if arguments.seeds else range(drawn, drawn + arguments.runs)
+    held = [run(seed, kinds, arguments) for seed in seeds]
+    print(f"{sum(held)} of {len(held)} seeds held", flush=True)
     sys.exit(0 if all(held) else 1)
 
 
@@ -132,10 +135,11 @@
     return [int(line.split(",")[0]) for line in lines if line and not line.startswith("#")]
 
 
-def run(seed, minutes, kinds, keep):
+def run(seed, kinds, arguments):
     """Run one seed and tell of it; returns whether every promise held."""
+    minutes, keep = arguments.minutes, arguments.keep
     folder = Path(tempfile.mkdtemp(prefix="postvalve-soak-"))
-    soak = Soak(seed, minutes * 60, kinds, folder)
+    soak = Soak(seed, minutes * 60, kinds, folder, nodes=arguments.nodes, engines=arguments.engines)
     try:
         promises = soak.run()
     except KeyboardInterrupt:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -10,15 +10,26 @@
 import gevent
 from gevent import socket
 
-from tests.gateway_support import BATCH_PATH, HOST, ONCE_PATH, STREAM_PATH, read_answer
+from tests.gateway_support import (
+    BATCH_PATH,
+    HOST,
+    ONCE_PATH,
+    STREAM_PATH,
+    parse_answer,
+    read_answer,
+)
 from tests.soak.engine import ITEM, ONLINE
 from tests.soak.promises import CONFIGURED, NOT_RUN, Job, Online, Run
 from tests.test_gateway_jobs import job_body, whole_text
 
-ONLINE_RATE = 15.0
-"""Requests a second."""
-JOB_PAUSE = 1.5
-"""Seconds between batch jobs."""
+ONLINE_RATE = 5.0
+"""Requests a second for each engine."""
+JOB_PAUSE = 4.5
+"""Seconds between batch jobs for each engine."""
+KEEPING_NODES = 8
+"""Nodes at the most that have a client which keeps its connection."""
+KEPT_PAUSE = 0.3
+"""Seconds between requests on a kept connection."""
 JOB_ITEMS = 5
 PATIENCE_MS = 4_000
 """Milliseconds that online clients wait."""
@@ -38,6 +49,39 @@
     )
 
 
+class KeptConnection:
+    """A client's connection to a node, used for one request after the other."""
+
+    def __init__(self, node):
+        self._conn = socket.create_connection(("127.0.0.1", node.front), timeout=2.0)
+        self.usable = True
+        self.answers = 0
+
+    def ask(self, path, request_id):
+        """Send a request and read its answer.
+
+        Raises:
+            OSError: the connection ended before a whole one.
+        """
+        self.usable = False
+        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+        head += f"Deadline-Ms: {PATIENCE_MS}\r\nContent-Length: 0\r\n\r\n"
+        self._conn.settimeout(PATIENCE_MS / 1000 + 4.0)
+        self._conn.sendall(head.encode())
+        data = b""
+        while not (answer := parse_answer(data)).whole:
+            part = self._conn.recv(65_536)
+            if not part:
+                raise OSError("the connection ended")
+            data += part
+        self.answers += 1
+        self.usable = answer.headers.get("connection", "").lower() != "close"
+        return answer
+
+    def close(self):
+        self._conn.close()
+
+
 class Clients:
     """All traffic of one soak."""
 
@@ -55,6 +99,8 @@
         """Start everybody."""
         for task in (self._send_online, self._send_jobs, self._look):
             gevent.spawn(task)
+        for node in self._fleet.nodes[:KEEPING_NODES]:
+            gevent.spawn(self._keep_connection, node)
 
     def _ask(self, node, path, method="POST", headers=(), body=b"", request_id=""):
         """Send one request and read what comes; an answer that is not whole has no status."""
@@ -76,7 +122,7 @@
     def _send_online(self):
         while not self.stopped:
             gevent.spawn(self._online, self._node(), self._random.random() < 0.5)
-            gevent.sleep(self._random.expovariate(ONLINE_RATE))
+            gevent.sleep(self._random.expovariate(ONLINE_RATE * len(self._fleet.engines)))
 
     def _online(self, node, once):
         request_id = f"o-{next(self._numbers)}"
@@ -93,12 +139,35 @@
         req.ended_at = time.time()
         self._promises.online_ended(req)
 
+    # A client that uses its connection until the process is gone
+
+    def _keep_connection(self, node):
+        while not self.stopped:
+            with contextlib.suppress(OSError), contextlib.closing(KeptConnection(node)) as conn:
+                while not self.stopped and conn.usable:
+                    self._ask_kept(conn, node)
+                    gevent.sleep(self._random.uniform(0.0, 2 * KEPT_PAUSE))
+            gevent.sleep(KEPT_PAUSE)
+
+    def _ask_kept(self, conn, node):
+        request_id = f"o-{next(self._numbers)}"
+        req = Online(request_id, True, node.name, time.time(), expected=whole_stream(request_id))
+        req.kept = conn.answers > 0
+        self.requests.append(req)
+        try:
+            with gevent.Timeout(PATIENCE_MS / 1000 + 4.0, OSError("no answer")):
+                answer = conn.ask(ONCE_PATH, request_id)
+            req.status, req.body, req.whole = answer.status, answer.body, answer.whole
+        finally:
+            req.ended_at = time.time()
+            self._promises.online_ended(req)
+
     # Jobs
 
     def _send_jobs(self):
         while not self.stopped:
             gevent.spawn(self._job)
-            gevent.sleep(JOB_PAUSE)
+            gevent.sleep(JOB_PAUSE / len(self._fleet.engines))
 
     def _job(self):
         job_id = f"i-{next(self._numbers)}"
@@ -164,6 +233,7 @@
 
     def _look(self):
         while not self.stopped:
+            self._fleet.start_ended()
             for node in self._fleet.nodes:
                 gevent.spawn(self._look_at, node, node.process.life)
             gevent.sleep(LOOK_PAUSE)
@@ -196,5 +266,7 @@
             if line.startswith('{"run"'):
                 with contextlib.suppress(ValueError):
                     told = json.loads(line)
-                    runs.append(Run(told["run"], told["at"], told["waited"], told["items"]))
+                    runs.append(
+                        Run(told["run"], told["at"], told["waited"], told["items"], told["engine"])
+                    )
     return runs
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -32,6 +32,7 @@
             self._items += item
             tell(
                 run=request_id,
+                engine=self.engine_id,
                 after=headers.get("last-event-id"),
                 at=time.time(),
                 waited=time.time() - arrived,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,8 @@
 """Seconds without faults at the start."""
 PAUSE = (2.0, 7.0)
 """Seconds from the start of one fault to that of the next; they may overlap."""
+SERIES_PAUSE = (0.1, 1.5)
+"""The same in every other round, in which faults come in series and overlap."""
 
 ROUND = 5
 """Faults after which there is a rest."""
@@ -25,15 +27,22 @@
     "engine_kill": (1.0, 2.0),
     "engine_stop": (1.0, 4.0),
     "engine_leaves": (3.0, 3.0),
+    "engine_goes": (3.0, 3.0),
     "link_reset": (0.0, 0.0),
     "link_delay": (1.0, 3.0),
     "link_hold": (1.0, 3.0),
+    "link_silent": (0.0, 0.0),
     "store_down": (1.0, 5.0),
     "store_lost": (0.5, 0.5),
     "store_late": (0.5, 0.5),
     "store_slow": (1.0, 4.0),
     "store_compact": (0.0, 0.0),
     "store_cut": (2.0, 5.0),
+    "store_silent": (0.0, 0.0),
+    "roll": (1.0, 2.0),
+    "stop_series": (2.0, 5.0),
+    "hup_series": (1.0, 3.0),
+    "config_storm": (1.0, 3.0),
 }
 """Seconds that each kind lasts, from and to; a process that was killed is back after that."""
 
@@ -55,12 +64,14 @@
     random_ = random.Random(seed)
     faults, at = [], FIRST_AFTER
     while at < seconds:
+        series = len(faults) // ROUND % 2
         kind = random_.choice(sorted(kinds))
         lasts = random_.uniform(*KINDS[kind])
         if kind in ALONE and faults:
             at += ALONE_AFTER
         faults.append(Fault(round(at, 3), kind, round(lasts, 3), random_.random()))
-        at += random_.uniform(*PAUSE) + (lasts if kind in ALONE else 0.0)
+        pause = SERIES_PAUSE if series else PAUSE
+        at += random_.uniform(*pause) + (lasts if kind in ALONE else 0.0)
         if len(faults) % ROUND == 0:
             at += REST
     return [one for one in faults if one.at < seconds]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import gevent
+from gevent.lock import RLock
 from geventhttpclient import HTTPClient
 
 from postvalve.gateway.interfaces import KeyedRecord
@@ -23,15 +24,23 @@
     STREAM_PATH,
     free_port,
 )
-from tests.soak.promises import Span
+from tests.soak.promises import Leaving, Span
 from tests.soak.proxy import Proxy
 from tests.soak.store import pack_record
 
 ROOT = Path(__file__).resolve().parents[2]
-ZONES = ("a", "a", "b", "b")
-ENGINES = 3
+NODES, ENGINES = 4, 3
+ZONES = "abcd"
+ZONE_NODES = 8
+"""Nodes for which two zones are enough; else there are four."""
+ALL_NODES = frozenset(("herd_kill", "roll", "hup_series", "stop_series"))
+"""Kinds of faults that strike several nodes."""
+SERIES_PAUSE = 0.3
+"""Seconds between two signals or changes of a series."""
 LAPSE = 1.5
 """Seconds after an engine's death in which its entry stands."""
+ROLL_TIME = 9.0
+"""Seconds after which a node that was told to stop is killed."""
 DRAIN_TIME = 2.0
 """Seconds that a leaving engine serves on."""
 
@@ -44,12 +53,20 @@
             return port
 
 
+def zone_of(number, count):
+    """The zone of one of so many things."""
+    zones = 2 if count <= ZONE_NODES else len(ZONES)
+    return ZONES[number * zones // count]
+
+
 class Process:
     """One program, started again under the same name."""
 
     def __init__(self, name, folder, words, env=None):
         self.name = name
         self.lives = 0
+        self.ends = False
+        """Whether it was told to end, or was killed, and was not started since."""
         self._folder = folder
         self._words = words
         self._env = {**os.environ, "PYTHONPATH": str(ROOT), **(env or {})}
@@ -72,6 +89,7 @@
         if self.runs:
             return
         self.lives += 1
+        self.ends = False
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
                 [sys.executable, "-W", "ignore", "-m", *self._words],
@@ -83,7 +101,12 @@
             if self.runs:
                 self._popen.send_signal(number)
 
+    def terminate(self):
+        self.ends = True
+        self.signal(signal.SIGTERM)
+
     def kill(self):
+        self.ends = True
         self.signal(signal.SIGKILL)
         if self._popen is not None:
             self._popen.wait()
@@ -135,24 +158,28 @@
 class Fleet:
     """All processes."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, promises, nodes=NODES, engines=ENGINES):
         self.folder = folder
-        self.spans = []
+        self.promises = promises
+        self.spans = promises.spans
+        self._node_count, self._engine_count = nodes, engines
         self.store_port = free_port()
         self.store = Process("store", folder, ["tests.soak.store", str(self.store_port)])
         self._calls = HTTPClient("127.0.0.1", port=self.store_port, concurrency=20)
         self.engines, self.nodes = [], []
         self.version = 0
         self.published_at = 0.0
+        self._publishing = RLock()
 
     def start(self):
         self.store.start()
         self._until(lambda: self.fault())
-        self.engines = [Engine(number, self.folder) for number in range(ENGINES)]
+        self.engines = [Engine(number, self.folder) for number in range(self._engine_count)]
         for engine in self.engines:
             self.list(engine)
         self.publish()
-        for number, zone in enumerate(ZONES):
+        for number in range(self._node_count):
+            zone = zone_of(number, self._node_count)
             node = Node(f"n{number}", zone, self.folder, self.store_port)
             self.nodes.append(node)
             node.process.start()
@@ -204,7 +231,7 @@
         entry = {
             "service": SERVICE,
             "address": f"127.0.0.1:{engine.link.port}",
-            "zone": ZONES[engine.number],
+            "zone": zone_of(engine.number, self._engine_count),
             "version": "v1",
             "slots": 4,
             "state": state,
@@ -217,7 +244,10 @@
 
     def publish(self):
         """Publish the next version of the configuration."""
-        self.version += 2
+        with self._publishing:
+            self._publish(self.version + 2)
+
+    def _publish(self, version):
         batch = {"kind": "batch", "runAimMs": 20_000, "keepS": 600, "maxQueuedTokens": 0}
         routes = [
             {"name": "stream", "pathPrefix": STREAM_PATH, "kind": "stream", "resumable": True},
@@ -227,15 +257,23 @@
         common = {"host": HOST, "service": SERVICE, "timeoutMs": 5000, "maxAttempts": 3}
         common["targetLatencyMs"] = 400
         document = {
-            "version": self.version,
+            "version": version,
             "routes": [route | common for route in routes],
             "services": [{"name": SERVICE}],
         }
         self._write(CONFIGURATION_TOPIC, CONFIGURATION_KEY, document)
-        self.published_at = time.time()
+        self.version, self.published_at = version, time.time()
 
     # Nodes
 
+    def start_ended(self):
+        """Start nodes again that ended without being told to, as the platform does."""
+        for node in self.nodes:
+            ended = not node.process.runs and not node.process.ends
+            self.promises.check("no process ends by itself", not ended, node.process.life)
+            if ended:
+                node.process.start()
+
     def is_ready(self, node):
         """Whether a node takes clients."""
         try:
@@ -251,7 +289,11 @@
         """Let a fault befall the fleet until it is over."""
         node = self.nodes[int(fault.draw * len(self.nodes))]
         engine = self.engines[int(fault.draw * len(self.engines))]
-        target = engine.engine_id if fault.kind.startswith(("engine", "link")) else node.name
+        target = node.name
+        if fault.kind.startswith(("engine", "link")):
+            target = engine.engine_id
+        elif fault.kind in ALL_NODES or fault.kind.startswith("store"):
+            target = "" if fault.kind != "store_cut" else node.name
         now = time.time()
         span = Span(fault.kind, target, now, now + fault.lasts)
         self.spans.append(span)
@@ -276,7 +318,7 @@
         node.process.signal(signal.SIGCONT)
 
     def _node_term(self, node, engine, lasts):
-        node.process.signal(signal.SIGTERM)
+        node.process.terminate()
         deadline = time.monotonic() + lasts
         while node.process.runs and time.monotonic() < deadline:
             gevent.sleep(0.1)
@@ -300,8 +342,16 @@
         process.signal(signal.SIGCONT)
 
     def _engine_leaves(self, node, engine, lasts):
+        self._leave(engine, lasts, lambda: self.list(engine, "draining"))
+
+    def _engine_goes(self, node, engine, lasts):
+        """It never says that it leaves: its entry goes, and it serves on as long."""
+        self._leave(engine, lasts, lambda: self.unlist(engine.engine_id))
+
+    def _leave(self, engine, lasts, say):
         former, process, link = engine.engine_id, engine.process, engine.link
-        self.list(engine, "draining")
+        say()
+        self.promises.leavings.append(Leaving(former, time.time()))
         engine.start()
         self.list(engine)
         gevent.sleep(DRAIN_TIME + lasts)
@@ -324,6 +374,42 @@
         gevent.sleep(lasts)
         link.hold()
 
+    def _link_silent(self, node, engine, lasts):
+        engine.link.silence()
+
+    def _store_silent(self, node, engine, lasts):
+        for one in self.nodes:
+            one.way.silence()
+
+    def _roll(self, node, engine, lasts):
+        """All nodes are stopped and started in turn, each a moment after the one before."""
+        rolls = []
+        for one in self.nodes:
+            rolls.append(gevent.spawn(self._node_term, one, engine, ROLL_TIME))
+            gevent.sleep(lasts)
+        gevent.joinall(rolls)
+
+    def _stop_series(self, node, engine, lasts):
+        """One node after the other stands still, some of them at the same time."""
+        stops = []
+        for one in self.nodes[: len(self.nodes) // 2 + 1]:
+            stops.append(gevent.spawn(self._node_stop, one, engine, lasts / 2))
+            gevent.sleep(SERIES_PAUSE)
+        gevent.joinall(stops)
+
+    def _hup_series(self, node, engine, lasts):
+        deadline = time.monotonic() + lasts
+        while time.monotonic() < deadline:
+            for one in self.nodes:
+                one.process.signal(signal.SIGHUP)
+            gevent.sleep(SERIES_PAUSE)
+
+    def _config_storm(self, node, engine, lasts):
+        deadline = time.monotonic() + lasts
+        while time.monotonic() < deadline:
+            self.publish()
+            gevent.sleep(SERIES_PAUSE)
+
     def _store_down(self, node, engine, lasts):
         self.fault(down=True)
         gevent.sleep(lasts)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,14 @@
 """Seconds after its publication in which a revision must be in force."""
 LONGEST_WAIT = 1.0
 """Seconds that an online request may wait at an engine among batch items."""
+TOUCH = 3.0
+"""Seconds without a fault after which a node must keep bounds of time."""
+LEAVING_TIME = 2.0
+"""Seconds after an engine's leaving was acknowledged from which no request may reach it."""
+LEAVING_MARGIN = 0.25
+"""Seconds more, for what was on its way on a machine that is busy."""
+PLANNED = frozenset(("node_term", "roll", "hup_series", "config_storm"))
+"""Kinds of faults that are planned work: they cut no request that an engine runs."""
 WAITING_SHARE = 0.02
 """Share of the online requests in calm times that may wait longer."""
 TIMED = frozenset(
@@ -23,6 +31,7 @@
         "online never waits behind batch",
         "a cancelled job stops",
         "a planned stop cuts nothing",
+        "no request reaches an engine that has left",
     )
 )
 """Promises with bounds of seconds, which a machine that is too busy breaks by itself."""
@@ -41,6 +50,8 @@
     body: bytes = b""
     whole: bool = False
     expected: bytes = b""
+    kept: bool = False
+    """Whether its connection had carried an answer before."""
 
 
 @dataclass
@@ -73,6 +84,19 @@
     waited: float = 0.0
     items: int = 0
     """Batch items that held slots when it came."""
+    engine: str = ""
+
+    @property
+    def arrived_at(self):
+        return self.at - self.waited
+
+
+@dataclass
+class Leaving:
+    """An engine that the store has acknowledged as leaving, or as gone."""
+
+    engine: str
+    acked_at: float
 
 
 @dataclass
@@ -84,6 +108,12 @@
     start: float
     end: float
 
+    def strikes(self, node, engine):
+        """Whether it may touch a node, the store, or the link to an engine."""
+        if self.kind.startswith(("engine", "link")):
+            return self.target == engine and self.kind not in ("engine_leaves", "engine_goes")
+        return self.target in ("", node)
+
 
 class Promises:
     """Broken promises, and how often each was checked."""
@@ -92,6 +122,7 @@
         self.broken = []
         self.checked = Counter()
         self.spans = []
+        self.leavings = []
         self._revisions = {}
 
     def check(self, promise, holds, told):
@@ -108,6 +139,13 @@
             if span is not but
         )
 
+    def in_touch(self, node, engine, at):
+        """Whether nothing befell a node, its way to the store and to an engine for a while."""
+        return not any(
+            span.start <= at and span.end + TOUCH >= at and span.strikes(node, engine)
+            for span in self.spans
+        )
+
     # While it runs
 
     def online_ended(self, req):
@@ -163,10 +201,42 @@
                 self.check("at most once", number <= 1, f"{req.request_id} ran {number} times")
                 if req.status in NOT_RUN:
                     self.check('"not run" is true', number == 0, f"{req.request_id} {req.status}")
+        self._left(runs, requests)
+        self._kept(counts, requests)
         self._cancelled(runs, jobs)
         self._refused(counts, jobs)
         self._waits(runs)
 
+    def _left(self, runs, requests):
+        nodes = {req.request_id: req.node for req in requests}
+        left = {one.engine: one.acked_at for one in self.leavings}
+        for run in runs:
+            node, acked = nodes.get(run.request_id), left.get(run.engine)
+            if node is None or acked is None or run.arrived_at < acked:
+                continue
+            if not self.in_touch(node, run.engine, run.arrived_at):
+                continue
+            age = run.arrived_at - acked
+            self.check(
+                "no request reaches an engine that has left",
+                age <= LEAVING_TIME + LEAVING_MARGIN,
+                f"{run.request_id} from {node} at {run.engine}, {age:.2f} s after it left",
+            )
+
+    def _kept(self, counts, requests):
+        for req in requests:
+            if not req.kept or not self._calm_but_for_planned(req.sent_at, req.ended_at):
+                continue
+            cut = not req.whole and counts[req.request_id]
+            told = f"{req.request_id} at {req.node}, from {req.sent_at:.1f} to {req.ended_at:.1f}"
+            self.check("a kept connection answers what it took", not cut, told)
+
+    def _calm_but_for_planned(self, start, end):
+        return not any(
+            span.start <= end and span.end + CALM_AFTER >= start and span.kind not in PLANNED
+            for span in self.spans
+        )
+
     def _cancelled(self, runs, jobs):
         by_item = {item: job for job in jobs if job.cancelled_at for item in job.texts}
         starts = defaultdict(list)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,21 @@
 
 from tests.soak.__main__ import Soak
 from tests.soak.faults import ALONE, KINDS, REST, schedule
-from tests.soak.promises import TIMED, Job, Online, Promises, Run, Span
+from tests.soak.promises import TIMED, Job, Leaving, Online, Promises, Run, Span
 from tests.soak.proxy import Proxy
 
 SHORT_SEED = 5
-SHORT_SECONDS = 12.0
-SHORT_KINDS = ("node_kill", "node_stop", "engine_kill", "link_reset", "store_down")
+SHORT_SECONDS = 20.0
+SHORT_KINDS = (
+    "node_kill",
+    "node_stop",
+    "engine_kill",
+    "engine_leaves",
+    "link_reset",
+    "store_down",
+    "store_silent",
+    "hup_series",
+)
 
 
 class PromiseTest(unittest.TestCase):
@@ -125,6 +134,44 @@
             self.promises.jobs_ended([self.job])
         self.assertEqual(self.broken(), ["results are whole"] * 2)
 
+    def test_a_request_at_an_engine_that_has_left(self):
+        self.promises.leavings.append(Leaving("e1", 10.0))
+        req = self.online()
+        for at, waited in ((9.0, 0.0), (12.1, 0.0), (14.0, 2.0)):
+            self.promises.runs_seen([Run("o-1", at, waited, engine="e1")], [req], [])
+        self.promises.runs_seen([Run("o-1", 13.0, engine="e2")], [req], [])
+        self.assertEqual(self.broken(), [])
+        self.promises.spans.append(Span("node_stop", "n0", 9.0, 10.5))
+        self.promises.runs_seen([Run("o-1", 13.0, engine="e1")], [req], [])
+        self.promises.spans[:] = [Span("link_delay", "e1", 9.0, 10.5)]
+        self.promises.runs_seen([Run("o-1", 13.0, engine="e1")], [req], [])
+        self.promises.spans[:] = [Span("store_down", "", 9.0, 10.5)]
+        self.promises.runs_seen([Run("o-1", 13.0, engine="e1")], [req], [])
+        self.assertEqual(self.broken(), [])
+        for spans in (
+            [],
+            [Span("node_stop", "n1", 9.0, 12.5)],
+            [Span("engine_leaves", "e1", 10.0, 15.0)],
+            [Span("store_down", "", 8.0, 9.5)],
+        ):
+            self.promises.spans[:] = spans
+            self.promises.runs_seen([Run("o-1", 13.0, engine="e1")], [req], [])
+        self.assertEqual(self.broken(), ["no request reaches an engine that has left"] * 4)
+
+    def test_a_kept_connection_that_ends_without_an_answer(self):
+        cut = self.online(status=0, whole=False, kept=True)
+        ran = [Run("o-1", 1.1)]
+        self.promises.runs_seen([], [cut], [])
+        self.promises.runs_seen(ran, [self.online(kept=True)], [])
+        self.promises.runs_seen(ran, [self.online(status=0, whole=False)], [])
+        self.promises.spans.append(Span("node_kill", "n0", 1.2, 1.4))
+        self.promises.runs_seen(ran, [cut], [])
+        self.assertEqual(self.broken(), [])
+        for spans in ([], [Span("node_term", "n0", 1.2, 1.4)]):
+            self.promises.spans[:] = spans
+            self.promises.runs_seen(ran, [cut], [])
+        self.assertEqual(self.broken(), ["a kept connection answers what it took"] * 2)
+
     def test_a_planned_stop_that_cuts(self):
         under_way = self.online(status=0, whole=False)
         stop = Span("node_term", "n0", 1.5, 4.0)
