SIGHUP ends no process that is still starting

Cause: the signal for changed settings got its handler after all imports, some tenths of a second into a process' life; until then its default ends the process. Change: startup imports nothing before the signal is ignored; what it did is node_process. Measured: a test that asks for the order; the window that is left is the interpreter's own start.

--- a/postvalve/cli/node.py
+++ b/postvalve/cli/node.py
@@ -68,9 +68,9 @@
     """Run the node until it is drained."""
     if arguments.platform is not None:
         # Imported here, since no other command needs what the platform's node imports.
-        from postvalve import startup
+        from postvalve import node_process
 
-        return startup.run(arguments.platform, check=arguments.check)
+        return node_process.run(arguments.platform, check=arguments.check)
     overrides = {name: getattr(arguments, name) for name in OVERRIDES}
     settings = load_node_settings(arguments.config, overrides)
     if arguments.check:
--- a/postvalve/node_process.py
+++ b/postvalve/node_process.py
@@ -1,4 +1,5 @@
-"""Starts a node on the users' platform. The only module that imports `postvalve.platform`."""
+"""One process that is a node on the users' platform. The only module that imports
+`postvalve.platform`."""
 
 from __future__ import annotations
 
@@ -47,7 +48,3 @@
     gc.freeze()
     node.wait()
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(run())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,6 +5,8 @@
 import io
 import json
 import struct
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -12,7 +14,7 @@
 
 from gevent.pywsgi import WSGIServer
 
-from postvalve import startup
+from postvalve import node_process
 from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import (
     EngineState,
@@ -62,7 +64,7 @@
         path = self.path(broken)
         output = io.StringIO()
         with contextlib.redirect_stderr(output):
-            self.assertEqual(startup.run(path), 2)
+            self.assertEqual(node_process.run(path), 2)
         for place in ("zone", "portRange.0", "platform.address"):
             self.assertIn(f"{path}: {place}: ", output.getvalue())
 
@@ -73,7 +75,7 @@
 
     def test_check_starts_nothing(self):
         with contextlib.redirect_stdout(io.StringIO()):
-            self.assertEqual(startup.run(self.path(SETTINGS), check=True), 0)
+            self.assertEqual(node_process.run(self.path(SETTINGS), check=True), 0)
 
 
 def document(**route):
@@ -170,6 +172,22 @@
                 self.assertIs(self.dialect.judge("r", status, headers), judgement)
 
 
+START = """
+import signal, sys, types
+from postvalve import startup
+assert "gevent" not in sys.modules, "imports come before the signal is ignored"
+node_process = types.ModuleType("postvalve.node_process")
+node_process.run = lambda: 7 if signal.getsignal(signal.SIGHUP) is signal.SIG_IGN else 1
+sys.modules["postvalve.node_process"] = node_process
+sys.exit(startup.run())
+"""
+
+
+class StartTest(unittest.TestCase):
+    def test_changed_settings_end_no_process_that_starts(self):
+        self.assertEqual(subprocess.run([sys.executable, "-c", START], check=False).returncode, 7)
+
+
 class StoreTest(unittest.TestCase):
     """Against a stand-in that answers as the pages of the platform say."""
 
