A follower whose read was not answered tries a new connection before it asks a peer

Change: a waiting read without an answer is told as such, and the follower's next one, 0.05 s later, opens a new connection; a peer is asked after a refusal, or once two calls in a row have failed. Other calls are as before.

--- a/postvalve/gateway/relayed_topics.py
+++ b/postvalve/gateway/relayed_topics.py
@@ -127,9 +127,12 @@
             return self._by_own_way(kind, own)
         except StoreUnavailableError as exc:
             relay = self._relay()
+            unanswered = exc.verdict is not Verdict.NOT_RUN
             # An append that may be done must not be repeated under the same keys.
-            once = isinstance(call, gateway.StoreAppend) and exc.verdict is not Verdict.NOT_RUN
-            if relay is None or once:
+            once = isinstance(call, gateway.StoreAppend) and unanswered
+            # A connection may have fallen silent: who follows tries a new one first.
+            again = bool(wait) and unanswered and not self._path.failing
+            if relay is None or once or again:
                 raise
         return result(self._relayed(relay, call, wait))
 
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -15,6 +15,7 @@
 from postvalve.clock import SystemClock
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.events import EventLog
+from postvalve.exceptions import Verdict
 from postvalve.gateway.gateway import Gateway, GatewayPlatform
 from postvalve.gateway.interfaces import GatewaySettings, KeyedRecord, StoreUnavailableError
 from postvalve.platform.dialect import PlatformDialect
@@ -36,6 +37,8 @@
 """Ports for tests: below those among which Linux chooses (32,768 and up)."""
 _PORTS = itertools.count(random.Random(os.getpid()).randrange(LAST_PORT - FIRST_PORT))
 """Processes of one test run begin at places of their own."""
+GIVEN_UP_AFTER = 0.4
+"""Seconds beyond its wait after which a read without an answer is given up here."""
 PATIENCE = 30.0
 """Seconds that tests wait for what must come; never a measure."""
 
@@ -256,6 +259,8 @@
         self.refused = 0
         self.silent = False
         """Whether calls are never answered."""
+        self.silent_reads = 0
+        """Waiting reads, those under way among them, that are given up without an answer."""
         self.holds_waiting_reads = False
         """Whether those that wait for a record are not."""
         self.held = 0
@@ -278,7 +283,14 @@
         wait = arguments[3]
         if wait and self.holds_waiting_reads:
             gevent.sleep(PATIENCE)
-        return self._topics.read(*arguments)
+        now = gevent.get_hub().loop.now
+        started = now()
+        found = self._topics.read(*arguments)
+        if wait and self.silent_reads:
+            self.silent_reads -= 1
+            gevent.sleep(max(0.0, started + wait + GIVEN_UP_AFTER - now()))
+            raise StoreUnavailableError("no answer", Verdict.MAY_HAVE_RUN)
+        return found
 
     def newest(self, *arguments):
         self._check()
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -105,33 +105,35 @@
         request = gateway.RevisionFetch(known_revision=1)
         return self.client.call(address, Channel.BATCH, request, timeout).revision
 
+    def failure(self, timeout=5.0):
+        """The error of a call that fails."""
+        with self.assertRaises(PeerUnavailableError) as failed:
+            self.call(timeout)
+        return failed.exception
+
     def test_a_connection_that_said_nothing_is_opened_anew(self):
         self.assertEqual(self.call(), 7)
         self.proxy.silence()
-        with self.assertRaises(PeerUnavailableError) as failed:
-            self.call(timeout=0.2)
-        self.assertIs(failed.exception.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertIs(self.failure(timeout=0.2).verdict, Verdict.MAY_HAVE_RUN)
         self.assertEqual(self.call(), 7)
         self.assertEqual(self.proxy.accepted, 2)
 
     def test_a_call_that_is_slow_beside_others_that_are_answered_ends_no_connection(self):
         self.assertEqual(self.call(), 7)
         self.hold = 1.0
-        slow = gevent.spawn(self.call, 0.4)
+        slow = gevent.spawn(self.failure, 0.4)
         gevent.sleep(0.1)
         self.hold = 0.0
         self.assertEqual(self.call(), 7)
-        with self.assertRaises(PeerUnavailableError):
-            slow.get()
+        self.assertIs(slow.get().verdict, Verdict.MAY_HAVE_RUN)
         self.assertEqual(self.call(), 7)
         self.assertEqual(self.proxy.accepted, 1)
 
     def test_callers_that_waited_for_a_connection_that_failed_fail_with_it(self):
         self.proxy.stop()
-        calls = [gevent.spawn(self.call) for _ in range(3)]
-        gevent.joinall(calls)
+        calls = [gevent.spawn(self.failure) for _ in range(3)]
         for one in calls:
-            self.assertIs(one.exception.verdict, Verdict.NOT_RUN)
+            self.assertIs(one.get().verdict, Verdict.NOT_RUN)
 
 
 class EngineTest(unittest.TestCase):
--- a/tests/test_stale_knowledge.py
+++ b/tests/test_stale_knowledge.py
@@ -34,9 +34,12 @@
         self.server = RelayServer(store)
         self.names = names
         self.frozen = set()
+        self.silent = set()
+        """Those whose connection says nothing more, until it is opened anew."""
 
     def call(self, address, channel, message, timeout):
-        started_frozen = address in self.frozen
+        started_frozen = address in self.frozen or address in self.silent
+        self.silent.discard(address)
         if not started_frozen:
             reply = self._serve(message)
             if address not in self.frozen:
@@ -65,11 +68,17 @@
         self.reader = DirectoryReader(
             topics, DIRECTORY_TOPIC, parse_engine, self.fleet, self.clock, self.log
         )
-        self.peers_make_calls = True
+        self.peers_make_calls = self.peers_know_more = True
         self._peers_read_at = 0.0
         gevent.spawn(self._report)
         gevent.spawn(self.reader.run)
 
+    def silence_connections(self):
+        """Every open connection of all nodes says nothing more; new ones work."""
+        self.peers_know_more = False
+        self.own.silent_reads = 1
+        self.network.silent = set(self.network.names)
+
     def _report(self):
         for sequence in range(1, 10_000):
             for name in self.network.names:
@@ -91,7 +100,7 @@
         )
         offset = len(self.store.partition(DIRECTORY_TOPIC, 0).log)
         age = milliseconds(now - self._peers_read_at)
-        self.reader.hear(DirectoryState(offset if age == 0 else 0, age), name)
+        self.reader.hear(DirectoryState(offset if self.peers_know_more else 0, age), name)
 
     def list_engine(self, name, state="ready"):
         entry = {"service": SERVICE, "address": "127.0.0.1:1", "slots": 4, "state": state}
@@ -141,6 +150,26 @@
                 self.assertEqual(self.leave_beside_a_frozen_peer(step / 10), ["e2"])
 
 
+class SilentConnectionsTest(unittest.TestCase):
+    """All connections of a node fall silent at one moment, those to peers as well."""
+
+    def leave_after_silence(self, phase):
+        def session(loop):
+            node = Node(loop)
+            for name in ("e1", "e2"):
+                node.list_engine(name)
+            gevent.sleep(3.0 + phase)
+            node.silence_connections()
+            return offered_after(node, lambda: node.drop_engine("e1"), SHORTEST_DRAIN)
+
+        return run_virtual(session)
+
+    def test_a_leaving_is_known_by_a_new_connection(self):
+        for step in range(12):
+            with self.subTest(phase=step / 10):
+                self.assertEqual(self.leave_after_silence(step / 10), ["e2"])
+
+
 class LeftMeanwhileTest(unittest.TestCase):
     """An engine leaves while only this node does not reach the store."""
 
