A node claims to know only what the store was surely asked for

Change: the store's adapter says for how long a read was held; one by a peer says nothing and counts from its start. The probe of the own way goes with every call by a peer, only where a peer makes calls, and an answer that history is gone counts as reaching the store.

--- a/postvalve/emulator/keyed_topics.py
+++ b/postvalve/emulator/keyed_topics.py
@@ -95,7 +95,8 @@
             gevent.sleep(POLL_INTERVAL)
             waited += POLL_INTERVAL
         records = _within(partition.log[offset:], limit)
-        return TopicSlice(records, offset + len(records), len(partition.log))
+        held = 0.0 if records else waited
+        return TopicSlice(records, offset + len(records), len(partition.log), held)
 
     def newest(self, topic: str, part: int, after: str = "") -> tuple[TopicSlice, bool]:
         """See `KeyedTopics`."""
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -120,6 +120,9 @@
     records: tuple[KeyedRecord, ...]
     next_offset: int
     end_offset: int
+    held: float = 0.0
+    """Seconds after the call's start at which the store looked, at the earliest: one that waits
+    and finds nothing is held by the store itself."""
 
 
 class HistoryGoneError(PlatformError):
--- a/postvalve/gateway/relayed_topics.py
+++ b/postvalve/gateway/relayed_topics.py
@@ -19,7 +19,7 @@
     relay_address,
 )
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import PeerUnavailableError, PlatformError, Verdict
+from postvalve.exceptions import PeerUnavailableError, Verdict
 from postvalve.gateway.interfaces import (
     HistoryGoneError,
     KeyedRecord,
@@ -69,6 +69,8 @@
         self._patience = RelayPatience()
         self._avoided = AvoidedPeers()
         self._probing = False
+        self._last_read = ("", 0, 0)
+        """Topic, partition and offset that were read last."""
         self.on_change: Callable[[], None] = lambda: None
 
     @property
@@ -97,8 +99,7 @@
         call = gateway.StoreRead(
             topic=topic, part=part, offset=offset, wait_ms=int(relayed_wait * 1000), limit=limit
         )
-        if self._path.failing:
-            self._look_for_own_way(topic, part, offset)
+        self._last_read = (topic, part, offset)
         return self._call(
             lambda: self._own.read(topic, part, offset, wait, limit), call, _slice, relayed_wait
         )
@@ -122,6 +123,7 @@
         kind = type(call).__name__
         relay = self._relay() if self._path.failing else None
         if relay is not None:
+            self._look_for_own_way()
             return result(self._relayed(relay, call, wait))
         try:
             return self._by_own_way(kind, own)
@@ -151,16 +153,19 @@
         self._note(True)
         return answer
 
-    def _look_for_own_way(self, topic: str, part: int, offset: int) -> None:
+    def _look_for_own_way(self) -> None:
         """See now and then whether the store is within own reach again, beside all calls."""
         if not self._probing and self._path.try_own(self._clock.monotonic()):
             self._probing = True
-            gevent.spawn(self._probe, topic, part, offset)
+            gevent.spawn(self._probe)
 
-    def _probe(self, topic: str, part: int, offset: int) -> None:
+    def _probe(self) -> None:
         try:
-            self._by_own_way(PROBE, lambda: self._own.read(topic, part, offset, 0.0, PROBE_BYTES))
-        except PlatformError as exc:
+            self._by_own_way(PROBE, lambda: self._own.read(*self._last_read, 0.0, PROBE_BYTES))
+        except HistoryGoneError:
+            # It answered, which is all that was asked.
+            pass
+        except StoreUnavailableError as exc:
             self._events.emit(Event.STORE_STILL_OUT_OF_REACH, error=exc.message)
         finally:
             self._probing = False
--- a/postvalve/gateway/topic_follower.py
+++ b/postvalve/gateway/topic_follower.py
@@ -122,12 +122,7 @@
         with self._lock:
             self._take(part.records, part.next_offset)
             if part.next_offset >= part.end_offset:
-                self.fresh_at = max(self.fresh_at, self._read_at(started, bool(part.records)))
-
-    def _read_at(self, started: float, found: bool) -> float:
-        """When the store looked, at the earliest: a read that found nothing was held until then."""
-        held_until = started + self._wait
-        return held_until if not found and self._clock.monotonic() >= held_until else started
+                self.fresh_at = max(self.fresh_at, started + part.held)
 
     def catch_up(self) -> None:
         """Read what is there now.
--- a/postvalve/platform/store.py
+++ b/postvalve/platform/store.py
@@ -7,6 +7,7 @@
 import struct
 import time
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -110,11 +111,14 @@
         }
         if wait > 0:
             query["waitMs"] = int(wait * 1000)
+        started = time.monotonic()
         status, content = self._call(wait, "GET", READ_PATH, query, b"")
         if status == 410:
             raise HistoryGoneError("history dropped")
         self._require(status, content)
-        return _decode_slice(content, offset)
+        found = _decode_slice(content, offset)
+        held = not found.records and time.monotonic() - started >= wait
+        return replace(found, held=wait) if held else found
 
     def newest(self, topic: str, part: int, after: str = "") -> tuple[TopicSlice, bool]:
         """See `KeyedTopics`."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
+import gevent
 from gevent.pywsgi import WSGIServer
 
 from postvalve import node_process
@@ -193,6 +194,7 @@
 
     def setUp(self):
         self.answer = ("200 OK", b"{}")
+        self.delay = 0.0
         self.calls = []
         self.server = WSGIServer(("127.0.0.1", 0), self.serve, log=None, error_log=None)
         self.server.start()
@@ -202,6 +204,7 @@
     def serve(self, environ, start_response):
         query = parse_qs(urlsplit("?" + environ["QUERY_STRING"]).query)
         body = environ["wsgi.input"].read()
+        gevent.sleep(self.delay)
         self.calls.append((environ["REQUEST_METHOD"], environ["PATH_INFO"], query, body))
         status, content = self.answer
         start_response(status, [("Content-Length", str(len(content)))])
@@ -216,6 +219,14 @@
         self.assertEqual(query, {"topic": ["keyed.jobs"], "part": ["2"], "at": ["840"]})
         self.assertEqual(body, b"\x00\x00\x00\x04\x01axy\x00\x00\x00\x03\x02bc")
 
+    def test_an_empty_read_that_was_held_says_so(self):
+        self.answer = ("200 OK", bytes(16))
+        self.assertEqual(self.store.read("t", 0, 0, 30.0, 100).held, 0.0)
+        self.delay = 0.05
+        self.assertEqual(self.store.read("t", 0, 0, 0.04, 100).held, 0.04)
+        self.answer = ("200 OK", bytes(15) + b"\x01" + b"\x00\x00\x00\x03\x01ab")
+        self.assertEqual(self.store.read("t", 0, 0, 0.04, 100).held, 0.0)
+
     def test_append_failures_say_whether_it_was_done(self):
         self.answer = ("412 -", b'{"end": 9}')
         with self.assertRaises(PositionTakenError) as taken:
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -7,8 +7,9 @@
 
 from postvalve.clock import SystemClock
 from postvalve.emulator.keyed_topics import MemoryTopics
+from postvalve.emulator.virtual_time import VirtualClock, run_virtual
 from postvalve.events import Event
-from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
+from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError, TopicSlice
 from postvalve.gateway.topic_follower import TopicFollower
 from tests.gateway_support import QuietLog, wait_until
 
@@ -104,6 +105,36 @@
         self.assertEqual(len(self.seen), 702)
 
 
+class AgeTest(unittest.TestCase):
+    """What a follower claims to know is what the store was surely asked for."""
+
+    def age_after_a_read(self, held):
+        """Of 1.0 s, given up to a wait of 0.8 s, that found nothing."""
+
+        class LateTopics(MemoryTopics):
+            def read(self, topic, part, offset, wait, limit):
+                gevent.sleep(1.0)
+                return TopicSlice((), 0, 0, held)
+
+        def session(loop):
+            clock = VirtualClock(loop)
+            follower = TopicFollower(
+                LateTopics(), clock, QuietLog(), "t", lambda *_: None, wait=0.8, pause=9.0
+            )
+            follower.catch_up()
+            gevent.spawn(follower.run)
+            gevent.sleep(1.5)
+            return round(follower.age, 3)
+
+        return run_virtual(session)
+
+    def test_a_read_that_the_store_held_tells_of_all_that_time(self):
+        self.assertEqual(self.age_after_a_read(0.8), 0.7)
+
+    def test_one_that_was_late_on_its_way_tells_of_its_start(self):
+        self.assertEqual(self.age_after_a_read(0.0), 1.5)
+
+
 class FollowTest(FollowerCase):
     def test_everything_comes_in_order(self):
         self.add("a")
