--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -29,6 +29,7 @@
     ATTEMPT_FAILED = (202, "warning", "attempt at an engine failed")
     STREAM_RESUMED = (203, "info", "stream resumed at another engine")
     STREAM_ENDED_EARLY = (204, "warning", "stream ended with an error")
+    NO_ENGINE_ADMITTED = (205, "warning", "no owner gave a slot for an online request")
     ROUTED_ATTEMPT_FAILED = (210, "warning", "attempt of a routed request failed")
     ROUTED_STREAM_RESUMED = (211, "info", "routed stream goes on at another engine")
     ROUTED_STREAM_CUT = (212, "warning", "routed stream ended without its end")
--- a/postvalve/node/engine_registry.py
+++ b/postvalve/node/engine_registry.py
@@ -266,10 +266,15 @@
     def candidates(
         self, tenant: TenantSpec, model: str, excluded: Iterable[str]
     ) -> list[EngineCandidate]:
-        """Engines that may run a request, by the summaries of their owners."""
+        """Engines that may run a request, by the summaries of their owners.
+
+        For a while after an owner has changed, both the former and the new one tell of an engine;
+        this node knows for sure what it owns itself.
+        """
         skipped = set(excluded)
         found: dict[str, EngineCandidate] = {}
-        for member in self._membership.view.alive():
+        own_id = self._settings.node_id
+        for member in sorted(self._membership.view.alive(), key=lambda one: one.node_id == own_id):
             for summary in self._engine_summaries(member.node_id, member.summary):
                 machine = self._machines.get(summary.engine_id)
                 if machine is None or summary.engine_id in skipped:
--- a/postvalve/node/online/admission.py
+++ b/postvalve/node/online/admission.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 import gevent
 
 from postvalve.core.routing.router import EngineCandidate, Router
+from postvalve.events import Event
 from postvalve.exceptions import AttemptError, PeerUnavailableError, RefusedError, Verdict
 from postvalve.messages.generated import peer
 from postvalve.node.context import NodeContext
@@ -16,10 +18,20 @@
 from postvalve.node.peer_link import Channel
 from postvalve.services.engine import EngineAttempt, EngineStream
 
+_Outcome = peer.AdmissionOutcome
+
 ADMISSION_TIMEOUT = 0.5
 """Seconds until an owner's answer is given up and another engine is asked."""
 MAX_ADMISSION_ROUNDS = 6
 """Owners asked before a request is refused."""
+SECOND_ADMISSION_TIMEOUT = 1.5
+"""Seconds for which an owner that did not answer is asked again, when no other has room."""
+MAX_ASKED_AGAIN = 2
+"""Silent owners that are asked again."""
+MAX_OWNER_CHANGES = 4
+"""Rounds in which all owners may say that they are none."""
+OWNER_CHANGE_PAUSE = 0.15
+"""Seconds until the next such round, doubled for each; heartbeats tell of owners each second."""
 MAX_RELEASE_TRIES = 4
 """Times that a slot is given back to an owner that does not answer."""
 OVERLOAD_RETRY_AFTER = 1.0
@@ -37,6 +49,32 @@
     released: bool = False
 
 
+@dataclass(slots=True)
+class _Round:
+    """What the owners of one round have said."""
+
+    found: bool = False
+    """Whether there were engines to ask for."""
+    retry_after: float = OVERLOAD_RETRY_AFTER
+    told: dict[str, str] = field(default_factory=dict)
+    """What each owner that answered said, by engine."""
+    unanswered: list[EngineCandidate] = field(default_factory=list)
+
+    def note(self, candidate: EngineCandidate, reply: peer.AdmissionReply | None) -> None:
+        """An owner gave no slot."""
+        if reply is not None:
+            self.told[candidate.engine_id] = _Outcome(reply.outcome).name
+            self.retry_after = max(self.retry_after, reply.retry_after_ms / 1000)
+        elif candidate not in self.unanswered:
+            self.unanswered.append(candidate)
+
+    @property
+    def owners_change(self) -> bool:
+        """Whether all who were asked say that they are not the owners."""
+        not_owner = _Outcome.ADMISSION_OUTCOME_NOT_OWNER.name
+        return bool(self.told) and set(self.told.values()) == {not_owner} and not self.unanswered
+
+
 class AdmissionClient:
     """A gateway's access to the slots of all engines."""
 
@@ -47,6 +85,7 @@
         self._clock = context.clock
         self._transport = context.transport
         self._new_id = context.new_id
+        self._events = context.events
         self._membership = membership
         self._registry = registry
         self._router = Router(context.settings.zone, context.generator)
@@ -57,22 +96,66 @@
         Raises:
             RefusedError: no engine has room, or none serves the model.
         """
-        candidates = self._registry.candidates(request.tenant, request.model, failed_engines)
-        if not candidates:
+        round_ = _Round()
+        for number in range(MAX_OWNER_CHANGES):
+            candidates = self._candidates(request, failed_engines)
+            round_ = _Round(bool(candidates))
+            admission = self._ask_owners(request, candidates, round_)
+            if admission is not None:
+                return admission
+            if not round_.owners_change:
+                break
+            # Nodes see the owners differently: nobody has refused, and views meet soon.
+            gevent.sleep(OWNER_CHANGE_PAUSE * 2**number)
+        self._events.emit(
+            Event.NO_ENGINE_ADMITTED,
+            request=request.request_id,
+            owners=round_.told,
+            unanswered=[one.engine_id for one in round_.unanswered],
+        )
+        reason = "every engine is busy" if round_.found else "no engine serves the model now"
+        raise RefusedError(reason, retry_after=round_.retry_after)
+
+    def _candidates(
+        self, request: OnlineRequest, failed_engines: set[str]
+    ) -> Sequence[EngineCandidate]:
+        """Engines in the order in which they are asked for."""
+        find = self._registry.candidates
+        found = find(request.tenant, request.model, failed_engines)
+        if not found:
             # Better an engine that failed before than none.
-            candidates = self._registry.candidates(request.tenant, request.model, ())
-        retry_after = OVERLOAD_RETRY_AFTER
-        order = self._router.order(candidates, request.prefix_key)
-        for candidate in order[:MAX_ADMISSION_ROUNDS]:
-            admission = Admission(self._new_id(), candidate)
-            reply = self._ask_owner(request, admission)
-            if reply.outcome == peer.AdmissionOutcome.ADMISSION_OUTCOME_GRANTED:
+            found = find(request.tenant, request.model, ())
+        return self._router.order(found, request.prefix_key)[:MAX_ADMISSION_ROUNDS]
+
+    def _ask_owners(
+        self, request: OnlineRequest, candidates: Sequence[EngineCandidate], round_: _Round
+    ) -> Admission | None:
+        for candidate in candidates:
+            admission = self._ask(request, candidate, ADMISSION_TIMEOUT, round_)
+            if admission is not None:
                 return admission
-            retry_after = max(retry_after, reply.retry_after_ms / 1000)
-        reason = "every engine is busy" if candidates else "no engine serves the model now"
-        raise RefusedError(reason, retry_after=retry_after)
-
-    def _ask_owner(self, request: OnlineRequest, admission: Admission) -> peer.AdmissionReply:
+        # A silent owner has refused nothing, and may have stood still for a moment.
+        for candidate in round_.unanswered[:MAX_ASKED_AGAIN]:
+            left = request.deadline - self._clock.monotonic()
+            admission = self._ask(request, candidate, min(SECOND_ADMISSION_TIMEOUT, left), round_)
+            if admission is not None:
+                return admission
+        return None
+
+    def _ask(
+        self, request: OnlineRequest, candidate: EngineCandidate, timeout: float, round_: _Round
+    ) -> Admission | None:
+        admission = Admission(self._new_id(), candidate)
+        reply = self._ask_owner(request, admission, timeout)
+        if reply is not None and reply.outcome == _Outcome.ADMISSION_OUTCOME_GRANTED:
+            return admission
+        round_.note(candidate, reply)
+        return None
+
+    def _ask_owner(
+        self, request: OnlineRequest, admission: Admission, timeout: float
+    ) -> peer.AdmissionReply | None:
+        """Ask for a slot; None where the owner did not answer."""
         message = peer.AdmissionRequest(
             attempt_id=admission.attempt_id,
             engine_id=admission.candidate.engine_id,
@@ -83,23 +166,24 @@
         if admission.candidate.owner_id == self._node_id:
             return self._registry.admit_online(message)
         try:
-            reply = self._call_owner(admission, message)
+            reply = self._call_owner(admission, message, timeout)
         except PeerUnavailableError:
             # The grant may have been made: give it back so that no slot leaks.
             self.release(admission)
-            return peer.AdmissionReply()
+            return None
         assert isinstance(reply, peer.AdmissionReply)
         return reply
 
     def _call_owner(
-        self, admission: Admission, message: peer.AdmissionRequest | peer.AdmissionRelease
+        self,
+        admission: Admission,
+        message: peer.AdmissionRequest | peer.AdmissionRelease,
+        timeout: float = ADMISSION_TIMEOUT,
     ) -> object:
         owner = self._membership.member(admission.candidate.owner_id)
         if owner is None:
             raise PeerUnavailableError("the owner is unknown", Verdict.NOT_RUN)
-        return self._transport.call(
-            owner.peer_address, Channel.ADMISSION, message, ADMISSION_TIMEOUT
-        )
+        return self._transport.call(owner.peer_address, Channel.ADMISSION, message, timeout)
 
     def release(self, admission: Admission) -> None:
         """Give a slot back; does not wait for the owner."""
--- a/tests/test_online_failures.py
+++ b/tests/test_online_failures.py
@@ -11,6 +11,7 @@
 from postvalve.emulator.log_model import LogFault
 from postvalve.emulator.virtual_fleet import FleetShape, VirtualFleet
 from postvalve.emulator.virtual_time import run_virtual
+from postvalve.node.online.admission import ADMISSION_TIMEOUT, SECOND_ADMISSION_TIMEOUT
 from tests.checks import check_job, engine_runs
 from tests.support import answer_tokens, expected_start, submit_batch
 
@@ -39,6 +40,60 @@
         return answer.document["error"]
 
 
+class SilentOwnerTest(OnlineSessionCase):
+    """An owner that stands still for a moment has refused nothing."""
+
+    def ask_beside_a_frozen_node(self, seconds):
+        """Status and seconds to it, in fleets where one node and the other stands still."""
+
+        def run(frozen, asked):
+            def ask(fleet):
+                fleet.freeze_node(frozen)
+                gevent.spawn_later(seconds, fleet.thaw_node, frozen)
+                asked_at = fleet.loop.now()
+                return self.ask(fleet, node_id=asked).status, fleet.loop.now() - asked_at
+
+            return self.session(ask, engines=1, nodes_per_zone=2)
+
+        return [run("node-0-0", "node-0-1"), run("node-0-1", "node-0-0")]
+
+    def test_it_is_asked_again(self):
+        answers = self.ask_beside_a_frozen_node(0.8)
+        self.assertEqual([status for status, _ in answers], [200, 200])
+
+    def test_a_request_is_refused_soon_where_it_stays_silent(self):
+        (served, _), (refused, seconds) = sorted(self.ask_beside_a_frozen_node(60.0))
+        self.assertEqual((served, refused), (200, 503))
+        self.assertLess(seconds, ADMISSION_TIMEOUT + SECOND_ADMISSION_TIMEOUT + 0.1)
+
+
+class OwnerChangeTest(OnlineSessionCase):
+    """Engines get another owner: for a while, nodes see it differently."""
+
+    def test_no_request_is_refused_while_two_nodes_begin_to_hear_each_other(self):
+        def run(loop):
+            answers = []
+            fleet = VirtualFleet(loop, FleetShape(zones=1, engines=2))
+
+            def ask(node_id, number):
+                answers.append(self.ask(fleet, f"{node_id} {number}", node_id=node_id).status)
+
+            fleet.add_node("node-0-0", "zone-0")
+            gevent.sleep(0.35)
+            fleet.add_node("node-0-1", "zone-0")
+            for node_id in ("node-0-0", "node-0-1"):
+                while self.ask(fleet, node_id=node_id).status != 200:
+                    gevent.sleep(0.05)
+            for number in range(100):
+                for node_id in ("node-0-0", "node-0-1"):
+                    gevent.spawn(ask, node_id, number)
+                gevent.sleep(0.05)
+            gevent.sleep(10.0)
+            return Counter(answers)
+
+        self.assertEqual(run_virtual(run), {200: 200})
+
+
 class VerdictTest(OnlineSessionCase):
     """Step, fault and verdict: a row each, for requests that may repeat and that may not."""
 
