--- a/tests/test_stale_knowledge.py
+++ b/tests/test_stale_knowledge.py
@@ -119,6 +119,15 @@
         return sorted(one.engine_id for one in self.fleet.engines(SERVICE))
 
 
+def settled_node(loop, peers=("a", "b")):
+    """A node that has read of two engines a while ago."""
+    node = Node(loop, peers)
+    for name in ("e1", "e2"):
+        node.list_engine(name)
+    gevent.sleep(3.0)
+    return node
+
+
 def offered_after(node, leave, seconds):
     """Let an engine leave; returns what takes new work so many seconds later."""
     leave()
@@ -131,10 +140,7 @@
 
     def leave_beside_a_frozen_peer(self, phase):
         def session(loop):
-            node = Node(loop)
-            for name in ("e1", "e2"):
-                node.list_engine(name)
-            gevent.sleep(3.0)
+            node = settled_node(loop)
             node.own.cut = Verdict.NOT_RUN
             gevent.sleep(4.0 + phase)
             node.network.frozen = {"a", "b"}
@@ -155,10 +161,8 @@
 
     def leave_after_silence(self, phase):
         def session(loop):
-            node = Node(loop)
-            for name in ("e1", "e2"):
-                node.list_engine(name)
-            gevent.sleep(3.0 + phase)
+            node = settled_node(loop)
+            gevent.sleep(phase)
             node.silence_connections()
             return offered_after(node, lambda: node.drop_engine("e1"), SHORTEST_DRAIN)
 
@@ -175,11 +179,8 @@
 
     def leave_beside_a_cut(self, verdict, peers, cut_for, left_at):
         def session(loop):
-            node = Node(loop, peers)
+            node = settled_node(loop, peers)
             node.peers_make_calls = False
-            for name in ("e1", "e2"):
-                node.list_engine(name)
-            gevent.sleep(3.0)
             node.own.cut = verdict
             gevent.sleep(left_at)
             node.drop_engine("e1")
@@ -204,11 +205,8 @@
 
     def test_it_is_gone_also_after_a_long_cut_if_others_read_the_directory(self):
         def session(loop):
-            node = Node(loop)
+            node = settled_node(loop)
             node.peers_make_calls = False
-            for name in ("e1", "e2"):
-                node.list_engine(name)
-            gevent.sleep(3.0)
             node.own.cut = Verdict.NOT_RUN
             gevent.sleep(4.0)
             node.drop_engine("e1")
@@ -224,10 +222,7 @@
 
     def test_what_peers_know_is_read_beside_a_read_that_hangs(self):
         def session(loop):
-            node = Node(loop)
-            for name in ("e1", "e2"):
-                node.list_engine(name)
-            gevent.sleep(3.0)
+            node = settled_node(loop)
             node.own.holds_waiting_reads = True
             gevent.sleep(2.0)
             offered = offered_after(node, lambda: node.drop_engine("e1"), SHORTEST_DRAIN)
@@ -256,10 +251,7 @@
         """What is offered just after, 1.2 s and 2.6 s after the store's return; e1 comes back."""
 
         def session(loop):
-            node = Node(loop)
-            for name in ("e1", "e2"):
-                node.list_engine(name)
-            gevent.sleep(3.0)
+            node = settled_node(loop)
             node.store.down = True
             gevent.sleep(4.0)
             node.lapse("e1")
