--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -318,12 +318,15 @@
         node.process.signal(signal.SIGCONT)
 
     def _node_term(self, node, engine, lasts):
-        node.process.terminate()
+        process, life = node.process, node.process.life
+        process.terminate()
         deadline = time.monotonic() + lasts
-        while node.process.runs and time.monotonic() < deadline:
+        while process.runs and process.life == life and time.monotonic() < deadline:
             gevent.sleep(0.1)
-        node.process.kill()
-        node.process.start()
+        # Another fault may have started it meanwhile: that life was not told to stop.
+        if process.life == life:
+            process.kill()
+            process.start()
 
     def _engine_kill(self, node, engine, lasts):
         former, link = engine.engine_id, engine.link
