--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -263,6 +263,10 @@
         (job,) = document["jobs"]
         self.assertEqual((job["job_id"], job["node_id"], job["listed"]), ("j", "n0", 0))
         self.assertEqual((document["store"], document["ready"]), ("own", True))
+        self.assertEqual(document["store_away"], False)
+        knowledge = document["knowledge"]
+        self.assertEqual(knowledge["revision"], document["configuration_revision"])
+        self.assertEqual(sorted(knowledge), ["directory_age", "revision", "revision_age"])
 
 
 class CutNodeTest(JobCase):
