--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -209,19 +209,18 @@
 
     def _left(self, runs, requests):
         nodes = {req.request_id: req.node for req in requests}
-        left = {one.engine: one.acked_at for one in self.leavings}
-        for run in runs:
-            node, acked = nodes.get(run.request_id), left.get(run.engine)
-            if node is None or acked is None or run.arrived_at < acked:
-                continue
-            if not self.in_touch(node, run.engine, run.arrived_at):
-                continue
-            age = run.arrived_at - acked
-            self.check(
-                "no request reaches an engine that has left",
-                age <= LEAVING_TIME + LEAVING_MARGIN,
-                f"{run.request_id} from {node} at {run.engine}, {age:.2f} s after it left",
-            )
+        for leaving in self.leavings:
+            bound = leaving.acked_at + LEAVING_TIME + LEAVING_MARGIN
+            late = [
+                f"{run.request_id} from {nodes[run.request_id]}, {run.arrived_at - bound:.2f} s"
+                for run in runs
+                if run.engine == leaving.engine
+                and run.request_id in nodes
+                and run.arrived_at > bound
+                and self.in_touch(nodes[run.request_id], run.engine, run.arrived_at)
+            ]
+            told = f"{leaving.engine}: {late[:3]} too late"
+            self.check("no request reaches an engine that has left", not late, told)
 
     def _kept(self, counts, requests):
         for req in requests:
