Waiting reads of the stand-in store wake up by a record, not every 5 ms

The stand-in's 180 waiting reads looked 200 times a second each, 36,000 looks, more than its one process bears. Change: a waiting read waits for an append, and looks every 50 ms whether the store is down.

--- a/postvalve/emulator/keyed_topics.py
+++ b/postvalve/emulator/keyed_topics.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+from gevent.event import Event as GeventEvent
 
 from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import (
@@ -16,8 +17,8 @@
     TopicSlice,
 )
 
-POLL_INTERVAL = 0.005
-"""Seconds between looks of a waiting read."""
+LOOK_INTERVAL = 0.05
+"""Seconds after which a waiting read looks whether the store is down meanwhile."""
 PAGE_RECORDS = 500
 
 
@@ -25,6 +26,8 @@
 class _Partition:
     log: list[KeyedRecord] = field(default_factory=list)
     first_kept: int = 0
+    appended: GeventEvent = field(default_factory=GeventEvent)
+    """Set, and replaced, when records are appended."""
 
     def newest(self) -> list[KeyedRecord]:
         by_key = {record.key: record for record in self.log}
@@ -64,12 +67,15 @@
         return offset
 
     def _append(self, topic: str, part: int, records: Sequence[KeyedRecord], at: int | None) -> int:
-        log = self.partition(topic, part).log
+        partition = self.partition(topic, part)
+        log = partition.log
         if at is not None and at != len(log):
             raise PositionTakenError(len(log))
         offset = len(log)
         for number, record in enumerate(records):
             log.append(KeyedRecord(record.key, record.value, offset + number))
+        appended, partition.appended = partition.appended, GeventEvent()
+        appended.set()
         return offset
 
     def _append_quietly(
@@ -92,8 +98,10 @@
                 raise HistoryGoneError("dropped")
             if offset < len(partition.log) or waited >= wait:
                 break
-            gevent.sleep(POLL_INTERVAL)
-            waited += POLL_INTERVAL
+            pause = min(LOOK_INTERVAL, wait - waited)
+            # One that is woken up by a record has waited for less, and is answered.
+            partition.appended.wait(pause)
+            waited += pause
         records = _within(partition.log[offset:], limit)
         held = 0.0 if records else waited
         return TopicSlice(records, offset + len(records), len(partition.log), held)
