Sight: failed attempts tell which request they were of, whatever its id

Cause: the record's 119 failed attempts can't be told apart as attempts of one request that comes again or of many; each client attempt has an id of its own. Ruled out before: an attempt that goes on and on (no id ended over two engines). Change: 210 and 515 tell a digest of caller, host, method, target and body (items: of all that the engine gets).

--- a/postvalve/gateway/application.py
+++ b/postvalve/gateway/application.py
@@ -156,6 +156,7 @@
             environ.get("HTTP_HOST", ""),
             environ[HEADERS_KEY],
             body,
+            environ.get("REMOTE_ADDR", ""),
         )
 
     def _route(self, call: HttpCall) -> RouteSpec:
@@ -191,6 +192,8 @@
             target=call.target,
             headers=call.headers,
             body=call.body,
+            caller=call.caller,
+            host=call.host,
             arrived_at=arrived_at,
             deadline=deadline,
         )
--- a/postvalve/gateway/http_calls.py
+++ b/postvalve/gateway/http_calls.py
@@ -22,6 +22,8 @@
     host: str
     headers: Headers
     body: bytes
+    caller: str = ""
+    """Address that the call came from. Nothing else on the wire tells who sends it."""
 
     @property
     def path(self) -> str:
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -10,6 +10,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock, milliseconds
+from postvalve.core.admission.request_identity import item_digest
 from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
 from postvalve.core.batch.job_board import BoardJob
@@ -344,6 +345,8 @@
             return
         item_id = job.items[item.index].item_id
         req = self._jobs.item_request(job, item.index)
+        named = [(one.name, one.value) for one in req.headers]
+        item.digest = item_digest(job.accepted.host, req.target, named, req.body)
         engine = placement.engine
 
         def wanted() -> bool:
@@ -352,9 +355,7 @@
         if item.cancelled or not wanted():
             return
         headers = self._dialect.attempt_headers(
-            self._dialect.item_headers(
-                [(one.name, one.value) for one in req.headers], item_id, job.accepted.host
-            ),
+            self._dialect.item_headers(named, item_id, job.accepted.host),
             engine.engine_id,
             None,
             item.last_event_id,
@@ -440,6 +441,7 @@
             failures=item.failures,
             verdict=error.verdict.value,
             directory_age=round(self._fleet.directory_age(), 3),
+            digest=item.digest.hex(),
             error=error.message,
         )
 
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -8,6 +8,7 @@
 import gevent
 
 from postvalve.clock import Clock
+from postvalve.core.admission.request_identity import request_digest
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, RefusedError, Verdict
 from postvalve.gateway.engine_connections import ConnectionPool, EngineAnswer, request_bytes
@@ -62,10 +63,17 @@
     target: str
     headers: Headers
     body: bytes
+    caller: str
+    """Address of who sent it."""
+    host: str
     arrived_at: float
     deadline: float
     """Monotonic seconds; the client's or the route's, whichever comes first."""
 
+    def digest(self) -> bytes:
+        """What stands for the request each time that it comes."""
+        return request_digest(self.caller, self.host, self.method, self.target, self.body)
+
 
 @dataclass(slots=True)
 class _Progress:
@@ -277,6 +285,8 @@
             age=round(self._clock.monotonic() - self._request.arrived_at, 3),
             events=self._progress.events,
             directory_age=round(self._fleet.directory_age(), 3),
+            digest=self._request.digest().hex(),
+            caller=self._request.caller,
             error=error.message,
         )
         self._release()
--- a/postvalve/gateway/running_item.py
+++ b/postvalve/gateway/running_item.py
@@ -37,6 +37,8 @@
     run_seconds: float = 0.0
     """Seconds that its former attempts ran."""
     failed_engine: str = ""
+    digest: bytes = b""
+    """What stands for its request; empty until that was read."""
     chain: Chain = field(default_factory=Chain)
     """What of it is saved."""
 
