--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -39,6 +39,10 @@
 """Processes of one test run begin at places of their own."""
 GIVEN_UP_AFTER = 0.4
 """Seconds beyond its wait after which a read without an answer is given up here."""
+BACK_AFTER = 0.2
+"""Seconds until another engine is listed in the place of one that ended."""
+ENDS_AFTER = 0.03
+"""Seconds that an engine runs a request under which it ends."""
 PATIENCE = 30.0
 """Seconds that tests wait for what must come; never a measure."""
 
@@ -104,6 +108,11 @@
         self.connections = 0
         self.cut_by_peer = 0
         self.running = 0
+        self.fatal_bodies = set()
+        """Bodies of the requests under which it ends as soon as it runs them."""
+        self.ended = False
+        self.on_end = lambda engine: None
+        self._open = set()
         self._server = StreamServer(("127.0.0.1", self.port), self._serve)
         self._server.start()
 
@@ -125,11 +134,23 @@
     def stop(self):
         self._server.stop(timeout=0.1)
 
+    def end(self):
+        """End as a process does: nothing listens, and all connections are closed."""
+        if self.ended:
+            return
+        self.ended = True
+        self._server.close()
+        for connection in list(self._open):
+            connection.shutdown(sockets.SHUT_RDWR)
+        self.on_end(self)
+
     def _serve(self, connection, address):
         self.connections += 1
+        self._open.add(connection)
         with contextlib.suppress(OSError):
-            while self._serve_one(connection):
+            while not self.ended and self._serve_one(connection):
                 pass
+        self._open.discard(connection)
         connection.close()
 
     def _serve_one(self, connection):
@@ -164,6 +185,10 @@
             return False
         self.runs.append((request_id, headers.get("last-event-id")))
         self.bodies[request_id] = body
+        if body in self.fatal_bodies:
+            gevent.sleep(ENDS_AFTER)
+            self.end()
+            return False
         self.running += 1
         try:
             return self._answer(connection, behaviour, request_id, headers)
@@ -385,22 +410,45 @@
     def events(self, name, event):
         return [fields for one, fields in self.logs[name].written if one is event]
 
-    def request(self, node, path, *, method="POST", headers=(), body=b"", request_id="r1"):
+    def make_fragile(self, body):
+        """Let all engines, and those that follow them, end under requests with this body."""
+        for engine in self.engines:
+            engine.fatal_bodies.add(body)
+            engine.on_end = self._replace_engine
+
+    def _replace_engine(self, ended):
+        """Start another engine in the place of one that ended, and list it a little later."""
+        number = len(self.engines)
+        engine = StandInEngine(f"e{number}")
+        engine.fatal_bodies = ended.fatal_bodies
+        engine.on_end = ended.on_end
+        engine.usual = ended.usual
+        self.engines.append(engine)
+        gevent.spawn_later(BACK_AFTER, self._list_instead, ended, engine)
+
+    def _list_instead(self, ended, engine):
+        self.topics.append(DIRECTORY_TOPIC, 0, [KeyedRecord(ended.engine_id, b"")])
+        self.list_engine(engine)
+
+    def request(
+        self, node, path, *, method="POST", headers=(), body=b"", request_id="r1", caller=None
+    ):
         """Send one request on a connection of its own and read the whole answer."""
-        connection = self.open(node, path, method, headers, body, request_id)
+        connection = self.open(node, path, method, headers, body, request_id, caller)
         try:
             return read_answer(connection)
         finally:
             connection.close()
 
-    def connect(self, node):
-        """A connection on which nothing was sent."""
+    def connect(self, node, caller=None):
+        """A connection on which nothing was sent, from an address of `caller`'s own."""
         host, port = self.settings[node].listen.split(":")
-        return socket.create_connection((host, int(port)))
+        source = (caller, 0) if caller else None
+        return socket.create_connection((host, int(port)), source_address=source)
 
-    def open(self, node, path, method="POST", headers=(), body=b"", request_id="r1"):
+    def open(self, node, path, method="POST", headers=(), body=b"", request_id="r1", caller=None):
         """Send one request; returns the connection."""
-        connection = self.connect(node)
+        connection = self.connect(node, caller)
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines += ["Connection: close", f"Content-Length: {len(body)}"]
