--- a/postvalve/emulator/virtual_time.py
+++ b/postvalve/emulator/virtual_time.py
@@ -225,6 +225,10 @@
         """See `Clock`."""
         return self._loop.now()
 
+    def steady(self) -> float:
+        """See `Clock`."""
+        return self._loop.now()
+
     def wall(self) -> float:
         """See `Clock`."""
         return EPOCH + self._loop.now()
--- a/postvalve/node_process.py
+++ b/postvalve/node_process.py
@@ -39,7 +39,7 @@
     lines = NonBlockingLines(sys.stdout.fileno())
     configure_logging(own.log_level, lines)
     events = BoundedEventLog(own.node_id, own.zone, lines, LineBudget(clock.monotonic))
-    node = Gateway(own, gateway_platform(settings), clock, events)
+    node = Gateway(own, gateway_platform(settings, clock), clock, events)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, node.request_drain)
     # Settings of a process don't change in its life; the signal must not end it.
--- a/postvalve/platform/adapter.py
+++ b/postvalve/platform/adapter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from postvalve.clock import Clock
 from postvalve.gateway.gateway import GatewayPlatform
 from postvalve.platform.dialect import PlatformDialect
 from postvalve.platform.fleet import (
@@ -16,10 +17,10 @@
 from postvalve.platform.store import PlatformStore
 
 
-def gateway_platform(settings: PlatformSettings) -> GatewayPlatform:
+def gateway_platform(settings: PlatformSettings, clock: Clock) -> GatewayPlatform:
     """Everything that the gateway needs of the platform."""
     return GatewayPlatform(
-        topics=PlatformStore(settings.platform.address),
+        topics=PlatformStore(settings.platform.address, clock),
         dialect=PlatformDialect(),
         job_calls=PlatformJobCalls,
         configuration_topic=CONFIGURATION_TOPIC,
--- a/postvalve/platform/store.py
+++ b/postvalve/platform/store.py
@@ -5,7 +5,6 @@
 import base64
 import json
 import struct
-import time
 from collections.abc import Sequence
 from dataclasses import replace
 from typing import Any
@@ -13,6 +12,7 @@
 
 from geventhttpclient import HTTPClient
 
+from postvalve.clock import Clock
 from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import (
     HistoryGoneError,
@@ -66,8 +66,9 @@
 class PlatformStore:
     """Keyed topics of the platform's store."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: Clock) -> None:
         host, _, port = address.rpartition(":")
+        self._clock = clock
         self._host, self._port = host, int(port)
         self._clients: dict[float, HTTPClient] = {}
         self._patience = AnswerPatience()
@@ -81,8 +82,12 @@
             network_timeout=timeout,
         )
 
+    def timeout(self, wait: float) -> float:
+        """Seconds after which a call that may be held for `wait` seconds is given up."""
+        return self._patience.seconds(wait)
+
     def _client_for(self, wait: float) -> HTTPClient:
-        timeout = self._patience.seconds(wait)
+        timeout = self.timeout(wait)
         if timeout not in self._clients:
             self._clients[timeout] = self._client(timeout)
         return self._clients[timeout]
@@ -111,13 +116,13 @@
         }
         if wait > 0:
             query["waitMs"] = int(wait * 1000)
-        started = time.monotonic()
+        started = self._clock.steady()
         status, content = self._call(wait, "GET", READ_PATH, query, b"")
         if status == 410:
             raise HistoryGoneError("history dropped")
         self._require(status, content)
         found = _decode_slice(content, offset)
-        held = not found.records and time.monotonic() - started >= wait
+        held = not found.records and self._clock.steady() - started >= wait
         return replace(found, held=wait) if held else found
 
     def newest(self, topic: str, part: int, after: str = "") -> tuple[TopicSlice, bool]:
@@ -138,7 +143,7 @@
     def _call(
         self, wait: float, method: str, path: str, query: dict[str, Any], body: bytes
     ) -> tuple[int, bytes]:
-        started = time.monotonic()
+        started = self._clock.steady()
         try:
             response = self._client_for(wait).request(
                 method, f"{path}?{urlencode(query)}", body=body
@@ -151,11 +156,11 @@
             raise StoreUnavailableError(f"store: {error!r}", Verdict.NOT_RUN) from error
         except Exception as error:  # sockets, parser and pool raise unrelated types
             if isinstance(error, TimeoutError):
-                self._patience.note(time.monotonic() - started - wait)
+                self._patience.note(self._clock.steady() - started - wait)
                 # Connections that rest may have fallen silent like this one: none is used again.
                 self._clients = {}
             raise StoreUnavailableError(f"store: {error!r}", Verdict.MAY_HAVE_RUN) from error
-        elapsed = time.monotonic() - started
+        elapsed = self._clock.steady() - started
         if elapsed >= wait:
             # A waiting read that is answered sooner says nothing of how quickly that was.
             self._patience.note(elapsed - wait)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,6 +16,7 @@
 from gevent.pywsgi import WSGIServer
 
 from postvalve import node_process
+from postvalve.clock import SystemClock
 from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import (
     EngineState,
@@ -199,7 +200,7 @@
         self.server = WSGIServer(("127.0.0.1", 0), self.serve, log=None, error_log=None)
         self.server.start()
         self.addCleanup(self.server.stop)
-        self.store = PlatformStore(f"127.0.0.1:{self.server.server_port}")
+        self.store = PlatformStore(f"127.0.0.1:{self.server.server_port}", SystemClock())
 
     def serve(self, environ, start_response):
         query = parse_qs(urlsplit("?" + environ["QUERY_STRING"]).query)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -60,7 +60,7 @@
         self.addCleanup(self.server.stop)
         self.proxy = Proxy(self.server.server_port)
         self.addCleanup(self.proxy.stop)
-        self.store = PlatformStore(f"127.0.0.1:{self.proxy.port}")
+        self.store = PlatformStore(f"127.0.0.1:{self.proxy.port}", SystemClock())
 
     def serve(self, environ, start_response):
         environ["wsgi.input"].read()
