Requests under which engines end are known to all nodes, and held back after the third

Cause: what a node knew of such a request ended with the attempt of one client, and an item's attempts without an answer were not counted; so each time that it came it ended two engines more. Class: a limit promised for the fleet, kept by one object of one node. Ruled out: an attempt that goes on and on; a blame by engine, which punishes whoever runs beside it. Change: facts 'an engine ended under this request' (core/admission/quarantine) merge over nodes by datagrams, are asked for by a node that starts or stood still, and are kept in the store once they hold a request back. Two ends: it runs once at a time in the fleet; three: it is held back for 60 s, doubled with each end. An answer clears it, and an engine that answers later had not ended.

--- /dev/null
+++ b/postvalve/core/admission/quarantine.py
@@ -0,0 +1,294 @@
+"""Requests under which engines ended, and whether they may run again.
+
+A request that makes each engine end that runs it takes the whole fleet away from everybody when it
+comes again and again: under ids of its own, at any node, or as an item that is always tried again.
+What nodes saw of it is held here as small facts that merge: *an engine ended under this request*.
+A fact is excused when the engine turns out to live, or the request gets an answer. Facts and
+excuses are only added, so the order in which nodes hear of them, doubles and losses do no harm.
+
+Of the requests that an engine ran as it ended all but one are innocent. They go on elsewhere at
+once, and their answers clear them. One under which two engines ended is doubtful: it runs once at
+a time in the whole fleet, at an engine that its digest chooses, so that doubtful ones spread and
+copies of one meet. One under which a third ended is held back for a time that doubles with each
+end that follows.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from postvalve.core.membership.ownership import preferred_owner
+
+DOUBTFUL_ENDS = 2
+"""Engines that ended under a request from which on it runs alone: it was cut twice in a row."""
+HELD_ENDS = 3
+"""Engines from which on it is held back. An innocent one has been where three engines ended, the
+third of which ran no other doubtful one that is known."""
+HOLD_TIME = 60.0
+"""Seconds for which it is held back after the third end, doubled for each one that follows: one
+engine in the first minute, one in the next two, and so on."""
+MAX_HOLD_TIME = 3600.0
+DOUBT_TIME = 30.0
+"""Seconds after its last end from which a request that is not held back is like any other. Engines
+that end for causes of their own rarely meet the same request twice in so short a time."""
+BEGIN_TIME = 1.0
+"""Seconds after a run's first event from which it is not what ended its engine: one that makes
+engines end does so as it begins to run, after 50 to 140 ms where it was seen."""
+MAX_CASES = 512
+"""Requests that are known at once. One engine that ends brings as many as it has slots, 8 to 20."""
+MAX_FACTS = 12
+"""Facts that are kept of each."""
+
+
+class Ruling(enum.Enum):
+    """Whether a request may run."""
+
+    FREE = "free"
+    """Like any other."""
+    ALONE = "alone"
+    """Once at a time in the whole fleet, and at one engine only."""
+    HELD = "held"
+    """Not now."""
+
+
+@dataclass(frozen=True, slots=True)
+class FactId:
+    """One fact: an engine, and a number that no other fact of that engine has."""
+
+    engine: str
+    stamp: int
+
+
+@dataclass(slots=True)
+class Fact:
+    """That an engine ended under a request, or is about to be tried."""
+
+    ended_at: float
+    """Monotonic seconds; of all that were heard the earliest, so that retelling ages nothing."""
+    trial: bool = False
+    """Whether it was told when a doubtful request was sent; only its sender can excuse it."""
+    excused: bool = False
+    """Whether it does not count; that is never taken back."""
+
+
+@dataclass(slots=True)
+class Case:
+    """What is known of one request."""
+
+    facts: dict[FactId, Fact] = field(default_factory=dict)
+
+    def engines(self) -> dict[str, float]:
+        """Engines that ended, and when."""
+        found: dict[str, float] = {}
+        for name, fact in self.facts.items():
+            if not fact.excused:
+                found[name.engine] = min(found.get(name.engine, fact.ended_at), fact.ended_at)
+        return found
+
+    @property
+    def on_trial(self) -> bool:
+        """Whether a run of it is under way, as far as is known."""
+        return any(fact.trial and not fact.excused for fact in self.facts.values())
+
+    def held_until(self) -> float:
+        """Monotonic seconds until which it is held back; in the past where it is not."""
+        ends = self.engines()
+        if len(ends) < HELD_ENDS:
+            return float("-inf")
+        return max(ends.values()) + hold_time(len(ends))
+
+    def forgotten_at(self) -> float:
+        """Monotonic seconds from which nothing of it is needed any more.
+
+        One that was held back is remembered as long again: the next end must count as one more.
+        """
+        ends = self.engines()
+        latest = max((fact.ended_at for fact in self.facts.values()), default=float("-inf"))
+        if len(ends) < HELD_ENDS:
+            return latest + DOUBT_TIME
+        return self.held_until() + hold_time(len(ends))
+
+    def merge(self, told: Case) -> bool:
+        """Take in what another one knows of the same request; tells whether any of it is news."""
+        before = {name: fact.excused for name, fact in self.facts.items()}
+        for name, fact in told.facts.items():
+            known = self.facts.setdefault(name, Fact(fact.ended_at, fact.trial))
+            known.ended_at = min(known.ended_at, fact.ended_at)
+            known.excused |= fact.excused
+        self._prune()
+        return any(before.get(name) != fact.excused for name, fact in self.facts.items())
+
+    def _prune(self) -> None:
+        """Drop the facts of least weight; those that come again are dropped again."""
+        while len(self.facts) > MAX_FACTS:
+            facts = self.facts
+            del facts[min(facts, key=lambda one: (not facts[one].excused, facts[one].ended_at))]
+
+
+def hold_time(ends: int) -> float:
+    """Seconds for which a request is held back after so many engines ended under it."""
+    return min(MAX_HOLD_TIME, HOLD_TIME * 2.0 ** min(16, ends - HELD_ENDS))
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A ruling, and what it was made of."""
+
+    ruling: Ruling
+    ends: int = 0
+    """Engines that ended under the request."""
+    age: float = 0.0
+    """Seconds since the last of them did."""
+    seconds: float = 0.0
+    """For which it is held back from now on."""
+
+
+_FREE = Decision(Ruling.FREE)
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """A run of a doubtful request, told before it began."""
+
+    digest: bytes
+    fact: FactId
+
+
+class Quarantine:
+    """Cases by digest. Times are monotonic seconds."""
+
+    def __init__(self, node_id: str) -> None:
+        self._node_id = node_id
+        self._cases: dict[bytes, Case] = {}
+        self._stamps = 0
+        self._blamed: dict[str, float] = {}
+        """Engines of facts that stand, and when the last of these was heard."""
+        self.on_change: Callable[[bytes], None] = lambda digest: None
+        """Called with a digest of which something new is known."""
+
+    def __len__(self) -> int:
+        return len(self._cases)
+
+    def digests(self) -> list[bytes]:
+        """Of all requests that something is known of."""
+        return list(self._cases)
+
+    def case(self, digest: bytes) -> Case | None:
+        """What is known of a request."""
+        return self._cases.get(digest)
+
+    def rule(self, digest: bytes, now: float) -> Decision:
+        """Decide whether a request may run."""
+        case = self._cases.get(digest)
+        if case is None:
+            return _FREE
+        ends = case.engines()
+        if len(ends) < DOUBTFUL_ENDS:
+            return _FREE
+        age = now - max(ends.values())
+        if len(ends) < HELD_ENDS:
+            ruling = Ruling.FREE if age >= DOUBT_TIME else Ruling.ALONE
+            return Decision(ruling, len(ends), age)
+        seconds = case.held_until() - now
+        if seconds > 0:
+            return Decision(Ruling.HELD, len(ends), age, seconds)
+        return Decision(Ruling.ALONE, len(ends), age)
+
+    def note_end(self, digest: bytes, engine: str, now: float) -> None:
+        """An engine's connection ended under a request, before its answer was whole."""
+        self._add(digest, engine, now, trial=False)
+
+    def begin_trial(self, digest: bytes, engine: str, now: float) -> Trial:
+        """A doubtful request is about to be sent: it counts as an end until it has an outcome.
+
+        So all nodes hold it back before the engine has had the time to end.
+        """
+        return Trial(digest, self._add(digest, engine, now, trial=True))
+
+    def end_trial(self, trial: Trial) -> None:
+        """The run has an outcome, and whatever it says of the engine was noted."""
+        case = self._cases.get(trial.digest)
+        if case is not None and trial.fact in case.facts:
+            self._excuse(trial.digest, case, [case.facts[trial.fact]])
+
+    def note_answered(self, digest: bytes) -> bool:
+        """The request got a whole answer: no engine ended because of it. Tells if that is news."""
+        case = self._cases.get(digest)
+        if case is None:
+            return False
+        return self._excuse(digest, case, case.facts.values())
+
+    def note_alive(self, engine: str, sent_at: float) -> None:
+        """An engine answered a request that was sent to it at `sent_at`: it had not ended."""
+        if self._blamed.get(engine, sent_at) >= sent_at:
+            return
+        del self._blamed[engine]
+        for digest, case in self._cases.items():
+            false = [
+                fact
+                for name, fact in case.facts.items()
+                if name.engine == engine and not fact.trial and fact.ended_at < sent_at
+            ]
+            self._excuse(digest, case, false)
+
+    def preferred_engine(self, digest: bytes, engines: Iterable[str]) -> str | None:
+        """Where a doubtful request runs; alike at all nodes with the same engines."""
+        return preferred_owner(digest.hex(), list(engines))
+
+    def merge(self, digest: bytes, told: Case, now: float) -> bool:
+        """Take in what another node, or the store, knows of a request; tells if that is news."""
+        if told.forgotten_at() <= now:
+            return False
+        case = self._cases.get(digest) or Case()
+        if not case.merge(told):
+            return False
+        for name, fact in told.facts.items():
+            if not fact.excused:
+                self._blame(name.engine, fact.ended_at)
+        self._keep(digest, case)
+        self.on_change(digest)
+        return True
+
+    def expire(self, now: float) -> list[tuple[bytes, Case]]:
+        """Drop what is not needed any more; returns it. Called about each second."""
+        cases = self._cases.items()
+        old = [(digest, case) for digest, case in cases if case.forgotten_at() <= now]
+        for digest, _ in old:
+            del self._cases[digest]
+        if not self._cases:
+            self._blamed.clear()
+        return old
+
+    def _add(self, digest: bytes, engine: str, now: float, *, trial: bool) -> FactId:
+        self._stamps += 1
+        stamp = xxhash.xxh32_intdigest(f"{self._node_id} {now} {self._stamps}".encode())
+        name = FactId(engine, stamp)
+        case = self._cases.get(digest) or Case()
+        case.merge(Case({name: Fact(now, trial)}))
+        self._blame(engine, now)
+        self._keep(digest, case)
+        self.on_change(digest)
+        return name
+
+    def _blame(self, engine: str, ended_at: float) -> None:
+        self._blamed[engine] = max(ended_at, self._blamed.get(engine, ended_at))
+
+    def _excuse(self, digest: bytes, case: Case, facts: Iterable[Fact]) -> bool:
+        fresh = [fact for fact in facts if not fact.excused]
+        for fact in fresh:
+            fact.excused = True
+        if fresh:
+            self.on_change(digest)
+        return bool(fresh)
+
+    def _keep(self, digest: bytes, case: Case) -> None:
+        """Keep a case; where there are too many an old one of little weight goes."""
+        self._cases[digest] = case
+        if len(self._cases) <= MAX_CASES:
+            return
+        light = (one for one, kept in self._cases.items() if len(kept.engines()) < DOUBTFUL_ENDS)
+        del self._cases[next(light, next(iter(self._cases)))]
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -148,6 +148,31 @@
         self.verdict = verdict
 
 
+class EngineCutError(AttemptError):
+    """The engine's connection ended before its answer did: the engine itself may have ended."""
+
+
+class QuarantinedError(PostvalveError):
+    """Engines ended under the same request before, so it is not run now.
+
+    It tells no time to come back, and not that it has not run: as often as it came it would be
+    held back, and each of the runs before did run.
+
+    Attributes:
+        seconds: For how long it is held back.
+    """
+
+    code = "request_quarantined"
+    http_status = 502
+    verdict = Verdict.MAY_HAVE_RUN
+
+    def __init__(self, ends: int, seconds: float) -> None:
+        super().__init__(
+            f"{ends} engines ended while they ran this request; it is not run for {seconds:.0f} s"
+        )
+        self.seconds = seconds
+
+
 class CrossedAnswerError(AttemptError):
     """The engine answered for another attempt; the answer was dropped."""
 
--- a/postvalve/gateway/engine_connections.py
+++ b/postvalve/gateway/engine_connections.py
@@ -17,7 +17,7 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.connection_share import MAX_RESTING
-from postvalve.exceptions import AttemptError, Verdict
+from postvalve.exceptions import AttemptError, EngineCutError, Verdict
 from postvalve.gateway.interfaces import Headers
 from postvalve.sockets import send_at_once
 
@@ -172,18 +172,30 @@
             raise AttemptError("the attempt was ended", Verdict.MAY_HAVE_RUN)
         if left <= 0:
             raise AttemptError("the deadline passed", Verdict.MAY_HAVE_RUN)
+        data = self._receive_bytes(min(silence, left))
         try:
-            self._connection.settimeout(min(silence, left))
-            data = self._connection.recv(READ_BLOCK)
-            if data:
-                self.received = True
-            if not data and self._parser.headers_complete is False:
-                raise HTTPParseError("closed before an answer")
             self._parser.feed(data)
-        except Exception as error:  # sockets and parser raise unrelated types
-            raise AttemptError(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
+        except Exception as error:  # the parser raises whatever its callbacks raise
+            kind = AttemptError if data else EngineCutError
+            raise kind(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
         if not data and not self._parser.message_complete:
-            raise AttemptError("the engine cut its answer", Verdict.MAY_HAVE_RUN)
+            raise EngineCutError("the engine cut its answer", Verdict.MAY_HAVE_RUN)
+
+    def _receive_bytes(self, patience: float) -> bytes:
+        """What comes next; nothing where the engine closed the connection."""
+        try:
+            self._connection.settimeout(patience)
+            data: bytes = self._connection.recv(READ_BLOCK)
+        except TimeoutError as error:
+            raise AttemptError(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
+        except OSError as error:
+            kind = AttemptError if self.aborted else EngineCutError
+            raise kind(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
+        if data:
+            self.received = True
+        elif not self._parser.headers_complete:
+            raise EngineCutError("the engine failed: closed before an answer", Verdict.MAY_HAVE_RUN)
+        return data
 
     def abort(self) -> None:
         """End the attempt from another greenlet; the read under way fails."""
@@ -246,7 +258,8 @@
             connection.sendall(request)
         except OSError as error:
             connection.close()
-            raise AttemptError(f"sending failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
+            kind = AttemptError if isinstance(error, TimeoutError) else EngineCutError
+            raise kind(f"sending failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
         return answer
 
     def _take(self, address: str) -> Any | None:
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -284,6 +284,24 @@
             self.on_crowded(best.engine_id)
         return placement
 
+    def place_at(
+        self,
+        service: str,
+        terms: RequestTerms,
+        excluded: Iterable[str],
+        choose: Callable[[Iterable[str]], str | None],
+    ) -> Placement | None:
+        """Count an online attempt in at the engine that `choose` names among the sound ones."""
+        skipped = set(excluded)
+        entries = [one for one in self.engines(service) if one.engine_id not in skipped]
+        sound = [one for one in entries if not self._is_suspect(one.engine_id)] or entries
+        chosen = choose(one.engine_id for one in sound)
+        entry = next((one for one in sound if one.engine_id == chosen), None)
+        if entry is None:
+            return None
+        unread = terms.shared_tokens + terms.own_tokens
+        return self._enter(entry, False, unread, unread + terms.output_tokens)
+
     def _candidate(self, entry: EngineEntry, memory: int, memory_tokens: int) -> _Candidate:
         count = self.use.total(entry.engine_id)
         option = EngineOption(
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -15,6 +15,7 @@
 
 from postvalve.clock import Clock, milliseconds
 from postvalve.core.admission.connection_share import resting_limit
+from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
@@ -48,10 +49,11 @@
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.node_directory import NodeDirectory
 from postvalve.gateway.peer_services import PeerServices
+from postvalve.gateway.quarantine_sharing import QuarantineSharing
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.revision_fetch import RevisionFetcher
 from postvalve.gateway.routed_run import RunServices
-from postvalve.gateway.status import engine_rows, job_rows, peer_rows
+from postvalve.gateway.status import engine_rows, job_rows, peer_rows, quarantine_rows
 from postvalve.gateway.topic_follower import TopicFollower
 from postvalve.gateway.waiting_room import WaitingRoom
 from postvalve.messages.generated import gateway
@@ -143,18 +145,19 @@
         self._nodes = NodeDirectory(self._identity, topics, events)
         self._log = JobLog(settings, topics, clock, events)
         self._jobs = JobService(settings, self._identity, clock, events, self._log, short_id)
-        self._reports = LoadReports(
-            PeerServices(
-                self._identity,
-                clock,
-                events,
-                self._transport,
-                self._fleet,
-                self.peers,
-                self._nodes.addresses,
-                generator,
-            )
+        peer_services = PeerServices(
+            self._identity,
+            clock,
+            events,
+            self._transport,
+            self._fleet,
+            self.peers,
+            self._nodes.addresses,
+            generator,
         )
+        self._reports = LoadReports(peer_services)
+        self._quarantine = Quarantine(f"{settings.node_id} {self._identity.incarnation}")
+        self._sharing = QuarantineSharing(peer_services, topics, self._quarantine)
         self._ends = EndWriter(self._log, events, settings.call_bytes, short_id)
         self._progress = ProgressLog(
             settings.node_id,
@@ -181,6 +184,7 @@
             self._progress,
             self._metrics,
             self._route_named,
+            self._quarantine,
         )
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
         waiting_room.nodes = lambda: self.peers.count() + 1
@@ -193,6 +197,7 @@
                 platform.dialect,
                 self._metrics,
                 waiting_room,
+                self._quarantine,
             ),
             platform.job_calls(self._jobs),
             lambda: self.configuration.table,
@@ -223,15 +228,25 @@
         self._reports.zones.on_digest = self._zone_reported
         self._reports.store_failing = lambda: self._topics.failing
         self._reports.directory = self._directory.state
-        self._reports.on_look = self._directory.look
+        self._reports.on_look = self._look
+        self._reports.on_quarantine_news = self._sharing.receive
+        self._sharing.on_learned = self._note_usable
         self._topics.on_change = self._reports.changed
         self._transport.gather_time = self._reports.gather_time
-        self._nodes.on_change = self._reports.look_again
+        self._nodes.on_change = self._nodes_known
         self._fleet.on_crowded = self._engine_crowded
         self._fleet.on_placed = self._reports.watch.note_placed
         self._directory.on_change = self._directory_changed
         self.application.knowledge = self._knowledge
 
+    def _look(self) -> None:
+        self._directory.look()
+        self._sharing.look()
+
+    def _nodes_known(self) -> None:
+        self._reports.look_again()
+        self._sharing.note_nodes()
+
     def _knowledge(self) -> Knowledge:
         return Knowledge(
             self._fleet.directory_age(),
@@ -250,8 +265,9 @@
 
     @property
     def _serves(self) -> bool:
-        """Whether there are a configuration and engines."""
-        return self.configuration.table is not None and bool(self._fleet.listed_engines())
+        """Whether there are a configuration and engines, and what must not run is known."""
+        listed = self.configuration.table is not None and bool(self._fleet.listed_engines())
+        return listed and self._sharing.learned.is_set()
 
     def start(self) -> None:
         """Start everything."""
@@ -271,6 +287,8 @@
             self._progress.run,
             self._runner.give_up_old,
             self._nodes.announce,
+            self._sharing.learn,
+            self._sharing.run,
             self._follow_jobs,
             self._keep_house,
             self._purge,
@@ -331,6 +349,7 @@
             "nodes": peer_rows(self.peers, self._clock.monotonic()),
             "engines": engine_rows(self._fleet),
             "jobs": job_rows(self._log.board),
+            "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
@@ -349,6 +368,8 @@
     def _serve_peer(self, message: betterproto.Message) -> betterproto.Message:
         if isinstance(message, gateway.RevisionFetch):
             return self._revisions.reply()
+        if isinstance(message, gateway.QuarantineFetch):
+            return self._sharing.reply()
         return self._relay.serve(message)
 
     # What the store tells
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -10,6 +10,7 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock, milliseconds
+from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.admission.request_identity import item_digest
 from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
@@ -18,7 +19,7 @@
 from postvalve.core.membership import load_report
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import AttemptError, PostvalveError, Verdict
+from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
 from postvalve.gateway.end_writer import EndedItem, EndWriter
 from postvalve.gateway.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.event_stream import event_data, event_id_of
@@ -30,6 +31,7 @@
 from postvalve.gateway.job_service import JobService
 from postvalve.gateway.load_reports import LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.request_guard import RequestGuard
 from postvalve.gateway.result_texts import pack_text
 from postvalve.gateway.running_item import RunningItem
 from postvalve.messages.generated import gateway
@@ -49,6 +51,10 @@
 """Seconds after an item's end in which other nodes may not have read it."""
 FAILED_PAUSE = 0.3
 """Seconds before an item whose attempt failed is tried again."""
+QUARANTINE_LOOK = 5.0
+"""Seconds until an item that is held back looks whether it still is: it may have been cleared."""
+ANSWERS = frozenset((Judgement.ACCEPTED, Judgement.FAILED, Judgement.HOPELESS))
+"""What only the engine itself can have said."""
 ITEM_TIME = 120.0
 """Seconds that one attempt may take."""
 GIVE_UP_MARGIN_MS = 5_000
@@ -74,6 +80,7 @@
         progress: ProgressLog,
         metrics: GatewayMetrics,
         route_named: Callable[[str], RouteSpec | None],
+        quarantine: Quarantine,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -87,6 +94,7 @@
         self._reports = reports
         self._metrics = metrics
         self._route_named = route_named
+        self._quarantine = quarantine
         self._ends = ends
         self._progress = progress
         progress.unfinished = self._unfinished
@@ -333,6 +341,8 @@
             if item.answer is not None:
                 item.answer.close()
                 item.answer = None
+            if item.guard is not None:
+                item.guard.end()
             item.running = False
             item.placement = None
             item.run_seconds += self._clock.monotonic() - item.started_at
@@ -346,7 +356,8 @@
         item_id = job.items[item.index].item_id
         req = self._jobs.item_request(job, item.index)
         named = [(one.name, one.value) for one in req.headers]
-        item.digest = item_digest(job.accepted.host, req.target, named, req.body)
+        guard = self._guard_of(item, item_id, job.accepted.host, req, named)
+        guard.check()
         engine = placement.engine
 
         def wanted() -> bool:
@@ -362,6 +373,7 @@
         )
         data = request_bytes("POST", req.target, headers, req.body)
         deadline = self._clock.monotonic() + ITEM_TIME
+        guard.begin(engine.engine_id)
         answer = item.answer = self._pool.start(engine.address, data, deadline, wanted=wanted)
         if item.cancelled:
             answer.abort()
@@ -371,13 +383,37 @@
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
             self._fleet.note_success(engine.engine_id)
+            guard.note_answered()
             self._complete(item)
 
+    def _guard_of(
+        self,
+        item: RunningItem,
+        item_id: str,
+        host: str,
+        req: gateway.ItemRequest,
+        headers: list[tuple[str, str]],
+    ) -> RequestGuard:
+        if item.guard is None:
+            item.guard = RequestGuard(
+                self._quarantine,
+                self._clock,
+                self._events,
+                item_id,
+                lambda: item_digest(host, req.target, headers, req.body),
+            )
+        return item.guard
+
     def _judge(
         self, item: RunningItem, placement: Placement, item_id: str, answer: EngineAnswer
     ) -> None:
         judgement = self._dialect.judge(item_id, answer.status, answer.headers)
         engine_id = placement.engine.engine_id
+        guard = item.guard
+        if guard is not None and judgement in ANSWERS:
+            guard.note_head()
+        if guard is not None and judgement in (Judgement.FAILED, Judgement.HOPELESS):
+            guard.note_answered()
         if judgement is Judgement.ACCEPTED:
             return
         if judgement is Judgement.HOPELESS:
@@ -407,6 +443,8 @@
                 continue
             if item.placement is not None:
                 self._fleet.note_read(item.placement)
+            if item.guard is not None:
+                item.guard.note_event()
             item.events.append(event_data(event))
             item.last_event_id = number
             if not answer.has_event():
@@ -415,7 +453,12 @@
     def _note_failure(self, item: RunningItem, placement: Placement, error: PostvalveError) -> None:
         if item.cancelled:
             return
+        if isinstance(error, QuarantinedError):
+            item.not_before = self._clock.monotonic() + min(error.seconds, QUARANTINE_LOOK)
+            return
         engine_id = placement.engine.engine_id
+        if item.guard is not None:
+            item.guard.note_failure(error)
         if item.preempted:
             self._events.emit(
                 Event.ROUTED_ITEM_PREEMPTED,
@@ -441,7 +484,7 @@
             failures=item.failures,
             verdict=error.verdict.value,
             directory_age=round(self._fleet.directory_age(), 3),
-            digest=item.digest.hex(),
+            digest=item.guard.digest.hex() if item.guard else "",
             error=error.message,
         )
 
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/load_reports.py
@@ -81,6 +81,9 @@
         self.watch = EngineWatch(services, self.items)
         self.watch.own_report = self._next
         self.on_report: Callable[[LoadReport], None] = lambda report: None
+        self.on_quarantine_news: Callable[[gateway.QuarantineNews, str], None] = (
+            lambda msg, address: None
+        )
         self._fleet.on_change = self._changed.set
 
     def changed(self) -> None:
@@ -195,6 +198,10 @@
     def _(self, msg: gateway.ZoneDigest, address: str) -> None:
         self.zones.receive(msg, address)
 
+    @_take.register
+    def _(self, msg: gateway.QuarantineNews, address: str) -> None:
+        self.on_quarantine_news(msg, address)
+
     @_take.register
     def _(self, msg: gateway.GiveWay, address: str) -> None:
         self.watch.on_give_way(msg.engine, msg.urgency)
--- /dev/null
+++ b/postvalve/gateway/quarantine_sharing.py
@@ -0,0 +1,289 @@
+"""Tells peers, and the store, of requests under which engines ended.
+
+News goes to some peers at once, and from each that it is news to on to others, so all hear of it
+within a few rounds. Once a second each node tells a few peers again what it knows, as datagrams get
+lost. Both cost nothing while nothing is known. A node that starts, or that has stood still, asks a
+peer before it takes requests. What is held back is kept in the store too, for a fleet of which
+every node was lost at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import gevent
+from gevent.event import Event as GeventEvent
+
+from postvalve.clock import milliseconds
+from postvalve.core.admission.quarantine import HELD_ENDS, Case, Fact, FactId, Quarantine
+from postvalve.events import Event
+from postvalve.exceptions import PeerUnavailableError
+from postvalve.gateway.interfaces import KeyedRecord, KeyedTopics, StoreUnavailableError
+from postvalve.gateway.peer_services import PeerServices
+from postvalve.messages.framing import encode_frame
+from postvalve.messages.generated import gateway
+from postvalve.node.peer_link import Channel
+
+QUARANTINE_TOPIC = "quarantine"
+GATHER_TIME = 0.05
+"""Seconds in which news gathers: an engine that ends under a dozen requests is one datagram."""
+FANOUT = 8
+"""Peers that get news at once; three rounds of so many reach 380 nodes."""
+ROUND_INTERVAL = 1.0
+"""Seconds between rounds in which what is known is told again."""
+ROUND_PEERS = 3
+"""Peers that are told in a round; each node is so told by three others a second in the mean."""
+DATAGRAM_BYTES = 1_200
+"""Of one datagram, so that it goes in one piece."""
+NEWS_DATAGRAMS = 1
+"""Datagrams of news at once, of the requests with the most engines; rounds bring the rest. So a
+zone that is lost with all its engines costs a node 200 KB/s at the most, while it ends."""
+LEARN_PATIENCE = 1.0
+"""Seconds that a node which starts waits for what its peers and the store know."""
+LEARN_PEERS = 2
+"""Peers that are asked at once, so that one which stands still delays nobody."""
+STALL = 1.0
+"""Seconds between two looks after which this node must have stood still."""
+
+
+class QuarantineSharing:
+    """One node's telling and hearing."""
+
+    def __init__(self, services: PeerServices, topics: KeyedTopics, quarantine: Quarantine) -> None:
+        self._services = services
+        self._clock = services.clock
+        self._events = services.events
+        self._topics = topics
+        self._quarantine = quarantine
+        self._news: set[bytes] = set()
+        self._saved: dict[bytes, int] = {}
+        """Requests that this node has told the store of, and the number of engines told."""
+        self._round_at = float("-inf")
+        self._changed = GeventEvent()
+        self._looked_at = self._clock.monotonic()
+        self._peers_known = GeventEvent()
+        self.learned = GeventEvent()
+        """Set once this node knows what others know, or has waited for it long enough."""
+        self.on_learned: Callable[[], None] = lambda: None
+        quarantine.on_change = self._note_change
+
+    # Telling
+
+    def run(self) -> None:
+        """Tell for ever."""
+        while True:
+            if self._changed.wait(ROUND_INTERVAL if len(self._quarantine) else None):
+                gevent.sleep(GATHER_TIME)
+                self._changed.clear()
+                self._tell_news()
+            now = self._clock.monotonic()
+            if now - self._round_at >= ROUND_INTERVAL:
+                self._round_at = now
+                self._tell(self._quarantine.digests(), ROUND_PEERS, None)
+                self._expire(now)
+
+    def _note_change(self, digest: bytes) -> None:
+        self._news.add(digest)
+        self._changed.set()
+
+    def _tell_news(self) -> None:
+        news, self._news = self._news, set()
+        self._tell(news, FANOUT, NEWS_DATAGRAMS)
+        for digest in news:
+            self._keep_in_store(digest)
+
+    def _tell(self, digests: Iterable[bytes], peers: int, datagrams: int | None) -> None:
+        addresses = self._some_peers(peers)
+        if not addresses:
+            return
+        for message in self._messages(digests)[:datagrams]:
+            data = encode_frame(message, 0)
+            for address in addresses:
+                self._services.transport.send(address, data)
+
+    def _some_peers(self, count: int) -> list[str]:
+        addresses = [address for address, _ in self._services.known_nodes().values()]
+        drawn = sorted(addresses, key=lambda address: self._services.generator.uniform(0, 1))
+        return drawn[:count]
+
+    def _messages(self, digests: Iterable[bytes]) -> list[gateway.QuarantineNews]:
+        """What is known of these requests, in messages that fit into datagrams."""
+        now = self._clock.monotonic()
+        known = [(one, case) for one in digests if (case := self._quarantine.case(one))]
+        known.sort(key=lambda one: len(one[1].engines()), reverse=True)
+        messages: list[gateway.QuarantineNews] = []
+        room = 0
+        for digest, case in known:
+            packed = _pack(digest, case, now)
+            size = len(bytes(packed)) + 4
+            if size > room:
+                messages.append(gateway.QuarantineNews(requests=[]))
+                room = DATAGRAM_BYTES
+            messages[-1].requests.append(packed)
+            room -= size
+        return messages
+
+    # Hearing
+
+    def receive(self, message: gateway.QuarantineNews, peer: str) -> None:
+        """Take in what a peer knows."""
+        now = self._clock.monotonic()
+        for told in message.requests:
+            self._merge(told.digest, _unpack(told, now), peer)
+
+    def reply(self) -> gateway.QuarantineNews:
+        """What a peer that asks gets."""
+        now = self._clock.monotonic()
+        known = [(one, self._quarantine.case(one)) for one in self._quarantine.digests()]
+        return gateway.QuarantineNews(
+            requests=[_pack(digest, case, now) for digest, case in known if case]
+        )
+
+    def _merge(self, digest: bytes, told: Case, source: str) -> None:
+        if not self._quarantine.merge(digest, told, self._clock.monotonic()):
+            return
+        decision = self._quarantine.rule(digest, self._clock.monotonic())
+        self._events.emit(
+            Event.QUARANTINE_LEARNT,
+            digest=digest.hex(),
+            source=source,
+            ends=decision.ends,
+            age=round(decision.age, 3),
+            ruling=decision.ruling.value,
+        )
+
+    # Learning
+
+    def note_nodes(self) -> None:
+        """Other nodes are known."""
+        self._peers_known.set()
+
+    def learn(self) -> None:
+        """Ask the store and peers what they know, as this node starts."""
+        gevent.spawn_later(LEARN_PATIENCE, self._set_learned)
+        self._read_store()
+        self._peers_known.wait(LEARN_PATIENCE)
+        self._ask_peers()
+        self._set_learned()
+
+    def _set_learned(self) -> None:
+        if not self.learned.is_set():
+            self.learned.set()
+            self.on_learned()
+
+    def look(self) -> None:
+        """Called some times a second: see whether this node has stood still."""
+        now = self._clock.monotonic()
+        stood_still = now - self._looked_at > STALL
+        self._looked_at = now
+        if stood_still and self.learned.is_set():
+            gevent.spawn(self._ask_peers)
+
+    def _ask_peers(self) -> None:
+        addresses = self._some_peers(LEARN_PEERS)
+        asked = [gevent.spawn(self._ask, address) for address in addresses]
+        gevent.joinall(asked, timeout=LEARN_PATIENCE, count=1)
+
+    def _ask(self, address: str) -> None:
+        fetch = gateway.QuarantineFetch(node_id=self._services.identity.node_id)
+        try:
+            reply = self._services.transport.call(address, Channel.ADMISSION, fetch, LEARN_PATIENCE)
+        except PeerUnavailableError as exc:
+            self._events.emit(Event.QUARANTINE_NOT_LEARNT, source=address, error=exc.message)
+            return
+        if isinstance(reply, gateway.QuarantineNews):
+            self.receive(reply, address)
+
+    # The store
+
+    def _read_store(self) -> None:
+        try:
+            records, _ = self._topics.newest(QUARANTINE_TOPIC, 0)
+        except StoreUnavailableError as exc:
+            self._events.emit(Event.QUARANTINE_NOT_LEARNT, source="store", error=exc.message)
+            return
+        for record in records.records:
+            self._take_record(record)
+
+    def _take_record(self, record: KeyedRecord) -> None:
+        if not record.value:
+            return
+        try:
+            saved = gateway.QuarantineRecord().parse(record.value)
+        except Exception as exc:  # the codec raises whatever its inner calls raise
+            self._events.emit(
+                Event.LOG_RECORD_INVALID, topic=QUARANTINE_TOPIC, key=record.key, error=repr(exc)
+            )
+            return
+        since = max(0, milliseconds(self._clock.wall()) - saved.written_at_ms) / 1000
+        told = _unpack(saved.request, self._clock.monotonic() - since)
+        if told.forgotten_at() <= self._clock.monotonic():
+            self._drop(saved.request.digest)
+        else:
+            self._saved[saved.request.digest] = len(told.engines())
+            self._merge(saved.request.digest, told, "store")
+
+    def _keep_in_store(self, digest: bytes) -> None:
+        """Let the store know of a request that is held back, or that is not any more."""
+        case = self._quarantine.case(digest)
+        if case is None or not self._keeps(digest):
+            return
+        ends = len(case.engines())
+        if case.on_trial or ends == self._saved.get(digest, 0):
+            return
+        if ends >= HELD_ENDS:
+            self._saved[digest] = ends
+            packed = gateway.QuarantineRecord(
+                request=_pack(digest, case, self._clock.monotonic()),
+                written_at_ms=milliseconds(self._clock.wall()),
+            )
+            gevent.spawn(self._append, digest, bytes(packed))
+        elif digest in self._saved:
+            self._drop(digest)
+
+    def _expire(self, now: float) -> None:
+        for digest, case in self._quarantine.expire(now):
+            if len(case.engines()) >= HELD_ENDS and self._keeps(digest):
+                self._drop(digest)
+
+    def _keeps(self, digest: bytes) -> bool:
+        """Whether it is this node that tells the store of a request; one does."""
+        node_id = self._services.identity.node_id
+        return self._services.peers.successor(digest.hex(), self_works=True) == node_id
+
+    def _drop(self, digest: bytes) -> None:
+        self._saved.pop(digest, None)
+        gevent.spawn(self._append, digest, b"")
+
+    def _append(self, digest: bytes, value: bytes) -> None:
+        try:
+            self._topics.append(QUARANTINE_TOPIC, 0, [KeyedRecord(digest.hex(), value)])
+        except StoreUnavailableError as exc:
+            # It is told again with the next end; until then peers know.
+            self._saved.pop(digest, None)
+            self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, topic=QUARANTINE_TOPIC)
+
+
+def _pack(digest: bytes, case: Case, now: float) -> gateway.SuspectRequest:
+    return gateway.SuspectRequest(
+        digest=digest,
+        ends=[
+            gateway.EngineEnd(
+                engine=name.engine,
+                stamp=name.stamp,
+                age_ms=milliseconds(max(0.0, now - fact.ended_at)),
+                trial=fact.trial,
+                excused=fact.excused,
+            )
+            for name, fact in case.facts.items()
+        ],
+    )
+
+
+def _unpack(told: gateway.SuspectRequest, now: float) -> Case:
+    return Case(
+        {
+            FactId(end.engine, end.stamp): Fact(now - end.age_ms / 1000, end.trial, end.excused)
+            for end in told.ends
+        }
+    )
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -8,6 +8,7 @@
 import gevent
 
 from postvalve.clock import Clock
+from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.admission.request_identity import request_digest
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, RefusedError, Verdict
@@ -16,6 +17,7 @@
 from postvalve.gateway.fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.request_guard import RequestGuard
 from postvalve.gateway.waiting_room import WaitingRoom
 from postvalve.settings.routes import RepeatPolicy, RouteSpec
 
@@ -100,6 +102,7 @@
     dialect: Dialect
     metrics: GatewayMetrics
     waiting_room: WaitingRoom
+    quarantine: Quarantine
 
 
 class RoutedRun:
@@ -111,6 +114,13 @@
         self._clock = services.clock
         self._fleet = services.fleet
         self._progress = _Progress(last_event_id=request.terms.last_event_id)
+        self._guard = RequestGuard(
+            services.quarantine,
+            services.clock,
+            services.events,
+            request.terms.request_id,
+            request.digest,
+        )
         self._placement: Placement | None = None
         self._answer: EngineAnswer | None = None
         self._client_gone = False
@@ -134,6 +144,7 @@
         """
         request = self._request
         try:
+            self._guard.check()
             self._services.waiting_room.admit(
                 request.route,
                 request.service,
@@ -183,6 +194,7 @@
 
     def _attempt(self) -> EngineAnswer:
         request = self._request
+        self._guard.check()
         placement = self._place()
         self._placement = placement
         self._progress.tries += 1
@@ -197,6 +209,7 @@
         )
         data = request_bytes(request.method, request.target, headers, request.body)
         engine = placement.engine
+        self._guard.begin(engine.engine_id)
         answer = self._services.pool.start(
             engine.address,
             data,
@@ -214,7 +227,10 @@
         place = self._fleet.place_online
         self._await_engines()
         left = request.arrived_at + request.route.target_latency - self._clock.monotonic()
-        placement = place(request.service, request.terms, self._progress.tried, left)
+        if self._guard.alone:
+            placement = self._place_alone()
+        else:
+            placement = place(request.service, request.terms, self._progress.tried, left)
         if placement is None and self._progress.tried:
             # Better an engine that failed before than none.
             placement = place(request.service, request.terms, (), left)
@@ -224,6 +240,16 @@
             raise RefusedError("no engine serves this now", retry_after=OVERLOAD_RETRY_AFTER)
         return placement
 
+    def _place_alone(self) -> Placement | None:
+        """The engine at which all nodes try a doubtful request."""
+        request, quarantine = self._request, self._services.quarantine
+        return self._fleet.place_at(
+            request.service,
+            request.terms,
+            self._progress.tried,
+            lambda engines: quarantine.preferred_engine(self._guard.digest, engines),
+        )
+
     def _await_engines(self) -> None:
         """Wait where no engine is listed for the moment, and there is time for it."""
         request = self._request
@@ -254,8 +280,10 @@
             raise AttemptError("the engine answered another request", Verdict.MAY_HAVE_RUN)
         self._progress.runs += 1
         self._judged = True
+        self._guard.note_head()
         if judgement is Judgement.FAILED and self._may_repeat_failed():
             self._progress.runs -= 1
+            self._guard.note_answered()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
     def _may_repeat_failed(self) -> bool:
@@ -276,6 +304,7 @@
             self._progress.tries -= 1
         if engine_id and not judged and not over:
             self._fleet.note_failure(engine_id, error.message)
+        self._guard.note_failure(error)
         self._services.events.emit(
             Event.ROUTED_ATTEMPT_FAILED,
             request=self._request.terms.request_id,
@@ -285,7 +314,7 @@
             age=round(self._clock.monotonic() - self._request.arrived_at, 3),
             events=self._progress.events,
             directory_age=round(self._fleet.directory_age(), 3),
-            digest=self._request.digest().hex(),
+            digest=self._guard.digest.hex(),
             caller=self._request.caller,
             error=error.message,
         )
@@ -373,13 +402,18 @@
                 if rest:
                     yield rest
                 self._learn_slot_time()
-                self._fleet.note_success(self._engine_id)
+                self._note_success()
                 return
             self._note_event(event)
             yield event
 
+    def _note_success(self) -> None:
+        self._fleet.note_success(self._engine_id)
+        self._guard.note_answered()
+
     def _note_event(self, event: bytes) -> None:
         progress = self._progress
+        self._guard.note_event()
         if self._placement is not None:
             self._fleet.note_read(self._placement)
         if not progress.events:
@@ -464,7 +498,7 @@
             self._fail_attempt(error)
             self.finish(error.code)
             raise self._final_error(error) from error
-        self._fleet.note_success(self._engine_id)
+        self._note_success()
         self.finish("completed")
         return body
 
@@ -487,5 +521,6 @@
         if self._finished:
             return
         self._finished = True
+        self._guard.end()
         self._release()
         self._services.metrics.requests.labels(outcome).inc()
--- a/postvalve/gateway/running_item.py
+++ b/postvalve/gateway/running_item.py
@@ -7,6 +7,7 @@
 from postvalve.gateway.engine_connections import EngineAnswer
 from postvalve.gateway.fleet import Placement
 from postvalve.gateway.item_progress import Chain
+from postvalve.gateway.request_guard import RequestGuard
 
 
 @dataclass(slots=True)
@@ -37,8 +38,8 @@
     run_seconds: float = 0.0
     """Seconds that its former attempts ran."""
     failed_engine: str = ""
-    digest: bytes = b""
-    """What stands for its request; empty until that was read."""
+    guard: RequestGuard | None = None
+    """Its part in the quarantine; None until its request was read."""
     chain: Chain = field(default_factory=Chain)
     """What of it is saved."""
 
--- a/postvalve/gateway/status.py
+++ b/postvalve/gateway/status.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.batch.job_board import JobBoard
 from postvalve.core.membership.peers import PeerView
 from postvalve.gateway.fleet import EngineFleet
@@ -58,3 +59,20 @@
         }
         for job in board.open_jobs()
     ]
+
+
+def quarantine_rows(quarantine: Quarantine, now: float) -> list[dict[str, Any]]:
+    """Requests under which engines ended; `age` is the seconds since the last one did."""
+    rows = []
+    for digest in quarantine.digests():
+        decision = quarantine.rule(digest, now)
+        rows.append(
+            {
+                "digest": digest.hex(),
+                "ruling": decision.ruling.value,
+                "engines": decision.ends,
+                "age": round(decision.age, 2),
+                "held_for": round(decision.seconds, 1),
+            }
+        )
+    return rows
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -56,6 +56,8 @@
     gateway.StoreReply,
     gateway.ZoneDigest,
     gateway.GiveWay,
+    gateway.QuarantineNews,
+    gateway.QuarantineFetch,
 )
 _KIND_OF_TYPE = {message_type: kind for kind, message_type in enumerate(_MESSAGE_KINDS)}
 
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -250,6 +250,16 @@
         return super().monotonic() * self._speed
 
 
+class SuspendedClock(SystemClock):
+    """A clock whose two times part when its machine is suspended."""
+
+    def __init__(self):
+        self.suspended = 0.0
+
+    def monotonic(self):
+        return super().monotonic() + self.suspended
+
+
 class QuietLog(EventLog):
     """Keeps events for the checks of tests."""
 
--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -13,7 +13,16 @@
 
 import gevent
 
-from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet, wait_until
+from postvalve.core.admission.quarantine import HOLD_TIME
+from postvalve.events import Event
+from tests.gateway_support import (
+    BATCH_PATH,
+    STREAM_PATH,
+    Behaviour,
+    GatewayFleet,
+    SuspendedClock,
+    wait_until,
+)
 
 FATAL = b"the body under which engines end"
 ENOUGH_ENDS = 3
@@ -65,3 +74,112 @@
         gevent.sleep(4.0)
         self.assertGreaterEqual(len(self.ended()), 1)
         self.assertLessEqual(len(self.ended()), ENOUGH_ENDS)
+
+
+class KnowledgeTest(FatalRequestCase):
+    def hold_back(self):
+        """Let the request end as many engines as it takes; returns the number of its next id."""
+        for number in range(12):
+            answer = self.send_fatal(f"n{number % self.nodes}", number)
+            if b"request_quarantined" in answer.body:
+                return number + 1
+        raise AssertionError("it is not held back")
+
+    def serve(self, node, **changes):
+        return self.fleet.request(node, STREAM_PATH + "x", **changes)
+
+    def spare_engines(self):
+        """Let no engine end any more."""
+        for engine in self.fleet.engines:
+            engine.fatal_bodies.clear()
+
+    def test_its_caller_hears_at_once_and_is_not_called_back(self):
+        number = self.hold_back()
+        answer = self.send_fatal("n0", number)
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn("retry-after", answer.headers)
+        self.assertEqual(answer.document["error"]["verdict"], "may_have_run")
+        self.assertTrue(self.fleet.events("n0", Event.REQUEST_QUARANTINED))
+
+    def test_others_are_served_meanwhile(self):
+        self.hold_back()
+        self.spare_engines()
+        wait_until(lambda: self.serve("n0").status == 200)
+        for changes in (
+            {"body": b"other"},
+            {"body": FATAL, "caller": "127.0.0.7"},
+        ):
+            self.assertEqual(self.serve("n1", **changes).status, 200)
+        self.assertEqual(self.serve("n1", body=FATAL).status, 502)
+        self.assertEqual(self.fleet.request("n1", STREAM_PATH + "y", body=FATAL).status, 200)
+
+    def test_a_node_that_starts_learns_before_it_serves(self):
+        number = self.hold_back()
+        ended = len(self.ended())
+        self.fleet.start_node("n9")
+        wait_until(lambda: self.fleet.nodes["n9"].ready)
+        self.assertIn(b"request_quarantined", self.send_fatal("n9", number).body)
+        self.assertEqual(len(self.ended()), ended)
+
+    def test_a_fleet_that_was_lost_as_a_whole_knows_from_the_store(self):
+        number = self.hold_back()
+        ended = len(self.ended())
+        wait_until(lambda: self.fleet.topics.newest("quarantine", 0)[0].records)
+        for name in list(self.fleet.nodes):
+            self.fleet.kill(name)
+        self.fleet.start_node("m0")
+        wait_until(lambda: self.fleet.nodes["m0"].ready)
+        self.assertIn(b"request_quarantined", self.send_fatal("m0", number).body)
+        self.assertEqual(len(self.ended()), ended)
+
+    def test_a_node_that_stood_still_asks(self):
+        number = self.hold_back()
+        stalled = SuspendedClock()
+        self.fleet.start_node("n9", clock=stalled)
+        node = self.fleet.nodes["n9"]
+        wait_until(lambda: node.ready)
+        node._quarantine._cases.clear()
+        self.fleet.nodes["n0"]._sharing._tell = lambda *arguments: None
+        stalled.suspended += 7.0
+        wait_until(lambda: node.status_document()["quarantine"])
+        self.assertIn(b"request_quarantined", self.send_fatal("n9", number).body)
+
+    def test_an_answer_clears_it_at_all_nodes(self):
+        self.hold_back()
+        self.spare_engines()
+        for node in self.fleet.nodes.values():
+            case = node._quarantine.case(node._quarantine.digests()[0])
+            for fact in case.facts.values():
+                fact.ended_at -= HOLD_TIME
+        wait_until(lambda: self.serve("n0", body=FATAL).status == 200)
+        for node in self.fleet.nodes:
+            wait_until(lambda node=node: self.serve(node, body=FATAL).status == 200, 3.0)
+        self.assertTrue(self.fleet.events("n0", Event.QUARANTINE_CLEARED))
+
+
+class InnocentTest(FatalRequestCase):
+    def test_requests_beside_it_go_on_and_are_cleared(self):
+        for engine in self.fleet.engines:
+            engine.usual = Behaviour(events=4, pause=0.05)
+        bystanders = [
+            gevent.spawn(
+                self.fleet.request, f"n{number % 3}", STREAM_PATH + f"b{number}", body=b"innocent",
+                request_id=f"b{number}",
+            )
+            for number in range(10)
+        ]  # fmt: skip
+        gevent.sleep(0.02)
+        self.send_fatal("n0", 0)
+        answers = [one.get() for one in bystanders]
+        self.assertGreaterEqual(sum(one.status == 200 for one in answers), 9)
+
+    def test_engines_whose_connections_are_cut_and_that_live_hold_nobody_back(self):
+        for number in range(8):
+            for engine in self.fleet.engines:
+                engine.plan = [Behaviour(cut_after=-1)]
+            self.fleet.request("n0", STREAM_PATH + "x", body=b"cut", request_id=f"c{number}")
+            for engine in self.fleet.engines:
+                engine.plan = []
+            for other in range(10):
+                self.fleet.request("n0", STREAM_PATH + f"o{other}", request_id=f"o{number}-{other}")
+        self.assertEqual(self.fleet.request("n0", STREAM_PATH + "x", body=b"cut").status, 200)
--- a/tests/test_suspended_machine.py
+++ b/tests/test_suspended_machine.py
@@ -17,7 +17,14 @@
 from postvalve.events import Event
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.platform.store import QUICK_ANSWER_TIMEOUT, PlatformStore
-from tests.gateway_support import STREAM_PATH, Behaviour, GatewayFleet, read_answer, wait_until
+from tests.gateway_support import (
+    STREAM_PATH,
+    Behaviour,
+    GatewayFleet,
+    SuspendedClock,
+    read_answer,
+    wait_until,
+)
 
 
 class SystemClockTest(unittest.TestCase):
@@ -33,16 +40,6 @@
             self.assertGreaterEqual(clock.monotonic() - before, 5.0)
 
 
-class SuspendedClock(SystemClock):
-    """A clock whose two times part when its machine is suspended."""
-
-    def __init__(self):
-        self.suspended = 0.0
-
-    def monotonic(self):
-        return super().monotonic() + self.suspended
-
-
 class NodeTest(unittest.TestCase):
     def setUp(self):
         self.fleet = GatewayFleet(nodes=1, engines=1)
