--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -10,7 +10,8 @@
 once, and their answers clear them. One under which two engines ended is doubtful: it runs once at
 a time in the whole fleet, at an engine that its digest chooses, so that doubtful ones spread and
 copies of one meet. One under which a third ended is held back for a time that doubles with each
-end that follows.
+end that follows. A variant of it under which no engine ended yet may be somebody else's: it runs
+alone, until so many variants did the same that the headers can't be what matters.
 """
 
 from __future__ import annotations
@@ -18,9 +19,11 @@
 import enum
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 import xxhash
 
+from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.core.membership.ownership import preferred_owner
 
 DOUBTFUL_ENDS = 2
@@ -40,6 +43,8 @@
 engines end does so as it begins to run, after 50 to 140 ms where it was seen."""
 MAX_CASES = 512
 """Requests that are known at once. One engine that ends brings as many as it has slots, 8 to 20."""
+ENOUGH_VARIANTS = 3
+"""Variants under which engines ended from which on all others are held back too."""
 MAX_FACTS = 12
 """Facts that are kept of each."""
 
@@ -69,6 +74,8 @@
 
     ended_at: float
     """Monotonic seconds; of all that were heard the earliest, so that retelling ages nothing."""
+    variant: int = 0
+    """Of the request, see `request_identity`."""
     trial: bool = False
     """Whether it was told when a doubtful request was sent; only its sender can excuse it."""
     excused: bool = False
@@ -89,11 +96,20 @@
                 found[name.engine] = min(found.get(name.engine, fact.ended_at), fact.ended_at)
         return found
 
+    def variants(self) -> set[int]:
+        """Variants under which engines ended."""
+        return {fact.variant for fact in self.facts.values() if not fact.excused}
+
     @property
     def on_trial(self) -> bool:
         """Whether a run of it is under way, as far as is known."""
         return any(fact.trial and not fact.excused for fact in self.facts.values())
 
+    def concerns(self, variant: int) -> bool:
+        """Whether what is known holds a variant back, that of a run under way among others."""
+        known = self.variants()
+        return self.on_trial or variant in known or len(known) >= ENOUGH_VARIANTS
+
     def held_until(self) -> float:
         """Monotonic seconds until which it is held back; in the past where it is not."""
         ends = self.engines()
@@ -116,7 +132,7 @@
         """Take in what another one knows of the same request; tells whether any of it is news."""
         before = {name: fact.excused for name, fact in self.facts.items()}
         for name, fact in told.facts.items():
-            known = self.facts.setdefault(name, Fact(fact.ended_at, fact.trial))
+            known = self.facts.setdefault(name, Fact(fact.ended_at, fact.variant, fact.trial))
             known.ended_at = min(known.ended_at, fact.ended_at)
             known.excused |= fact.excused
         self._prune()
@@ -150,6 +166,39 @@
 _FREE = Decision(Ruling.FREE)
 
 
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """What is known of a request, for operators."""
+
+    ends: int
+    """Engines that ended under it."""
+    variants: int
+    """Of the request, under which they did."""
+    age: float
+    """Seconds since the last of them did."""
+    seconds: float
+    """For which it is held back from now on; 0 where it is not."""
+    on_trial: bool
+
+    def fields(self) -> dict[str, Any]:
+        """As fields of a log line, or of a status document."""
+        return {
+            "ends": self.ends,
+            "variants": self.variants,
+            "age": round(self.age, 3),
+            "held_for": round(self.seconds, 1),
+            "on_trial": self.on_trial,
+        }
+
+
+@dataclass(slots=True)
+class _Blame:
+    """When an engine ended: its first and its last fact. Several requests saw it end."""
+
+    first: float
+    last: float
+
+
 @dataclass(frozen=True, slots=True)
 class Trial:
     """A run of a doubtful request, told before it began."""
@@ -165,8 +214,8 @@
         self._node_id = node_id
         self._cases: dict[bytes, Case] = {}
         self._stamps = 0
-        self._blamed: dict[str, float] = {}
-        """Engines of facts that stand, and when the last of these was heard."""
+        self._blamed: dict[str, _Blame] = {}
+        """Engines that have ended, as far as is known."""
         self.on_change: Callable[[bytes], None] = lambda digest: None
         """Called with a digest of which something new is known."""
 
@@ -181,9 +230,9 @@
         """What is known of a request."""
         return self._cases.get(digest)
 
-    def rule(self, digest: bytes, now: float) -> Decision:
+    def rule(self, identity: RequestIdentity, now: float) -> Decision:
         """Decide whether a request may run."""
-        case = self._cases.get(digest)
+        case = self._cases.get(identity.digest)
         if case is None:
             return _FREE
         ends = case.engines()
@@ -194,20 +243,37 @@
             ruling = Ruling.FREE if age >= DOUBT_TIME else Ruling.ALONE
             return Decision(ruling, len(ends), age)
         seconds = case.held_until() - now
-        if seconds > 0:
-            return Decision(Ruling.HELD, len(ends), age, seconds)
-        return Decision(Ruling.ALONE, len(ends), age)
+        if seconds <= 0 or not case.concerns(identity.variant):
+            return Decision(Ruling.ALONE, len(ends), age)
+        return Decision(Ruling.HELD, len(ends), age, seconds)
+
+    def summary(self, digest: bytes, now: float) -> Summary:
+        """What is known of a request."""
+        case = self._cases.get(digest, Case())
+        ends = case.engines()
+        age = now - max(ends.values(), default=now)
+        seconds = max(0.0, case.held_until() - now)
+        return Summary(len(ends), len(case.variants()), age, seconds, case.on_trial)
+
+    def note_end(self, identity: RequestIdentity, engine: str, sent_at: float, now: float) -> bool:
+        """An engine's connection ended under a request, before its answer was whole.
 
-    def note_end(self, digest: bytes, engine: str, now: float) -> None:
-        """An engine's connection ended under a request, before its answer was whole."""
-        self._add(digest, engine, now, trial=False)
+        Returns:
+            Whether that counts: a request that was sent there after the engine had ended for
+            somebody else did not end it.
+        """
+        blame = self._blamed.get(engine)
+        if blame is not None and blame.first < sent_at:
+            return False
+        self._add(identity, engine, now, trial=False)
+        return True
 
-    def begin_trial(self, digest: bytes, engine: str, now: float) -> Trial:
+    def begin_trial(self, identity: RequestIdentity, engine: str, now: float) -> Trial:
         """A doubtful request is about to be sent: it counts as an end until it has an outcome.
 
         So all nodes hold it back before the engine has had the time to end.
         """
-        return Trial(digest, self._add(digest, engine, now, trial=True))
+        return Trial(identity.digest, self._add(identity, engine, now, trial=True))
 
     def end_trial(self, trial: Trial) -> None:
         """The run has an outcome, and whatever it says of the engine was noted."""
@@ -215,16 +281,18 @@
         if case is not None and trial.fact in case.facts:
             self._excuse(trial.digest, case, [case.facts[trial.fact]])
 
-    def note_answered(self, digest: bytes) -> bool:
+    def note_answered(self, identity: RequestIdentity) -> bool:
         """The request got a whole answer: no engine ended because of it. Tells if that is news."""
-        case = self._cases.get(digest)
+        case = self._cases.get(identity.digest)
         if case is None:
             return False
-        return self._excuse(digest, case, case.facts.values())
+        same = [fact for fact in case.facts.values() if fact.variant == identity.variant]
+        return self._excuse(identity.digest, case, same)
 
     def note_alive(self, engine: str, sent_at: float) -> None:
         """An engine answered a request that was sent to it at `sent_at`: it had not ended."""
-        if self._blamed.get(engine, sent_at) >= sent_at:
+        blame = self._blamed.get(engine)
+        if blame is None or blame.last >= sent_at:
             return
         del self._blamed[engine]
         for digest, case in self._cases.items():
@@ -235,9 +303,9 @@
             ]
             self._excuse(digest, case, false)
 
-    def preferred_engine(self, digest: bytes, engines: Iterable[str]) -> str | None:
+    def preferred_engine(self, identity: RequestIdentity, engines: Iterable[str]) -> str | None:
         """Where a doubtful request runs; alike at all nodes with the same engines."""
-        return preferred_owner(digest.hex(), list(engines))
+        return preferred_owner(identity.digest.hex(), list(engines))
 
     def merge(self, digest: bytes, told: Case, now: float) -> bool:
         """Take in what another node, or the store, knows of a request; tells if that is news."""
@@ -247,8 +315,7 @@
         if not case.merge(told):
             return False
         for name, fact in told.facts.items():
-            if not fact.excused:
-                self._blame(name.engine, fact.ended_at)
+            self._blame(name.engine, fact)
         self._keep(digest, case)
         self.on_change(digest)
         return True
@@ -259,23 +326,29 @@
         old = [(digest, case) for digest, case in cases if case.forgotten_at() <= now]
         for digest, _ in old:
             del self._cases[digest]
-        if not self._cases:
-            self._blamed.clear()
+        for engine in [one for one, blame in self._blamed.items() if blame.last <= now - HOLD_TIME]:
+            del self._blamed[engine]
         return old
 
-    def _add(self, digest: bytes, engine: str, now: float, *, trial: bool) -> FactId:
+    def _add(self, identity: RequestIdentity, engine: str, now: float, *, trial: bool) -> FactId:
+        digest = identity.digest
         self._stamps += 1
         stamp = xxhash.xxh32_intdigest(f"{self._node_id} {now} {self._stamps}".encode())
         name = FactId(engine, stamp)
         case = self._cases.get(digest) or Case()
-        case.merge(Case({name: Fact(now, trial)}))
-        self._blame(engine, now)
+        fact = Fact(now, identity.variant, trial)
+        case.merge(Case({name: fact}))
+        self._blame(engine, fact)
         self._keep(digest, case)
         self.on_change(digest)
         return name
 
-    def _blame(self, engine: str, ended_at: float) -> None:
-        self._blamed[engine] = max(ended_at, self._blamed.get(engine, ended_at))
+    def _blame(self, engine: str, fact: Fact) -> None:
+        if fact.trial or fact.excused:
+            return
+        blame = self._blamed.setdefault(engine, _Blame(fact.ended_at, fact.ended_at))
+        blame.first = min(blame.first, fact.ended_at)
+        blame.last = max(blame.last, fact.ended_at)
 
     def _excuse(self, digest: bytes, case: Case, facts: Iterable[Fact]) -> bool:
         fresh = [fact for fact in facts if not fact.excused]
--- a/postvalve/core/admission/request_identity.py
+++ b/postvalve/core/admission/request_identity.py
@@ -2,54 +2,54 @@
 
 A digest stands for a request wherever nodes tell each other of it. It is a cryptographic one: a
 tenant who could find a second request with the digest of another tenant's could have that one
-held back.
+held back. Where the wire does not name callers, somebody who knows both can still send the same
+path and body with other headers; so these are told apart too, as *variants* of the request.
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
 
 DIGEST_BYTES = 16
 """To hit a given digest takes about 2**128 tries."""
-_REQUEST = b"request"
-_ITEM = b"item"
-"""Requests and batch items never share a digest."""
-
 
-def request_digest(caller: str, host: str, method: str, target: str, body: bytes) -> bytes:
-    """The digest of an online request: alike for each time that it comes from its caller.
 
-    Args:
-        caller: Who sends it, so that nobody can have a digest of somebody else's request.
-        host: The host that it is for.
-        method: Its method.
-        target: Path and query.
-        body: Its whole body.
-    """
-    named = (caller, host, method, target)
-    return _digest([_REQUEST, *(text.encode() for text in named), body])
+@dataclass(frozen=True, slots=True)
+class RequestIdentity:
+    """What stands for a request each time that it comes."""
 
+    digest: bytes
+    """Of caller, host, method, target and body."""
+    variant: int
+    """32 bits of the headers that came with it."""
 
-def item_digest(host: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> bytes:
-    """The digest of a batch item: alike for all items that an engine can't tell apart.
 
-    An item's caller is not known where it runs, so everything that the engine gets counts.
+def identify(
+    caller: str,
+    host: str,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: Iterable[tuple[str, str]],
+) -> RequestIdentity:
+    """The identity of a request or batch item.
 
     Args:
-        host: The host of the item's job.
+        caller: What the wire tells of who sends it; empty where it tells nothing.
+        host: The host that it is for.
+        method: Its method.
         target: Path and query.
-        headers: Those that came with the item.
         body: Its whole body.
+        headers: Those that stay when it comes again, in any order.
     """
-    named = sorted(f"{name.lower()}:{value}" for name, value in headers)
-    return _digest([_ITEM, host.encode(), target.encode(), "\n".join(named).encode(), body])
-
-
-def _digest(parts: Iterable[bytes]) -> bytes:
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in parts:
+    for part in (*(text.encode() for text in (caller, host, method, target)), body):
         # Lengths keep parts apart whose texts run into each other.
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
-    return digest.digest()
+    lines = sorted(f"{name.lower()}: {value}" for name, value in headers)
+    return RequestIdentity(digest.digest(), xxhash.xxh32_intdigest("\n".join(lines).encode()))
--- a/postvalve/gateway/http_calls.py
+++ b/postvalve/gateway/http_calls.py
@@ -23,7 +23,7 @@
     headers: Headers
     body: bytes
     caller: str = ""
-    """Address that the call came from. Nothing else on the wire tells who sends it."""
+    """Address that the call came from; the same caller may come from several."""
 
     @property
     def path(self) -> str:
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.exceptions import PlatformError, Verdict
 
 Headers = Sequence[tuple[str, str]]
@@ -69,6 +70,12 @@
         """
         ...
 
+    def identify(
+        self, host: str, method: str, target: str, body: bytes, headers: Headers
+    ) -> RequestIdentity:
+        """What stands for a request, or an item, each time that it comes under another id."""
+        ...
+
     def item_headers(self, headers: Headers, item_id: str, host: str) -> list[tuple[str, str]]:
         """Headers of a batch item as if a client had sent it."""
         ...
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -11,7 +11,6 @@
 
 from postvalve.clock import Clock, milliseconds
 from postvalve.core.admission.quarantine import Quarantine
-from postvalve.core.admission.request_identity import item_digest
 from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
 from postvalve.core.batch.job_board import BoardJob
@@ -356,7 +355,7 @@
         item_id = job.items[item.index].item_id
         req = self._jobs.item_request(job, item.index)
         named = [(one.name, one.value) for one in req.headers]
-        guard = self._guard_of(item, item_id, job.accepted.host, req, named)
+        guard = self._guard_of(item, job, req, named)
         guard.check()
         engine = placement.engine
 
@@ -389,8 +388,7 @@
     def _guard_of(
         self,
         item: RunningItem,
-        item_id: str,
-        host: str,
+        job: BoardJob,
         req: gateway.ItemRequest,
         headers: list[tuple[str, str]],
     ) -> RequestGuard:
@@ -399,8 +397,10 @@
                 self._quarantine,
                 self._clock,
                 self._events,
-                item_id,
-                lambda: item_digest(host, req.target, headers, req.body),
+                job.items[item.index].item_id,
+                lambda: self._dialect.identify(
+                    job.accepted.host, "POST", req.target, req.body, headers
+                ),
             )
         return item.guard
 
@@ -484,7 +484,7 @@
             failures=item.failures,
             verdict=error.verdict.value,
             directory_age=round(self._fleet.directory_age(), 3),
-            digest=item.guard.digest.hex() if item.guard else "",
+            digest=item.guard.identity.digest.hex() if item.guard else "",
             error=error.message,
         )
 
--- a/postvalve/gateway/quarantine_sharing.py
+++ b/postvalve/gateway/quarantine_sharing.py
@@ -42,6 +42,11 @@
 """Seconds that a node which starts waits for what its peers and the store know."""
 LEARN_PEERS = 2
 """Peers that are asked at once, so that one which stands still delays nobody."""
+STORE_INTERVAL = 1.0
+"""Seconds between reads of the store by a node that hears fewer peers than a while ago: where it is
+cut off from them, the store is what both sides reach."""
+CUT_TIME = 60.0
+"""Seconds for which it reads the store then; after that the others count as gone."""
 STALL = 1.0
 """Seconds between two looks after which this node must have stood still."""
 
@@ -60,7 +65,8 @@
         """Requests that this node has told the store of, and the number of engines told."""
         self._round_at = float("-inf")
         self._changed = GeventEvent()
-        self._looked_at = self._clock.monotonic()
+        self._looked_at = self._read_at = self._clock.monotonic()
+        self._most_peers, self._most_peers_at = 0, self._looked_at
         self._peers_known = GeventEvent()
         self.learned = GeventEvent()
         """Set once this node knows what others know, or has waited for it long enough."""
@@ -81,6 +87,8 @@
                 self._round_at = now
                 self._tell(self._quarantine.digests(), ROUND_PEERS, None)
                 self._expire(now)
+                for digest in self._quarantine.digests():
+                    self._keep_in_store(digest)
 
     def _note_change(self, digest: bytes) -> None:
         self._news.add(digest)
@@ -142,14 +150,9 @@
     def _merge(self, digest: bytes, told: Case, source: str) -> None:
         if not self._quarantine.merge(digest, told, self._clock.monotonic()):
             return
-        decision = self._quarantine.rule(digest, self._clock.monotonic())
+        summary = self._quarantine.summary(digest, self._clock.monotonic())
         self._events.emit(
-            Event.QUARANTINE_LEARNT,
-            digest=digest.hex(),
-            source=source,
-            ends=decision.ends,
-            age=round(decision.age, 3),
-            ruling=decision.ruling.value,
+            Event.QUARANTINE_LEARNT, digest=digest.hex(), source=source, **summary.fields()
         )
 
     # Learning
@@ -178,6 +181,16 @@
         self._looked_at = now
         if stood_still and self.learned.is_set():
             gevent.spawn(self._ask_peers)
+        if self._lacks_peers(now) and now - self._read_at >= STORE_INTERVAL:
+            self._read_at = now
+            gevent.spawn(self._read_store)
+
+    def _lacks_peers(self, now: float) -> bool:
+        """Whether this node heard more peers lately than it hears now."""
+        heard = self._services.peers.count()
+        if heard >= self._most_peers or now - self._most_peers_at > CUT_TIME:
+            self._most_peers, self._most_peers_at = heard, now
+        return heard < self._most_peers
 
     def _ask_peers(self) -> None:
         addresses = self._some_peers(LEARN_PEERS)
@@ -259,7 +272,7 @@
         try:
             self._topics.append(QUARANTINE_TOPIC, 0, [KeyedRecord(digest.hex(), value)])
         except StoreUnavailableError as exc:
-            # It is told again with the next end; until then peers know.
+            # The next round tells it again.
             self._saved.pop(digest, None)
             self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, topic=QUARANTINE_TOPIC)
 
@@ -274,6 +287,7 @@
                 age_ms=milliseconds(max(0.0, now - fact.ended_at)),
                 trial=fact.trial,
                 excused=fact.excused,
+                variant=fact.variant,
             )
             for name, fact in case.facts.items()
         ],
@@ -283,7 +297,9 @@
 def _unpack(told: gateway.SuspectRequest, now: float) -> Case:
     return Case(
         {
-            FactId(end.engine, end.stamp): Fact(now - end.age_ms / 1000, end.trial, end.excused)
+            FactId(end.engine, end.stamp): Fact(
+                now - end.age_ms / 1000, end.variant, end.trial, end.excused
+            )
             for end in told.ends
         }
     )
--- a/postvalve/gateway/request_guard.py
+++ b/postvalve/gateway/request_guard.py
@@ -6,8 +6,9 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.quarantine import BEGIN_TIME, Quarantine, Ruling, Trial
+from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import EngineCutError, PostvalveError, QuarantinedError
+from postvalve.exceptions import EngineCutError, PostvalveError, QuarantinedError, Verdict
 
 
 class RequestGuard:
@@ -19,15 +20,15 @@
         clock: Clock,
         events: EventLog,
         request_id: str,
-        digest: Callable[[], bytes],
+        identify: Callable[[], RequestIdentity],
     ) -> None:
-        """Guard a request; its digest is asked for where it is needed only."""
+        """Guard a request; its identity is worked out only where it is needed."""
         self._quarantine = quarantine
         self._clock = clock
         self._events = events
         self._request_id = request_id
-        self._give_digest = digest
-        self._digest = b""
+        self._identify = identify
+        self._identity: RequestIdentity | None = None
         self._trial: Trial | None = None
         self._engine_id = ""
         self._sent_at = 0.0
@@ -36,10 +37,11 @@
         """Whether the next run, or the one under way, is that of a doubtful request."""
 
     @property
-    def digest(self) -> bytes:
+    def identity(self) -> RequestIdentity:
         """What stands for the request each time that it comes."""
-        self._digest = self._digest or self._give_digest()
-        return self._digest
+        if self._identity is None:
+            self._identity = self._identify()
+        return self._identity
 
     def check(self) -> None:
         """See whether the request may run now, and whether alone.
@@ -50,13 +52,13 @@
         self.alone = False
         if not len(self._quarantine):
             return
-        decision = self._quarantine.rule(self.digest, self._clock.monotonic())
+        decision = self._quarantine.rule(self.identity, self._clock.monotonic())
         self.alone = decision.ruling is Ruling.ALONE
         if decision.ruling is Ruling.HELD:
             self._events.emit(
                 Event.REQUEST_QUARANTINED,
                 request=self._request_id,
-                digest=self.digest.hex(),
+                digest=self.identity.digest.hex(),
                 ends=decision.ends,
                 age=round(decision.age, 3),
                 seconds=round(decision.seconds, 1),
@@ -68,11 +70,11 @@
         now = self._clock.monotonic()
         self._engine_id, self._sent_at, self._first_event_at = engine_id, now, None
         if self.alone:
-            self._trial = self._quarantine.begin_trial(self.digest, engine_id, now)
+            self._trial = self._quarantine.begin_trial(self.identity, engine_id, now)
             self._events.emit(
                 Event.QUARANTINED_REQUEST_TRIED,
                 request=self._request_id,
-                digest=self.digest.hex(),
+                digest=self.identity.digest.hex(),
                 engine=engine_id,
             )
 
@@ -87,38 +89,55 @@
 
     def note_answered(self) -> None:
         """The engine's answer is whole."""
-        if len(self._quarantine) and self._quarantine.note_answered(self.digest):
+        self._end_trial()
+        if len(self._quarantine) and self._quarantine.note_answered(self.identity):
             self._events.emit(
                 Event.QUARANTINE_CLEARED,
                 request=self._request_id,
-                digest=self.digest.hex(),
+                digest=self.identity.digest.hex(),
                 engine=self._engine_id,
             )
 
     def note_failure(self, error: PostvalveError) -> None:
         """The run under way failed."""
-        if isinstance(error, EngineCutError) and self._just_began:
-            now = self._clock.monotonic()
-            self._quarantine.note_end(self.digest, self._engine_id, now)
-            decision = self._quarantine.rule(self.digest, now)
-            self._events.emit(
-                Event.ENGINE_ENDED_UNDER_REQUEST,
-                request=self._request_id,
-                digest=self.digest.hex(),
-                engine=self._engine_id,
-                ran=round(now - self._sent_at, 3),
-                ends=decision.ends,
-                ruling=decision.ruling.value,
-            )
+        if error.verdict is Verdict.NOT_RUN:
+            self._end_trial()
+        elif isinstance(error, EngineCutError) and self._just_began:
+            self._note_end()
+            self._end_trial()
         self.end()
 
+    def _note_end(self) -> None:
+        now = self._clock.monotonic()
+        counts = self._quarantine.note_end(self.identity, self._engine_id, self._sent_at, now)
+        decision = self._quarantine.rule(self.identity, now)
+        self._events.emit(
+            Event.ENGINE_ENDED_UNDER_REQUEST,
+            request=self._request_id,
+            digest=self.identity.digest.hex(),
+            engine=self._engine_id,
+            ran=round(now - self._sent_at, 3),
+            counts=counts,
+            ends=decision.ends,
+            ruling=decision.ruling.value,
+        )
+
     @property
     def _just_began(self) -> bool:
         first = self._first_event_at
         return first is None or self._clock.monotonic() - first < BEGIN_TIME
 
     def end(self) -> None:
-        """No run is under way any more."""
+        """No run is under way any more.
+
+        A doubtful one of which nobody knows how it went, such as where its client left or its
+        engine fell silent, counts as an end until that engine is heard again.
+        """
+        if self._trial is not None:
+            self._note_end()
+            self._end_trial()
+
+    def _end_trial(self) -> None:
         trial, self._trial = self._trial, None
         if trial is not None:
             self._quarantine.end_trial(trial)
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -9,7 +9,6 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.quarantine import Quarantine
-from postvalve.core.admission.request_identity import request_digest
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, RefusedError, Verdict
 from postvalve.gateway.engine_connections import ConnectionPool, EngineAnswer, request_bytes
@@ -66,16 +65,12 @@
     headers: Headers
     body: bytes
     caller: str
-    """Address of who sent it."""
+    """Address that it came from."""
     host: str
     arrived_at: float
     deadline: float
     """Monotonic seconds; the client's or the route's, whichever comes first."""
 
-    def digest(self) -> bytes:
-        """What stands for the request each time that it comes."""
-        return request_digest(self.caller, self.host, self.method, self.target, self.body)
-
 
 @dataclass(slots=True)
 class _Progress:
@@ -119,7 +114,9 @@
             services.clock,
             services.events,
             request.terms.request_id,
-            request.digest,
+            lambda: services.dialect.identify(
+                request.host, request.method, request.target, request.body, request.headers
+            ),
         )
         self._placement: Placement | None = None
         self._answer: EngineAnswer | None = None
@@ -247,7 +244,7 @@
             request.service,
             request.terms,
             self._progress.tried,
-            lambda engines: quarantine.preferred_engine(self._guard.digest, engines),
+            lambda engines: quarantine.preferred_engine(self._guard.identity, engines),
         )
 
     def _await_engines(self) -> None:
@@ -314,7 +311,7 @@
             age=round(self._clock.monotonic() - self._request.arrived_at, 3),
             events=self._progress.events,
             directory_age=round(self._fleet.directory_age(), 3),
-            digest=self._guard.digest.hex(),
+            digest=self._guard.identity.digest.hex(),
             caller=self._request.caller,
             error=error.message,
         )
--- a/postvalve/gateway/status.py
+++ b/postvalve/gateway/status.py
@@ -62,17 +62,8 @@
 
 
 def quarantine_rows(quarantine: Quarantine, now: float) -> list[dict[str, Any]]:
-    """Requests under which engines ended; `age` is the seconds since the last one did."""
-    rows = []
-    for digest in quarantine.digests():
-        decision = quarantine.rule(digest, now)
-        rows.append(
-            {
-                "digest": digest.hex(),
-                "ruling": decision.ruling.value,
-                "engines": decision.ends,
-                "age": round(decision.age, 2),
-                "held_for": round(decision.seconds, 1),
-            }
-        )
-    return rows
+    """Requests under which engines ended."""
+    return [
+        {"digest": digest.hex(), **quarantine.summary(digest, now).fields()}
+        for digest in quarantine.digests()
+    ]
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from postvalve.core.admission.request_identity import RequestIdentity, identify
 from postvalve.gateway.interfaces import Headers, Judgement, RequestTerms
 
 REQUEST_ID = "Request-Id"
@@ -13,6 +14,8 @@
 TOKENS = "Token-Count"
 RETRY_AFTER = "Retry-After"
 ENCODING = "Content-Encoding"
+CALLER_HEADERS = frozenset(("authorization", "proxy-authorization", "cookie", "x-api-key"))
+"""Headers by which callers name themselves, where they do; none of the platform's own does."""
 MISDIRECTED = 421
 IMPOSSIBLE = 422
 
@@ -56,6 +59,15 @@
             sent.append((LAST_EVENT, str(last_event_id)))
         return sent
 
+    def identify(
+        self, host: str, method: str, target: str, body: bytes, headers: Headers
+    ) -> RequestIdentity:
+        """See `Dialect`."""
+        fresh = (*_NOT_PASSED_ON, REQUEST_ID.lower(), "host")
+        kept = [(name.lower(), value) for name, value in headers if name.lower() not in fresh]
+        caller = sorted(one for one in kept if one[0] in CALLER_HEADERS)
+        return identify(repr(caller) if caller else "", host, method, target, body, kept)
+
     def item_headers(self, headers: Headers, item_id: str, host: str) -> list[tuple[str, str]]:
         """See `Dialect`."""
         own = (REQUEST_ID.lower(), "host")
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -45,7 +45,10 @@
             self._play()
         finally:
             self.fleet.stop()
-        self.promises.runs_seen(runs_in(self.folder), self.clients.requests, self.clients.jobs)
+        runs = runs_in(self.folder)
+        self.promises.runs_seen(runs, self.clients.requests, self.clients.jobs)
+        self.promises.fatal_seen(runs, self.clients.fatal_nodes)
+        self.promises.served_beside_fatal(self.clients.requests)
         self.promises.jobs_ended(self.clients.jobs)
         self.promises.stops_ended(self.clients.requests)
         return self.promises
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -18,7 +18,7 @@
     parse_answer,
     read_answer,
 )
-from tests.soak.engine import ITEM, ONLINE
+from tests.soak.engine import FATAL, ITEM, ONLINE
 from tests.soak.promises import CONFIGURED, NOT_RUN, Job, Online, Run
 from tests.test_gateway_jobs import job_body, whole_text
 
@@ -94,6 +94,9 @@
         self.jobs = []
         self.stopped = False
         self._ready = set()
+        self.fatal_nodes = {}
+        """Where requests under which engines end were sent, by their ids."""
+        fleet.send_fatal = self.send_fatal
 
     def start(self):
         """Start everybody."""
@@ -139,6 +142,19 @@
         req.ended_at = time.time()
         self._promises.online_ended(req)
 
+    def send_fatal(self, number):
+        """Send a request under which engines end once more, to any node."""
+        node, request_id = self._node(), f"f-{number}-{next(self._numbers)}"
+        self.fatal_nodes[request_id] = node.name
+        gevent.spawn(self._fatal, node, number, request_id)
+
+    def _fatal(self, node, number, request_id):
+        headers = [("Deadline-Ms", str(PATIENCE_MS))]
+        body = FATAL + str(number).encode()
+        with contextlib.suppress(OSError):
+            path = f"{STREAM_PATH}fatal-{number}"
+            self._ask(node, path, headers=headers, body=body, request_id=request_id)
+
     # A client that uses its connection until the process is gone
 
     def _keep_connection(self, node):
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import os
 import time
 
 import gevent
@@ -15,6 +16,11 @@
 """Half of the time goes by before the head, so that faults strike requests without an event too."""
 ITEM = Behaviour(events=40, pause=0.05)
 SLOTS = 4
+FATAL = b"fatal"
+"""Begins the bodies under which an engine ends."""
+ENDS_AFTER = 0.06
+"""Seconds that it runs such a request."""
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class SoakEngine(StandInEngine):
@@ -38,6 +44,11 @@
                 waited=time.time() - arrived,
                 items=behind,
             )
+            if self.bodies[request_id].startswith(FATAL):
+                if len(request_id) % 2:
+                    connection.sendall(HEAD)
+                gevent.sleep(ENDS_AFTER)
+                os._exit(1)
             try:
                 return super()._answer(connection, ITEM if item else ONLINE, request_id, headers)
             finally:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes of the soak, and the faults that befall them."""
 
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -33,7 +34,7 @@
 ZONES = "abcd"
 ZONE_NODES = 8
 """Nodes for which two zones are enough; else there are four."""
-ALL_NODES = frozenset(("herd_kill", "roll", "hup_series", "stop_series"))
+ALL_NODES = frozenset(("herd_kill", "roll", "hup_series", "stop_series", "fatal_request"))
 """Kinds of faults that strike several nodes."""
 SERIES_PAUSE = 0.3
 """Seconds between two signals or changes of a series."""
@@ -41,6 +42,12 @@
 """Seconds after an engine's death in which its entry stands."""
 ROLL_TIME = 9.0
 """Seconds after which a node that was told to stop is killed."""
+SUSPEND_NOTICE = 0.1
+"""Seconds in which a node takes in that the stop that follows is a suspension."""
+FATAL_PAUSE = 0.3
+"""Seconds between two sendings of a request under which engines end."""
+ENGINE_BACK_AFTER = 2.5
+"""Seconds after which an engine that ended is back, as another one."""
 DRAIN_TIME = 2.0
 """Seconds that a leaving engine serves on."""
 
@@ -133,7 +140,7 @@
         }
         settings.write_text(json.dumps(document))
         env = {"POSTVALVE_CONFIG": str(settings)}
-        self.process = Process(name, folder, ["postvalve.startup"], env)
+        self.process = Process(name, folder, ["tests.soak.node"], env)
 
 
 class Engine:
@@ -170,6 +177,9 @@
         self.version = 0
         self.published_at = 0.0
         self._publishing = RLock()
+        self.send_fatal = lambda number: None
+        """Sends once more that request under which engines end."""
+        self._fatals = itertools.count()
 
     def start(self):
         self.store.start()
@@ -317,6 +327,11 @@
         gevent.sleep(lasts)
         node.process.signal(signal.SIGCONT)
 
+    def _node_suspend(self, node, engine, lasts):
+        node.process.signal(signal.SIGUSR1)
+        gevent.sleep(SUSPEND_NOTICE)
+        self._node_stop(node, engine, lasts)
+
     def _node_term(self, node, engine, lasts):
         process, life = node.process, node.process.life
         process.terminate()
@@ -338,6 +353,33 @@
         self.unlist(former)
         link.stop()
 
+    def _fatal_request(self, node, engine, lasts):
+        """One request under which engines end comes again and again."""
+        number, deadline = next(self._fatals), time.monotonic() + lasts
+        back = []
+        while time.monotonic() < deadline:
+            self.send_fatal(number)
+            gevent.sleep(FATAL_PAUSE)
+            back += [gevent.spawn(self._bring_back, one) for one in self._ended_engines()]
+        gevent.sleep(FATAL_PAUSE)
+        back += [gevent.spawn(self._bring_back, one) for one in self._ended_engines()]
+        gevent.joinall(back)
+
+    def _ended_engines(self):
+        """Engines that ended by themselves, and that nobody brings back yet."""
+        ended = [one for one in self.engines if not (one.process.runs or one.process.ends)]
+        for engine in ended:
+            engine.process.ends = True
+        return ended
+
+    def _bring_back(self, engine):
+        former, link = engine.engine_id, engine.link
+        gevent.sleep(ENGINE_BACK_AFTER)
+        engine.start()
+        self.list(engine)
+        self.unlist(former)
+        link.stop()
+
     def _engine_stop(self, node, engine, lasts):
         process = engine.process
         process.signal(signal.SIGSTOP)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -23,6 +23,12 @@
 """Seconds more, for what was on its way on a machine that is busy."""
 PLANNED = frozenset(("node_term", "roll", "hup_series", "config_storm"))
 """Kinds of faults that are planned work: they cut no request that an engine runs."""
+FATAL_ENDS = 3
+"""Engines that may end under a request before it is known for it, and as many later on."""
+FATAL_KIND = "fatal_request"
+SERVED_FROM, SERVED_SHARE = 7.0, 0.8
+"""Seconds after such a request came first from which, of the others, this share must be served:
+by then the engines that it ended are back."""
 WAITING_SHARE = 0.02
 """Share of the online requests in calm times that may wait longer."""
 TIMED = frozenset(
@@ -32,6 +38,7 @@
         "a cancelled job stops",
         "a planned stop cuts nothing",
         "no request reaches an engine that has left",
+        "requests are served beside one under which engines end",
     )
 )
 """Promises with bounds of seconds, which a machine that is too busy breaks by itself."""
@@ -139,11 +146,15 @@
             if span is not but
         )
 
-    def in_touch(self, node, engine, at):
-        """Whether nothing befell a node, its way to the store and to an engine for a while."""
+    def in_touch(self, node, engine, at, but=""):
+        """Whether nothing befell a node, its way to the store and to an engine for a while.
+
+        Faults of kind `but` don't count.
+        """
         return not any(
             span.start <= at and span.end + TOUCH >= at and span.strikes(node, engine)
             for span in self.spans
+            if span.kind != but
         )
 
     # While it runs
@@ -207,6 +218,37 @@
         self._refused(counts, jobs)
         self._waits(runs)
 
+    def fatal_seen(self, runs, nodes):
+        """Runs of requests under which engines end; `nodes` tells where each was sent."""
+        by_number = defaultdict(list)
+        for run in runs:
+            if run.request_id in nodes:
+                by_number[run.request_id.split("-")[1]].append(run)
+        for number, own in by_number.items():
+            own.sort(key=lambda run: run.at)
+            known_at = own[FATAL_ENDS - 1].at + TOUCH if len(own) >= FATAL_ENDS else float("inf")
+            late = [
+                run.request_id
+                for run in own
+                if run.arrived_at > known_at
+                and self.in_touch(nodes[run.request_id], run.engine, run.arrived_at, FATAL_KIND)
+            ]
+            told = f"request {number}: {len(own)} engines ended, late {late}"
+            holds = len(late) <= FATAL_ENDS
+            self.check("a request under which engines end is held back", holds, told)
+
+    def served_beside_fatal(self, requests):
+        """Requests that came while one under which engines end came again and again."""
+        for span in self.spans:
+            start = span.start + SERVED_FROM
+            if span.kind != FATAL_KIND or not self.calm(start, span.end, but=span):
+                continue
+            beside = [req for req in requests if start < req.sent_at < span.end and req.ended_at]
+            served = [req for req in beside if req.status == 200 and req.whole]
+            told = f"{len(served)} of {len(beside)} from {start:.1f} on"
+            holds = len(served) >= SERVED_SHARE * len(beside)
+            self.check("requests are served beside one under which engines end", holds, told)
+
     def _left(self, runs, requests):
         nodes = {req.request_id: req.node for req in requests}
         for leaving in self.leavings:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,14 +16,26 @@
     Quarantine,
     Ruling,
 )
+from postvalve.core.admission.request_identity import RequestIdentity
 
-DIGEST = b"0123456789abcdef"
-OTHER = b"fedcba9876543210"
+REQUEST = RequestIdentity(b"0123456789abcdef", 1)
+OTHER = RequestIdentity(b"fedcba9876543210", 1)
+
+
+def variant(number):
+    return RequestIdentity(REQUEST.digest, number)
+
+
+def numbered(number):
+    return RequestIdentity(number.to_bytes(16, "big"), 1)
 
 
 def copy_of(case):
     return Case(
-        {name: Fact(fact.ended_at, fact.trial, fact.excused) for name, fact in case.facts.items()}
+        {
+            name: Fact(fact.ended_at, fact.variant, fact.trial, fact.excused)
+            for name, fact in case.facts.items()
+        }
     )
 
 
@@ -40,12 +52,12 @@
     def setUp(self):
         self.quarantine = Quarantine("n0")
 
-    def end(self, *engines, now=0.0, digest=DIGEST):
+    def end(self, *engines, now=0.0, request=REQUEST):
         for engine in engines:
-            self.quarantine.note_end(digest, engine, now)
+            self.quarantine.note_end(request, engine, now, now)
 
-    def ruling(self, now=0.0, digest=DIGEST):
-        return self.quarantine.rule(digest, now).ruling
+    def ruling(self, now=0.0, request=REQUEST):
+        return self.quarantine.rule(request, now).ruling
 
     def test_one_engine_that_ends_holds_nobody_back(self):
         self.end("e1", "e1")
@@ -58,7 +70,7 @@
 
     def test_a_third_end_holds_it_back(self):
         self.end("e1", "e2", "e3")
-        decision = self.quarantine.rule(DIGEST, 10.0)
+        decision = self.quarantine.rule(REQUEST, 10.0)
         self.assertIs(decision.ruling, Ruling.HELD)
         self.assertEqual(
             (decision.ends, decision.age, decision.seconds), (3, 10.0, HOLD_TIME - 10.0)
@@ -66,17 +78,37 @@
 
     def test_other_requests_are_not_touched(self):
         self.end("e1", "e2", "e3")
-        self.assertIs(self.ruling(digest=OTHER), Ruling.FREE)
+        self.assertIs(self.ruling(request=OTHER), Ruling.FREE)
 
     def test_after_its_time_it_runs_alone_and_one_more_end_doubles_the_time(self):
         self.end("e1", "e2", "e3")
         self.assertIs(self.ruling(now=HOLD_TIME), Ruling.ALONE)
         self.end("e4", now=HOLD_TIME)
-        self.assertEqual(self.quarantine.rule(DIGEST, HOLD_TIME).seconds, 2 * HOLD_TIME)
+        self.assertEqual(self.quarantine.rule(REQUEST, HOLD_TIME).seconds, 2 * HOLD_TIME)
+
+    def test_a_variant_under_which_no_engine_ended_runs_alone(self):
+        self.end("e1", "e2", "e3")
+        self.assertIs(self.ruling(request=variant(2)), Ruling.ALONE)
+        self.quarantine.begin_trial(variant(2), "e4", 0.0)
+        self.assertIs(self.ruling(request=variant(3)), Ruling.HELD)
+
+    def test_an_answer_to_one_variant_clears_no_other(self):
+        self.end("e1", "e2", "e3")
+        self.end("e4", request=variant(2))
+        self.quarantine.note_answered(variant(2))
+        self.assertIs(self.ruling(), Ruling.HELD)
+        self.assertIs(self.ruling(request=variant(2)), Ruling.ALONE)
+
+    def test_after_enough_variants_all_are_held_back(self):
+        self.end("e1", "e2", "e3")
+        self.end("e4", request=variant(2))
+        self.assertIs(self.ruling(request=variant(4)), Ruling.ALONE)
+        self.end("e5", request=variant(3))
+        self.assertIs(self.ruling(request=variant(4)), Ruling.HELD)
 
     def test_a_trial_holds_the_others_back_while_it_runs(self):
         self.end("e1", "e2")
-        trial = self.quarantine.begin_trial(DIGEST, "e3", 1.0)
+        trial = self.quarantine.begin_trial(REQUEST, "e3", 1.0)
         self.assertIs(self.ruling(now=1.0), Ruling.HELD)
         self.quarantine.note_alive("e3", 2.0)
         self.assertIs(self.ruling(now=2.0), Ruling.HELD)
@@ -85,8 +117,8 @@
 
     def test_a_whole_answer_clears_it(self):
         self.end("e1", "e2", "e3")
-        self.assertTrue(self.quarantine.note_answered(DIGEST))
-        self.assertFalse(self.quarantine.note_answered(DIGEST))
+        self.assertTrue(self.quarantine.note_answered(REQUEST))
+        self.assertFalse(self.quarantine.note_answered(REQUEST))
         self.assertIs(self.ruling(), Ruling.FREE)
 
     def test_an_engine_that_answers_later_had_not_ended(self):
@@ -98,11 +130,16 @@
         self.end("e3", now=1.2)
         self.assertIs(self.ruling(now=1.2), Ruling.HELD)
 
+    def test_what_is_sent_to_an_engine_that_has_ended_did_not_end_it(self):
+        self.end("e1", now=1.0)
+        self.assertFalse(self.quarantine.note_end(OTHER, "e1", 1.5, 1.6))
+        self.assertTrue(self.quarantine.note_end(OTHER, "e1", 0.5, 1.6))
+
     def test_what_is_old_is_dropped(self):
         self.end("e1", "e2", "e3")
-        self.end("e1", digest=OTHER)
+        self.end("e1", request=OTHER)
         self.quarantine.expire(DOUBT_TIME)
-        self.assertEqual(self.quarantine.digests(), [DIGEST])
+        self.assertEqual(self.quarantine.digests(), [REQUEST.digest])
         self.quarantine.expire(2 * HOLD_TIME - 1.0)
         self.assertEqual(len(self.quarantine), 1)
         self.quarantine.expire(2 * HOLD_TIME)
@@ -111,17 +148,16 @@
     def test_memory_is_bounded_and_keeps_what_weighs_most(self):
         self.end("e1", "e2", "e3")
         for number in range(2 * MAX_CASES):
-            self.end("e4", digest=number.to_bytes(16, "big"))
+            self.end("e4", request=numbered(number))
         self.assertEqual(len(self.quarantine), MAX_CASES)
         self.assertIs(self.ruling(), Ruling.HELD)
         self.end(*(f"x{number}" for number in range(100)))
-        self.assertLessEqual(len(self.quarantine.case(DIGEST).facts), MAX_FACTS)
+        self.assertLessEqual(len(self.quarantine.case(REQUEST.digest).facts), MAX_FACTS)
 
     def test_doubtful_requests_spread_over_the_engines(self):
         engines = [f"e{number}" for number in range(6)]
         chosen = {
-            self.quarantine.preferred_engine(number.to_bytes(16, "big"), engines)
-            for number in range(60)
+            self.quarantine.preferred_engine(numbered(number), engines) for number in range(60)
         }
         self.assertEqual(chosen, set(engines))
 
@@ -130,35 +166,35 @@
     def test_ends_that_three_nodes_saw_add_up(self):
         nodes = [Quarantine(f"n{number}") for number in range(3)]
         for number, node in enumerate(nodes):
-            node.note_end(DIGEST, f"e{number}", 0.0)
+            node.note_end(REQUEST, f"e{number}", 0.0, 0.0)
         for source in nodes:
             for target in nodes:
                 tell(source, target, 0.1)
         for node in nodes:
-            self.assertIs(node.rule(DIGEST, 0.1).ruling, Ruling.HELD)
+            self.assertIs(node.rule(REQUEST, 0.1).ruling, Ruling.HELD)
 
     def test_the_same_end_seen_by_two_nodes_is_one(self):
         first, second = Quarantine("a"), Quarantine("b")
-        first.note_end(DIGEST, "e1", 0.0)
-        second.note_end(DIGEST, "e1", 0.0)
+        first.note_end(REQUEST, "e1", 0.0, 0.0)
+        second.note_end(REQUEST, "e1", 0.0, 0.0)
         tell(second, first, 0.0)
-        self.assertEqual(len(first.case(DIGEST).engines()), 1)
+        self.assertEqual(len(first.case(REQUEST.digest).engines()), 1)
 
     def test_retelling_does_not_make_it_younger(self):
         first, second = Quarantine("a"), Quarantine("b")
-        first.note_end(DIGEST, "e1", 0.0)
+        first.note_end(REQUEST, "e1", 0.0, 0.0)
         for _ in range(50):
             tell(first, second, 0.2, delay=0.1)
             tell(second, first, 0.2, delay=0.1)
-        self.assertEqual(first.case(DIGEST).engines(), {"e1": 0.0})
-        self.assertEqual(second.case(DIGEST).engines(), {"e1": 0.1})
+        self.assertEqual(first.case(REQUEST.digest).engines(), {"e1": 0.0})
+        self.assertEqual(second.case(REQUEST.digest).engines(), {"e1": 0.1})
 
     def test_news_stops(self):
         """What was heard before is no news: nodes don't tell each other the same for ever."""
         first, second = Quarantine("a"), Quarantine("b")
         for number in range(3 * MAX_FACTS):
-            first.note_end(DIGEST, f"a{number}", 0.01 * number)
-            second.note_end(DIGEST, f"b{number}", 0.01 * number)
+            first.note_end(REQUEST, f"a{number}", 0.01 * number, 0.01 * number)
+            second.note_end(REQUEST, f"b{number}", 0.01 * number, 0.01 * number)
         news = []
         first.on_change = second.on_change = news.append
         for _ in range(10):
@@ -168,7 +204,7 @@
 
     def test_what_a_node_tells_that_stood_still_for_long_is_passed_over(self):
         stale, fresh = Quarantine("a"), Quarantine("b")
-        stale.note_end(DIGEST, "e1", 0.0)
+        stale.note_end(REQUEST, "e1", 0.0, 0.0)
         tell(stale, fresh, DOUBT_TIME + 1.0)
         self.assertEqual(len(fresh), 0)
 
@@ -182,12 +218,12 @@
             now += generator.random() * 0.2
             node = generator.choice(nodes)
             engine = f"e{generator.randrange(4)}"
-            digest = generator.choice((DIGEST, OTHER))
+            request = generator.choice((REQUEST, OTHER, variant(2)))
             action = generator.randrange(6)
             if action == 0:
-                node.note_end(digest, engine, now)
+                node.note_end(request, engine, now - 0.1, now)
             elif action == 1 and generator.random() < 0.3:
-                node.note_answered(digest)
+                node.note_answered(request)
             elif action == 2:
                 node.note_alive(engine, now)
             else:
@@ -196,6 +232,6 @@
             for source in nodes:
                 for target in nodes:
                     tell(source, target, now)
-        for digest in (DIGEST, OTHER):
-            rulings = {node.rule(digest, now) for node in nodes}
+        for request in (REQUEST, OTHER, variant(2), variant(3)):
+            rulings = {node.rule(request, now) for node in nodes}
             self.assertEqual(len(rulings), 1)
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -2,46 +2,67 @@
 
 import unittest
 
-from postvalve.core.admission.request_identity import DIGEST_BYTES, item_digest, request_digest
+from postvalve.core.admission.request_identity import DIGEST_BYTES, identify
+from postvalve.platform.dialect import PlatformDialect
 
-REQUEST = ("10.0.0.1", "h.example", "POST", "/a/b?c", b"body")
-ITEM = ("h.example", "/a/b?c", (("Model", "m"), ("Other", "1")), b"body")
+REQUEST = ("key", "h.example", "POST", "/a/b?c", b"body")
+HEADERS = (("Model", "m"), ("Other", "1"))
 
 
-class RequestDigestTest(unittest.TestCase):
+class IdentityTest(unittest.TestCase):
     def test_each_part_counts(self):
-        whole = request_digest(*REQUEST)
-        self.assertEqual(len(whole), DIGEST_BYTES)
+        whole = identify(*REQUEST, HEADERS)
+        self.assertEqual(len(whole.digest), DIGEST_BYTES)
         for place, part in enumerate(REQUEST):
             other = list(REQUEST)
             other[place] = part + (b"x" if isinstance(part, bytes) else "x")
-            self.assertNotEqual(request_digest(*other), whole)
+            self.assertNotEqual(identify(*other, HEADERS).digest, whole.digest)
 
     def test_parts_that_run_into_each_other_are_told_apart(self):
         self.assertNotEqual(
-            request_digest("10.0.0.1", "h.example", "POST", "/a", b"/b"),
-            request_digest("10.0.0.1", "h.example", "POST", "/a/b", b""),
+            identify("", "h.example", "POST", "/a", b"/b", ()).digest,
+            identify("", "h.example", "POST", "/a/b", b"", ()).digest,
         )
 
+    def test_other_headers_make_another_variant(self):
+        whole = identify(*REQUEST, HEADERS)
+        for headers in (HEADERS[:1], (*HEADERS, ("More", "1")), (("Model", "n"), HEADERS[1])):
+            other = identify(*REQUEST, headers)
+            self.assertEqual(other.digest, whole.digest)
+            self.assertNotEqual(other.variant, whole.variant)
 
-class ItemDigestTest(unittest.TestCase):
     def test_the_order_and_case_of_headers_do_not_count(self):
-        host, target, headers, body = ITEM
-        turned = tuple((name.upper(), value) for name, value in reversed(headers))
-        self.assertEqual(item_digest(host, target, turned, body), item_digest(*ITEM))
-
-    def test_what_an_engine_gets_counts(self):
-        host, target, headers, body = ITEM
-        for other in (
-            ("x.example", target, headers, body),
-            (host, "/other", headers, body),
-            (host, target, (*headers, ("More", "1")), body),
-            (host, target, headers, b"other"),
-        ):
-            self.assertNotEqual(item_digest(*other), item_digest(*ITEM))
-
-    def test_an_item_is_never_taken_for_an_online_request(self):
-        self.assertNotEqual(
-            item_digest("h.example", "/a", (), b"body"),
-            request_digest("", "h.example", "POST", "/a", b"body"),
-        )
+        turned = [(name.upper(), value) for name, value in reversed(HEADERS)]
+        self.assertEqual(identify(*REQUEST, turned), identify(*REQUEST, HEADERS))
+
+
+class DialectTest(unittest.TestCase):
+    def identity(self, **changes):
+        headers = {
+            "Request-Id": "1",
+            "Deadline-Ms": "5000",
+            "Length-Hint": "20",
+            "Connection": "close",
+            "Model": "m",
+            "Authorization": "Bearer a",
+            **changes,
+        }
+        return PlatformDialect().identify("h", "POST", "/a", b"body", list(headers.items()))
+
+    def test_what_changes_each_time_does_not_count(self):
+        changed = {
+            "Request-Id": "2",
+            "Deadline-Ms": "4200",
+            "Last-Event-Id": "7",
+            "Connection": "keep-alive",
+        }
+        self.assertEqual(self.identity(**changed), self.identity())
+
+    def test_callers_that_name_themselves_are_told_apart(self):
+        other = self.identity(Authorization="Bearer b")
+        self.assertNotEqual(other.digest, self.identity().digest)
+
+    def test_what_an_engine_goes_by_makes_a_variant(self):
+        other = self.identity(Model="n")
+        self.assertEqual(other.digest, self.identity().digest)
+        self.assertNotEqual(other.variant, self.identity().variant)
--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from postvalve.core.admission.quarantine import HOLD_TIME
+from postvalve.core.admission.quarantine import ENOUGH_VARIANTS, HOLD_TIME
 from postvalve.events import Event
 from tests.gateway_support import (
     BATCH_PATH,
@@ -46,8 +46,10 @@
     def ended(self):
         return [engine.engine_id for engine in self.fleet.engines if engine.ended]
 
-    def send_fatal(self, node, number):
-        return self.fleet.request(node, STREAM_PATH + "x", body=FATAL, request_id=f"fatal-{number}")
+    def send_fatal(self, node, number, **changes):
+        return self.fleet.request(
+            node, STREAM_PATH + "x", body=FATAL, request_id=f"fatal-{number}", **changes
+        )
 
 
 class OnlineTest(FatalRequestCase):
@@ -58,6 +60,18 @@
             gevent.sleep(0.15)
         self.assertLessEqual(len(self.ended()), ENOUGH_ENDS, [one.status for one in answers])
 
+    def test_it_is_known_from_whatever_address_and_with_whatever_headers_it_comes(self):
+        """It came from one address in each zone; its headers may change as well."""
+        for number in range(12):
+            self.send_fatal(
+                f"n{number % self.nodes}",
+                number,
+                caller=f"127.0.0.{1 + number % 5}",
+                headers=[("Length-Hint", str(number))],
+            )
+            gevent.sleep(0.15)
+        self.assertLessEqual(len(self.ended()), ENOUGH_ENDS + ENOUGH_VARIANTS - 1)
+
 
 class BatchItemTest(FatalRequestCase):
     def test_an_item_ends_few_engines(self):
@@ -105,11 +119,9 @@
         self.hold_back()
         self.spare_engines()
         wait_until(lambda: self.serve("n0").status == 200)
-        for changes in (
-            {"body": b"other"},
-            {"body": FATAL, "caller": "127.0.0.7"},
-        ):
-            self.assertEqual(self.serve("n1", **changes).status, 200)
+        self.assertEqual(self.serve("n1", body=b"other").status, 200)
+        other_caller = [("Authorization", "Bearer somebody")]
+        self.assertEqual(self.serve("n1", body=FATAL, headers=other_caller).status, 200)
         self.assertEqual(self.serve("n1", body=FATAL).status, 502)
         self.assertEqual(self.fleet.request("n1", STREAM_PATH + "y", body=FATAL).status, 200)
 
@@ -132,6 +144,18 @@
         self.assertIn(b"request_quarantined", self.send_fatal("m0", number).body)
         self.assertEqual(len(self.ended()), ended)
 
+    def test_a_node_that_hears_nobody_any_more_asks_the_store(self):
+        number = self.hold_back()
+        wait_until(lambda: self.fleet.topics.newest("quarantine", 0)[0].records)
+        self.fleet.start_node("n9")
+        node = self.fleet.nodes["n9"]
+        wait_until(lambda: len(node.peers.all()) == self.nodes)
+        node._quarantine._cases.clear()
+        for name in [name for name in self.fleet.nodes if name != "n9"]:
+            self.fleet.kill(name)
+        wait_until(lambda: node.status_document()["quarantine"])
+        self.assertIn(b"request_quarantined", self.send_fatal("n9", number).body)
+
     def test_a_node_that_stood_still_asks(self):
         number = self.hold_back()
         stalled = SuspendedClock()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,8 @@
     "store_down",
     "store_silent",
     "hup_series",
+    "fatal_request",
+    "node_suspend",
 )
 
 
@@ -158,6 +160,32 @@
             self.promises.runs_seen([Run("o-1", 13.0, engine="e1")], [req], [])
         self.assertEqual(self.broken(), ["no request reaches an engine that has left"] * 4)
 
+    def fatal(self, *times):
+        runs = [Run(f"f-0-{number}", at, engine=f"e{number}") for number, at in enumerate(times)]
+        self.promises.fatal_seen(runs, {run.request_id: "n0" for run in runs})
+
+    def test_a_request_under_which_engines_end_goes_on(self):
+        self.fatal(0.0, 0.1, 0.2, 0.3, 2.9, 4.0, 5.0, 6.0)
+        self.assertEqual(self.broken(), [])
+        self.fatal(0.0, 0.1, 0.2, 4.0, 5.0, 6.0, 7.0)
+        self.assertEqual(self.broken(), ["a request under which engines end is held back"])
+
+    def test_what_a_node_sends_that_was_cut_off_does_not_count(self):
+        self.promises.spans = [Span("node_stop", "n0", 1.0, 6.0), Span("fatal_request", "", 0, 9)]
+        self.fatal(0.0, 0.1, 0.2, 4.0, 5.0, 6.0, 7.0)
+        self.assertEqual(self.broken(), [])
+
+    def test_nobody_is_served_beside_it(self):
+        self.promises.spans = [Span("fatal_request", "", 0.0, 12.0)]
+        requests = [
+            Online(f"o-{number}", True, "n0", 8.0, 8.5, status=200, whole=number < 7)
+            for number in range(10)
+        ]
+        self.promises.served_beside_fatal(requests[:8])
+        self.assertEqual(self.broken(), [])
+        self.promises.served_beside_fatal(requests)
+        self.assertEqual(self.broken(), ["requests are served beside one under which engines end"])
+
     def test_a_kept_connection_that_ends_without_an_answer(self):
         cut = self.online(status=0, whole=False, kept=True)
         ran = [Run("o-1", 1.1)]
