--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -41,6 +41,11 @@
 BEGIN_TIME = 1.0
 """Seconds after a run's first event from which it is not what ended its engine: one that makes
 engines end does so as it begins to run, after 50 to 140 ms where it was seen."""
+ANSWER_TIME = 30.0
+"""Seconds for which an answer speaks for a request that comes again. One that many send runs at all
+engines at all times: without this it was held back as three engines ended for another's sake."""
+MAX_ANSWERS = 4_096
+"""Answers that are remembered: 136 a second, twice a node's share of the planned load."""
 MAX_CASES = 512
 """Requests that are known at once. One engine that ends brings as many as it has slots, 8 to 20."""
 ENOUGH_VARIANTS = 3
@@ -100,6 +105,10 @@
         """Variants under which engines ended."""
         return {fact.variant for fact in self.facts.values() if not fact.excused}
 
+    def of(self, variant: int) -> list[Fact]:
+        """Facts of one variant."""
+        return [fact for fact in self.facts.values() if fact.variant == variant]
+
     @property
     def on_trial(self) -> bool:
         """Whether a run of it is under way, as far as is known."""
@@ -214,6 +223,8 @@
         self._node_id = node_id
         self._cases: dict[bytes, Case] = {}
         self._stamps = 0
+        self._answered: dict[RequestIdentity, float] = {}
+        """When a request was answered last, the latest one last."""
         self._blamed: dict[str, _Blame] = {}
         """Engines that have ended, as far as is known."""
         self.on_change: Callable[[bytes], None] = lambda digest: None
@@ -259,12 +270,14 @@
         """An engine's connection ended under a request, before its answer was whole.
 
         Returns:
-            Whether that counts: a request that was sent there after the engine had ended for
-            somebody else did not end it.
+            Whether that counts: a request that was answered lately, or was sent there after the
+            engine had ended for somebody else, did not end it.
         """
         blame = self._blamed.get(engine)
         if blame is not None and blame.first < sent_at:
             return False
+        if self._was_answered(identity, now):
+            return False
         self._add(identity, engine, now, trial=False)
         return True
 
@@ -281,13 +294,17 @@
         if case is not None and trial.fact in case.facts:
             self._excuse(trial.digest, case, [case.facts[trial.fact]])
 
-    def note_answered(self, identity: RequestIdentity) -> bool:
+    def note_answered(self, identity: RequestIdentity, now: float) -> bool:
         """The request got a whole answer: no engine ended because of it. Tells if that is news."""
+        self._answered.pop(identity, None)
+        self._answered[identity] = now
+        if len(self._answered) > MAX_ANSWERS:
+            del self._answered[next(iter(self._answered))]
         case = self._cases.get(identity.digest)
-        if case is None:
-            return False
-        same = [fact for fact in case.facts.values() if fact.variant == identity.variant]
-        return self._excuse(identity.digest, case, same)
+        return case is not None and self._excuse(identity.digest, case, case.of(identity.variant))
+
+    def _was_answered(self, identity: RequestIdentity, at: float) -> bool:
+        return at - self._answered.get(identity, float("-inf")) < ANSWER_TIME
 
     def note_alive(self, engine: str, sent_at: float) -> None:
         """An engine answered a request that was sent to it at `sent_at`: it had not ended."""
@@ -318,8 +335,17 @@
             self._blame(name.engine, fact)
         self._keep(digest, case)
         self.on_change(digest)
+        self._speak_for(digest, case)
         return True
 
+    def _speak_for(self, digest: bytes, case: Case) -> None:
+        """Excuse what others tell of a request that this node saw answered lately."""
+        for variant in case.variants():
+            facts = case.of(variant)
+            first = min(fact.ended_at for fact in facts if not fact.excused)
+            if self._was_answered(RequestIdentity(digest, variant), first):
+                self._excuse(digest, case, facts)
+
     def expire(self, now: float) -> list[tuple[bytes, Case]]:
         """Drop what is not needed any more; returns it. Called about each second."""
         cases = self._cases.items()
--- a/postvalve/gateway/request_guard.py
+++ b/postvalve/gateway/request_guard.py
@@ -90,7 +90,7 @@
     def note_answered(self) -> None:
         """The engine's answer is whole."""
         self._end_trial()
-        if len(self._quarantine) and self._quarantine.note_answered(self.identity):
+        if self._quarantine.note_answered(self.identity, self._clock.monotonic()):
             self._events.emit(
                 Event.QUARANTINE_CLEARED,
                 request=self._request_id,
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -20,7 +20,7 @@
 """Begins the bodies under which an engine ends."""
 ENDS_AFTER = 0.06
 """Seconds that it runs such a request."""
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class SoakEngine(StandInEngine):
@@ -46,7 +46,7 @@
             )
             if self.bodies[request_id].startswith(FATAL):
                 if len(request_id) % 2:
-                    connection.sendall(HEAD)
+                    connection.sendall(HEAD.format(request_id).encode())
                 gevent.sleep(ENDS_AFTER)
                 os._exit(1)
             try:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,8 +7,10 @@
 from hypothesis import strategies as st
 
 from postvalve.core.admission.quarantine import (
+    ANSWER_TIME,
     DOUBT_TIME,
     HOLD_TIME,
+    MAX_ANSWERS,
     MAX_CASES,
     MAX_FACTS,
     Case,
@@ -95,7 +97,7 @@
     def test_an_answer_to_one_variant_clears_no_other(self):
         self.end("e1", "e2", "e3")
         self.end("e4", request=variant(2))
-        self.quarantine.note_answered(variant(2))
+        self.quarantine.note_answered(variant(2), 0.0)
         self.assertIs(self.ruling(), Ruling.HELD)
         self.assertIs(self.ruling(request=variant(2)), Ruling.ALONE)
 
@@ -117,10 +119,22 @@
 
     def test_a_whole_answer_clears_it(self):
         self.end("e1", "e2", "e3")
-        self.assertTrue(self.quarantine.note_answered(REQUEST))
-        self.assertFalse(self.quarantine.note_answered(REQUEST))
+        self.assertTrue(self.quarantine.note_answered(REQUEST, 0.0))
+        self.assertFalse(self.quarantine.note_answered(REQUEST, 0.0))
         self.assertIs(self.ruling(), Ruling.FREE)
 
+    def test_one_that_was_answered_lately_did_not_end_an_engine(self):
+        self.quarantine.note_answered(REQUEST, 0.0)
+        self.end("e1", "e2", "e3", now=ANSWER_TIME - 1.0)
+        self.assertIs(self.ruling(now=ANSWER_TIME - 1.0), Ruling.FREE)
+        self.end("e1", "e2", "e3", now=ANSWER_TIME)
+        self.assertIs(self.ruling(now=ANSWER_TIME), Ruling.HELD)
+
+    def test_answers_are_remembered_in_bounds(self):
+        for number in range(2 * MAX_ANSWERS):
+            self.quarantine.note_answered(numbered(number), 0.0)
+        self.assertEqual(len(self.quarantine._answered), MAX_ANSWERS)
+
     def test_an_engine_that_answers_later_had_not_ended(self):
         self.end("e1", "e2", "e3", now=1.0)
         self.quarantine.note_alive("e3", 0.9)
@@ -189,6 +203,15 @@
         self.assertEqual(first.case(REQUEST.digest).engines(), {"e1": 0.0})
         self.assertEqual(second.case(REQUEST.digest).engines(), {"e1": 0.1})
 
+    def test_a_node_that_saw_it_answered_speaks_for_it(self):
+        first, second = Quarantine("a"), Quarantine("b")
+        second.note_answered(REQUEST, 0.0)
+        for number in range(3):
+            first.note_end(REQUEST, f"e{number}", 1.0, 1.0)
+        tell(first, second, 1.1)
+        tell(second, first, 1.2)
+        self.assertIs(first.rule(REQUEST, 1.2).ruling, Ruling.FREE)
+
     def test_news_stops(self):
         """What was heard before is no news: nodes don't tell each other the same for ever."""
         first, second = Quarantine("a"), Quarantine("b")
@@ -223,7 +246,7 @@
             if action == 0:
                 node.note_end(request, engine, now - 0.1, now)
             elif action == 1 and generator.random() < 0.3:
-                node.note_answered(request)
+                node.note_answered(request, now)
             elif action == 2:
                 node.note_alive(engine, now)
             else:
