--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -23,6 +23,7 @@
     SuspendedClock,
     wait_until,
 )
+from tests.test_gateway_jobs import job_body
 
 FATAL = b"the body under which engines end"
 ENOUGH_ENDS = 3
@@ -207,3 +208,33 @@
             for other in range(10):
                 self.fleet.request("n0", STREAM_PATH + f"o{other}", request_id=f"o{number}-{other}")
         self.assertEqual(self.fleet.request("n0", STREAM_PATH + "x", body=b"cut").status, 200)
+
+
+class FailingItemTest(unittest.TestCase):
+    """An item that an engine answers with a failure at each run.
+
+    Its runs were counted by the node that worked on its job, so a node that took the job over began
+    at zero: with three runs allowed, two nodes gave it five.
+    """
+
+    def test_its_runs_count_over_the_nodes_that_work_on_its_job(self):
+        fleet = GatewayFleet(nodes=2, engines=2)
+        self.addCleanup(fleet.stop)
+        wait_until(lambda: all(len(one.peers.all()) == 1 for one in fleet.nodes.values()))
+        for engine in fleet.engines:
+            engine.usual = Behaviour(status=500, thinks=0.3)
+        body = job_body("job", items=1)
+        self.assertEqual(
+            fleet.request("n0", BATCH_PATH + "x", body=body, request_id="job").status, 202
+        )
+        holder = next(name for name, node in fleet.nodes.items() if node._runner.in_progress)
+        wait_until(lambda: len(fleet.events(holder, Event.ROUTED_ITEM_FAILED)) == 2)
+        gevent.sleep(0.05)
+        fleet.kill(holder)
+        other = next(iter(fleet.nodes))
+        wait_until(
+            lambda: fleet.request(other, "/api/lots/job?watchAfter=0", method="GET").document[
+                "results"
+            ]
+        )
+        self.assertLessEqual(sum(len(engine.runs) for engine in fleet.engines), 4)
