An item's failed runs count over all nodes that work on its job

Cause: RunningItem.failures began at zero where a node took the job over. Change: each failure is kept in the topic of saved progress under a key of its own; who restores a job adds what is found. Looked at beside it: an engine's standing and the longest time that clients give are each node's own guesses; no promise hangs on them.

--- a/postvalve/core/batch/progress.py
+++ b/postvalve/core/batch/progress.py
@@ -25,11 +25,17 @@
     """How long it has run, in milliseconds."""
 
 
+FAILURES = "failures"
+"""In place of a chain's name: the record that counts an item's failed runs."""
+
+
 @dataclass(slots=True)
 class SavedJob:
     """Saved items of one job, and every key that was found for it."""
 
     items: dict[int, SavedItem] = field(default_factory=dict)
+    failures: dict[int, int] = field(default_factory=dict)
+    """Failed runs by item, of all nodes that worked on the job."""
     keys: list[str] = field(default_factory=list)
 
 
@@ -43,6 +49,11 @@
     return f"{job_id}/{index:05d}/{chain}/{number:04d}"
 
 
+def failures_key(job_id: str, index: int) -> str:
+    """The key under which a node keeps the number of an item's failed runs."""
+    return segment_key(job_id, index, FAILURES, 0)
+
+
 def job_of_key(key: str) -> str:
     """The id of the job to which a segment belongs."""
     return key.partition("/")[0]
@@ -65,6 +76,9 @@
             segment = gateway.ItemProgress().parse(value)
         except Exception:  # the codec raises whatever its inner calls raise
             continue
+        if chain == FAILURES:
+            saved.failures[name] = max(segment.failures, saved.failures.get(name, 0))
+            continue
         chains.setdefault((name, chain), {})[number] = segment
     for (index, _), segments in sorted(chains.items()):
         item = _joined(segments)
--- a/postvalve/gateway/item_progress.py
+++ b/postvalve/gateway/item_progress.py
@@ -17,6 +17,7 @@
 from postvalve.core.batch.progress import (
     SavedJob,
     assemble,
+    failures_key,
     job_of_key,
     job_prefix,
     segment_key,
@@ -48,6 +49,7 @@
     events: list[bytes]
     last_event_id: int | None
     cancelled: bool
+    failures: int
     chain: Chain
 
     def seconds_run(self, now: float) -> float:
@@ -117,6 +119,18 @@
                     return
             self._drop()
 
+    def save_failures(self, item: Progressing) -> None:
+        """Let whoever takes the item's job over know how often the item failed."""
+        segment = gateway.ItemProgress(failures=item.failures)
+        record = KeyedRecord(failures_key(item.job_id, item.index), bytes(segment))
+        try:
+            self._topics.append(PROGRESS_TOPIC, self._own_partition, [record])
+        except StoreUnavailableError as exc:
+            # The next failure tells it again.
+            self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, job=item.job_id)
+        if item.cancelled:
+            self._dropped[self._own_partition].append(record.key)
+
     def _append(self, part: Sequence[_Save]) -> bool:
         records = [one.record for one in part]
         try:
@@ -173,6 +187,8 @@
             segment_key(item.job_id, item.index, chain.name, number)
             for number in range(chain.segments)
         ]
+        if item.failures:
+            self._dropped[self._own_partition].append(failures_key(item.job_id, item.index))
 
     def _drop(self) -> None:
         for partition, keys in list(self._dropped.items()):
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -204,6 +204,8 @@
                     item.events = [unpack_segment(text) for text in known.texts]
                     item.last_event_id = known.last_event_id
                     item.run_seconds = known.run_ms / 1000
+                # Failures may have been counted here while the saved ones were read.
+                item.failures += saved.failures.get(index, 0)
                 item.not_before = 0.0
             self._events.emit(
                 Event.ROUTED_JOB_RESTORED,
@@ -425,6 +427,7 @@
             if item.failures >= max(1, job.accepted.max_attempts):
                 self._end(item, ItemState.DEAD, b"")
                 return
+            gevent.spawn(self._progress.save_failures, item)
             raise AttemptError(f"the item failed: {answer.status}", Verdict.RAN)
         if judgement is Judgement.REPLACED:
             self._fleet.note_replaced(engine_id)
--- a/tests/test_item_progress.py
+++ b/tests/test_item_progress.py
@@ -42,6 +42,7 @@
     events: list = field(default_factory=list)
     last_event_id: int | None = None
     cancelled: bool = False
+    failures: int = 0
     chain: Chain = field(default_factory=Chain)
 
     def seconds_run(self, now):
