--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -362,6 +362,7 @@
         self._metrics.directory_age.set(knowledge.directory_age)
         self._metrics.revision_age.set(knowledge.revision_age)
         self._metrics.connections.set(self._pool.opened)
+        self._metrics.quarantined.set(len(self._quarantine))
         self._metrics.dropped_log_lines.set(self._events.dropped)
         return "200 OK", self._metrics.exposition()
 
--- a/postvalve/gateway/metrics.py
+++ b/postvalve/gateway/metrics.py
@@ -50,6 +50,11 @@
             "Of which changes of the configuration are not known",
             registry=self.registry,
         )
+        self.quarantined = Gauge(
+            "postvalve_quarantine_requests",
+            "Requests under which engines ended lately, as this node knows",
+            registry=self.registry,
+        )
         self.dropped_log_lines = Gauge(
             "postvalve_log_lines_dropped", "Since the start", registry=self.registry
         )
--- /dev/null
+++ b/postvalve/gateway/pace_observer.py
@@ -0,0 +1,103 @@
+"""What one routed request teaches of its service's pace: first events, queues, slots held."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from postvalve.clock import Clock
+from postvalve.events import Event, EventLog
+from postvalve.gateway.fleet import EngineFleet, Placement
+from postvalve.gateway.metrics import GatewayMetrics
+
+
+@dataclass(slots=True)
+class Attempts:
+    """How often a request was sent."""
+
+    tries: int = 0
+    refused_rounds: int = 0
+    """Times that every engine has refused the request."""
+
+
+class PaceObserver:
+    """Watches one request."""
+
+    def __init__(
+        self,
+        fleet: EngineFleet,
+        clock: Clock,
+        events: EventLog,
+        metrics: GatewayMetrics,
+        service: str,
+        request_id: str,
+        arrived_at: float,
+        target_latency: float,
+    ) -> None:
+        """Watch a request.
+
+        Args:
+            service: Who serves it.
+            arrived_at: Monotonic seconds.
+            target_latency: Seconds after which its first event is late.
+        """
+        self._fleet = fleet
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._service = service
+        self._request_id = request_id
+        self._arrived_at = arrived_at
+        self._target_latency = target_latency
+        self._placed_at = 0.0
+        self._first_at = 0.0
+        """When the first event came; 0 before."""
+
+    def note_placed(self, now: float) -> None:
+        """An attempt begins."""
+        self._placed_at = now
+
+    def note_first_event(self, placement: Placement | None, attempts: Attempts) -> None:
+        """The request's first event came."""
+        waited = self._clock.monotonic() - self._arrived_at
+        self._metrics.first_event.observe(waited)
+        if placement is None:
+            return
+        self._learn_first_event(placement)
+        if waited <= self._target_latency:
+            return
+        self._events.emit(
+            Event.ROUTED_REQUEST_SLOW,
+            request=self._request_id,
+            engine=placement.engine.engine_id,
+            engine_zone=placement.engine.zone,
+            slots=placement.engine.slots,
+            online=placement.online_seen,
+            batch=placement.batch_seen,
+            unread=placement.unread_seen,
+            attempt=attempts.tries,
+            refused_rounds=attempts.refused_rounds,
+            placed=round(self._placed_at - self._arrived_at, 3),
+            waited=round(waited, 3),
+        )
+
+    def _learn_first_event(self, placement: Placement) -> None:
+        now = self._first_at = self._clock.monotonic()
+        pace = self._fleet.pace(self._service)
+        seconds = now - self._placed_at
+        if placement.found_slot:
+            pace.observe_first(placement.to_read, seconds)
+        if not pace.known:
+            return
+        pace.observe_error(placement.expected, seconds)
+        slots = placement.engine.slots
+        queued = placement.online_seen - slots + 1
+        if queued > 0:
+            pace.observe_queue(queued, slots, seconds - pace.first_event(placement.to_read))
+
+    def note_end(self, placement: Placement | None) -> None:
+        """A stream ended whole: learn how long it held its slot."""
+        if placement is None or not self._first_at:
+            return
+        pace = self._fleet.pace(self._service)
+        read = min(self._first_at - self._placed_at, pace.first_event(placement.to_read))
+        pace.observe_held(self._clock.monotonic() - self._first_at + max(0.0, read))
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -16,6 +16,7 @@
 from postvalve.gateway.fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.pace_observer import Attempts, PaceObserver
 from postvalve.gateway.request_guard import RequestGuard
 from postvalve.gateway.waiting_room import WaitingRoom
 from postvalve.settings.routes import RepeatPolicy, RouteSpec
@@ -73,10 +74,7 @@
 
 
 @dataclass(slots=True)
-class _Progress:
-    tries: int = 0
-    refused_rounds: int = 0
-    """Times that every engine has refused the request."""
+class _Progress(Attempts):
     runs: int = 0
     """Engines that may have run the request."""
     unanswered: bool = False
@@ -122,9 +120,16 @@
         self._answer: EngineAnswer | None = None
         self._client_gone = False
         self._finished = False
-        self._placed_at = 0.0
-        self._first_at = 0.0
-        """When the first event came."""
+        self._pace = PaceObserver(
+            services.fleet,
+            services.clock,
+            services.events,
+            services.metrics,
+            request.service,
+            request.terms.request_id,
+            request.arrived_at,
+            request.route.target_latency,
+        )
         self._judged = False
         """Whether the attempt under way has a head, and was counted as a run."""
 
@@ -197,7 +202,8 @@
         self._progress.tries += 1
         self._judged = False
         self._progress.tried.add(placement.engine.engine_id)
-        now = self._placed_at = self._clock.monotonic()
+        now = self._clock.monotonic()
+        self._pace.note_placed(now)
         headers = self._services.dialect.attempt_headers(
             request.headers,
             placement.engine.engine_id,
@@ -398,7 +404,7 @@
                 rest = answer.rest_of_body()
                 if rest:
                     yield rest
-                self._learn_slot_time()
+                self._pace.note_end(self._placement)
                 self._note_success()
                 return
             self._note_event(event)
@@ -414,58 +420,12 @@
         if self._placement is not None:
             self._fleet.note_read(self._placement)
         if not progress.events:
-            self._note_first_event()
+            self._pace.note_first_event(self._placement, progress)
         progress.events += 1
         number = event_id_of(event)
         if number is not None:
             progress.last_event_id = number
 
-    def _note_first_event(self) -> None:
-        request, placement = self._request, self._placement
-        waited = self._clock.monotonic() - request.arrived_at
-        self._services.metrics.first_event.observe(waited)
-        if placement is None:
-            return
-        self._learn_first_event(placement)
-        if waited <= request.route.target_latency:
-            return
-        self._services.events.emit(
-            Event.ROUTED_REQUEST_SLOW,
-            request=request.terms.request_id,
-            engine=self._engine_id,
-            engine_zone=placement.engine.zone,
-            slots=placement.engine.slots,
-            online=placement.online_seen,
-            batch=placement.batch_seen,
-            unread=placement.unread_seen,
-            attempt=self._progress.tries,
-            refused_rounds=self._progress.refused_rounds,
-            placed=round(self._placed_at - request.arrived_at, 3),
-            waited=round(waited, 3),
-        )
-
-    def _learn_first_event(self, placement: Placement) -> None:
-        now = self._first_at = self._clock.monotonic()
-        pace = self._fleet.pace(self._request.service)
-        seconds = now - self._placed_at
-        if placement.found_slot:
-            pace.observe_first(placement.to_read, seconds)
-        if not pace.known:
-            return
-        pace.observe_error(placement.expected, seconds)
-        slots = placement.engine.slots
-        queued = placement.online_seen - slots + 1
-        if queued > 0:
-            pace.observe_queue(queued, slots, seconds - pace.first_event(placement.to_read))
-
-    def _learn_slot_time(self) -> None:
-        """Note how long a whole stream held its slot."""
-        if self._placement is None or not self._first_at:
-            return
-        pace = self._fleet.pace(self._request.service)
-        read = min(self._first_at - self._placed_at, pace.first_event(self._placement.to_read))
-        pace.observe_held(self._clock.monotonic() - self._first_at + max(0.0, read))
-
     def _resume(self, error: AttemptError) -> None:
         self._progress.runs -= 1  # counted when its head came
         self._fail_attempt(error)
