--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/item_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Callable
 
@@ -14,7 +13,6 @@
 from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
 from postvalve.core.batch.job_board import BoardJob
-from postvalve.core.batch.progress import SavedJob
 from postvalve.core.membership import load_report
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event, EventLog
@@ -25,11 +23,12 @@
 from postvalve.gateway.fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
 from postvalve.gateway.item_preemption import ItemPreemption
-from postvalve.gateway.item_progress import ProgressLog, unpack_segment
+from postvalve.gateway.item_progress import ProgressLog
 from postvalve.gateway.job_log import JobLog
 from postvalve.gateway.job_service import JobService
 from postvalve.gateway.load_reports import LoadReports
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.own_items import OwnItems
 from postvalve.gateway.request_guard import RequestGuard
 from postvalve.gateway.result_texts import pack_text
 from postvalve.gateway.running_item import RunningItem
@@ -96,29 +95,34 @@
         self._quarantine = quarantine
         self._ends = ends
         self._progress = progress
-        progress.unfinished = self._unfinished
-        self._items: dict[str, dict[int, RunningItem]] = {}
         self._wakeup = GeventEvent()
+        self._own = OwnItems(identity, events, log, jobs, progress, self.wake)
+        self._own.on_taken = reports.changed
         self._looked_at = float("-inf")
         self._estimate = DurationEstimate()
-        self._told_lost: set[str] = set()
         self._preemption = ItemPreemption(
-            identity.node_id, fleet, reports.items, self._unfinished, self._urgency
+            identity.node_id, fleet, reports.items, self._own.all, self._urgency
         )
         self._ended_lately: deque[tuple[float, load_report.RunningItem]] = deque()
-        self.draining = False
-        log.listen(self._jobs_changed)
         reports.waiting_due = self.waiting_due
         reports.running_items = self.running_items
         reports.items_running = self._preemption.report
         reports.watch.on_give_way = self._preemption.stop_one
         reports.watch.own_urgencies = self._preemption.urgencies_at
 
+    @property
+    def draining(self) -> bool:
+        """Whether this node is about to end: it starts nothing any more."""
+        return self._own.draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        self._own.draining = draining
+
     @property
     def in_progress(self) -> int:
         """Items that run, and ends that are not durable yet."""
-        running = sum(one.running for items in self._items.values() for one in items.values())
-        return running + self._ends.pending
+        return sum(one.running for one in self._own.all()) + self._ends.pending
 
     def waiting_due(self) -> list[int]:
         """Urgencies of the items that wait here, ascending."""
@@ -128,8 +132,7 @@
         """Items that run here, and those whose ends may not be read everywhere yet."""
         running = [
             load_report.RunningItem(job_id=item.job_id, item_index=item.index)
-            for items in self._items.values()
-            for item in items.values()
+            for item in self._own.all()
             if item.running
         ]
         now = self._clock.monotonic()
@@ -150,113 +153,20 @@
 
     def note_peers(self) -> None:
         """Peers have told something: a look is worth it only where this node has items."""
-        if self._items:
-            self._wakeup.set()
-
-    def _jobs_changed(self, touched: set[str]) -> None:
-        for job_id in touched:
-            job = self._log.board.jobs.get(job_id)
-            if job is None or not job.open:
-                self._drop_job(job_id)
-            elif not self._is_mine(job):
-                self._lose_job(job)
-            elif job_id in self._items:
-                for index in job.finished & self._items[job_id].keys():
-                    self._drop_item(job_id, index)
-            else:
-                self._take_job(job)
-        self._wakeup.set()
-
-    def _is_mine(self, job: BoardJob) -> bool:
-        identity = self._identity
-        return job.node_id == identity.node_id and job.incarnation == identity.incarnation
-
-    def _take_job(self, job: BoardJob) -> None:
-        due = job.accepted.due_at_ms
-        items = {
-            index: RunningItem(
-                job.job_id,
-                index,
-                job.claim_id,
-                due,
-                output_tokens=job.items[index].output_tokens,
-                prompt_tokens=job.items[index].prompt_tokens,
-            )
-            for index in job.unfinished()
-        }
-        self._items[job.job_id] = items
-        self._reports.changed()
-        if job.taken_over:
-            for item in items.values():
-                item.not_before = math.inf
-            gevent.spawn(self._restore, job, items)
-
-    def _restore(self, job: BoardJob, items: dict[int, RunningItem]) -> None:
-        """Let the items of a job that was taken over go on where they are known to be."""
-        saved = SavedJob()
-        try:
-            self._jobs.fetch_requests(job)
-            saved = self._progress.restore(job)
-        finally:
-            for index, item in items.items():
-                known = saved.items.get(index)
-                if known is not None:
-                    item.events = [unpack_segment(text) for text in known.texts]
-                    item.last_event_id = known.last_event_id
-                    item.run_seconds = known.run_ms / 1000
-                # Failures may have been counted here while the saved ones were read.
-                item.failures += saved.failures.get(index, 0)
-                item.not_before = 0.0
-            self._events.emit(
-                Event.ROUTED_JOB_RESTORED,
-                job=job.job_id,
-                items=len(items),
-                restored=len(saved.items.keys() & items.keys()),
-                segments=len(saved.keys),
-            )
+        if self._own.by_job:
             self._wakeup.set()
 
-    def _unfinished(self) -> list[RunningItem]:
-        return [item for items in self._items.values() for item in items.values()]
-
-    def _lose_job(self, job: BoardJob) -> None:
-        if job.job_id not in self._items:
-            return
-        if job.job_id not in self._told_lost:
-            self._told_lost.add(job.job_id)
-            self._events.emit(Event.ROUTED_JOB_LOST, job=job.job_id, to=job.node_id)
-        if not self.draining:
-            self._drop_job(job.job_id)
-            return
-        # What runs at a leaving node ends here; its reports say so.
-        for index, item in list(self._items[job.job_id].items()):
-            if not item.running or index in job.finished:
-                self._drop_item(job.job_id, index)
-
     def abandon(self) -> None:
         """Drop everything at once."""
         self.draining = True
-        for job_id in list(self._items):
-            self._drop_job(job_id)
-
-    def _drop_job(self, job_id: str) -> None:
-        for index in list(self._items.get(job_id, ())):
-            self._drop_item(job_id, index)
-        self._items.pop(job_id, None)
-        self._told_lost.discard(job_id)
-
-    def _drop_item(self, job_id: str, index: int) -> None:
-        item = self._items[job_id].pop(index)
-        item.cancelled = True
-        if item.answer is not None:
-            item.answer.abort()
+        self._own.drop_all()
 
     # Starting
 
     def run(self) -> None:
         """Start items for ever, as there is room."""
         while True:
-            self._wakeup.wait(START_INTERVAL if self._items else IDLE_INTERVAL)
+            self._wakeup.wait(START_INTERVAL if self._own.by_job else IDLE_INTERVAL)
             # A look that is due goes with what woke this node up; a timer would wake it up again.
             if (early := self._looked_at + LOOK_PAUSE - self._clock.monotonic()) > 0:
                 gevent.sleep(early)
@@ -271,8 +181,7 @@
         elsewhere = self._peers.running_at_leaving()
         waiting = [
             item
-            for items in self._items.values()
-            for item in items.values()
+            for item in self._own.all()
             if not item.running
             and item.not_before <= now
             and (item.job_id, item.index) not in elsewhere
@@ -502,9 +411,7 @@
             self._end(item, ItemState.COMPLETED, b"\n".join(item.events))
 
     def _end(self, item: RunningItem, state: ItemState, text: bytes) -> None:
-        items = self._items.get(item.job_id, {})
-        items.pop(item.index, None)
-        item.cancelled = True
+        self._own.remove(item)
         self._progress.forget(item)
         ended = load_report.RunningItem(job_id=item.job_id, item_index=item.index)
         self._ended_lately.append((self._clock.monotonic(), ended))
@@ -527,7 +434,7 @@
         while True:
             gevent.sleep(1.0)
             now_ms = milliseconds(self._clock.wall())
-            for job_id, items in list(self._items.items()):
+            for job_id, items in list(self._own.by_job.items()):
                 job = self._log.board.jobs.get(job_id)
                 if job is None or now_ms < job.accepted.give_up_at_ms + GIVE_UP_MARGIN_MS:
                     continue
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -201,7 +201,7 @@
         with mock.patch.object(runner, "_wakeup") as wakeup:
             runner.note_peers()
             wakeup.set.assert_not_called()
-            runner._items["j"] = {}
+            runner._own.by_job["j"] = {}
             runner.note_peers()
             wakeup.set.assert_called_once_with()
 
