Quarantine: a node reads the store where a quarter of its peers is lost, and tells those that are heard

Cause: read in the code: one node that ends for good made all others read the store for a minute, which grows with the square of the fleet; news went to announced nodes that are long gone too.

--- a/postvalve/gateway/quarantine_sharing.py
+++ b/postvalve/gateway/quarantine_sharing.py
@@ -45,6 +45,9 @@
 STORE_INTERVAL = 1.0
 """Seconds between reads of the store by a node that hears fewer peers than a while ago: where it is
 cut off from them, the store is what both sides reach."""
+CUT_SHARE = 0.75
+"""Share of those peers below which it counts as cut off. One node that ends is no cut: that all
+others read the store for it would grow with the square of the fleet."""
 CUT_TIME = 60.0
 """Seconds for which it reads the store then; after that the others count as gone."""
 STALL = 1.0
@@ -110,7 +113,9 @@
                 self._services.transport.send(address, data)
 
     def _some_peers(self, count: int) -> list[str]:
-        addresses = [address for address, _ in self._services.known_nodes().values()]
+        heard = [peer.report.peer_address for peer in self._services.peers.all()]
+        # A node that starts has heard nobody yet, and knows who has announced itself.
+        addresses = heard or [address for address, _ in self._services.known_nodes().values()]
         drawn = sorted(addresses, key=lambda address: self._services.generator.uniform(0, 1))
         return drawn[:count]
 
@@ -186,11 +191,11 @@
             gevent.spawn(self._read_store)
 
     def _lacks_peers(self, now: float) -> bool:
-        """Whether this node heard more peers lately than it hears now."""
+        """Whether this node heard many more peers lately than it hears now."""
         heard = self._services.peers.count()
         if heard >= self._most_peers or now - self._most_peers_at > CUT_TIME:
             self._most_peers, self._most_peers_at = heard, now
-        return heard < self._most_peers
+        return heard < self._most_peers * CUT_SHARE
 
     def _ask_peers(self) -> None:
         addresses = self._some_peers(LEARN_PEERS)
