--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from tests.gateway_support import take_ports
 from tests.soak.clients import Clients, runs_in
 from tests.soak.faults import KINDS, schedule
 from tests.soak.fleet import ENGINES, NODES, Fleet
@@ -120,7 +121,12 @@
     parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--engines", type=int, default=ENGINES)
     parser.add_argument("--runs", type=int, default=1, help="so many seeds that follow --seed")
+    parser.add_argument(
+        "--ports", help="FIRST-LAST, for soaks beside each other; each takes some hundred"
+    )
     arguments = parser.parse_args()
+    if arguments.ports:
+        take_ports(*map(int, arguments.ports.split("-")))
     kinds = [kind for kind in arguments.faults.split(",") if kind]
     unknown = sorted(set(kinds) - KINDS.keys())
     if unknown or not kinds:
--- a/tests/soak/node.py
+++ b/tests/soak/node.py
@@ -8,8 +8,6 @@
 import sys
 import time
 
-import gevent
-
 from postvalve import startup
 
 TICK = 0.02
@@ -29,6 +27,8 @@
         return self._running() - self._suspended
 
     def tick(self):
+        import gevent
+
         while True:
             self._ticked_at = time.time()
             gevent.sleep(TICK)
@@ -45,6 +45,10 @@
 
 
 def main():
+    # As in the program itself: a signal that comes while modules are imported must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import gevent
+
     clock = SteadyClock()
     time.monotonic = clock
     gevent.spawn(clock.tick)
