Quarantine: long runs clear a request; rounds and drops are bounded

Cause, read in the code: an innocent item that three engines cut short would be held back past its job's time; rounds told all that is known (512 requests: 150 KB/s a node, computed); each look of a node cut off from its peers dropped old records anew. Change: a run that gave tokens for a second counts as an answer; two datagrams a round; one drop each.

--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -295,7 +295,11 @@
             self._excuse(trial.digest, case, [case.facts[trial.fact]])
 
     def note_answered(self, identity: RequestIdentity, now: float) -> bool:
-        """The request got a whole answer: no engine ended because of it. Tells if that is news."""
+        """An engine ran the request, to its end or for long: none ended because of it.
+
+        Returns:
+            Whether that is news.
+        """
         self._answered.pop(identity, None)
         self._answered[identity] = now
         if len(self._answered) > MAX_ANSWERS:
--- a/postvalve/gateway/quarantine_sharing.py
+++ b/postvalve/gateway/quarantine_sharing.py
@@ -33,6 +33,8 @@
 """Seconds between rounds in which what is known is told again."""
 ROUND_PEERS = 3
 """Peers that are told in a round; each node is so told by three others a second in the mean."""
+ROUND_DATAGRAMS = 2
+"""Datagrams of a round, those of the most engines first: 7 KB/s at the most with three peers."""
 DATAGRAM_BYTES = 1_200
 """Of one datagram, so that it goes in one piece."""
 NEWS_DATAGRAMS = 1
@@ -66,6 +68,8 @@
         self._news: set[bytes] = set()
         self._saved: dict[bytes, int] = {}
         """Requests that this node has told the store of, and the number of engines told."""
+        self._over: set[bytes] = set()
+        """Requests that the store kept too long, dropped by this node."""
         self._round_at = float("-inf")
         self._changed = GeventEvent()
         self._looked_at = self._read_at = self._clock.monotonic()
@@ -88,7 +92,7 @@
             now = self._clock.monotonic()
             if now - self._round_at >= ROUND_INTERVAL:
                 self._round_at = now
-                self._tell(self._quarantine.digests(), ROUND_PEERS, None)
+                self._tell(self._quarantine.digests(), ROUND_PEERS, ROUND_DATAGRAMS)
                 self._expire(now)
                 for digest in self._quarantine.digests():
                     self._keep_in_store(digest)
@@ -103,7 +107,7 @@
         for digest in news:
             self._keep_in_store(digest)
 
-    def _tell(self, digests: Iterable[bytes], peers: int, datagrams: int | None) -> None:
+    def _tell(self, digests: Iterable[bytes], peers: int, datagrams: int) -> None:
         addresses = self._some_peers(peers)
         if not addresses:
             return
@@ -116,14 +120,17 @@
         heard = [peer.report.peer_address for peer in self._services.peers.all()]
         # A node that starts has heard nobody yet, and knows who has announced itself.
         addresses = heard or [address for address, _ in self._services.known_nodes().values()]
-        drawn = sorted(addresses, key=lambda address: self._services.generator.uniform(0, 1))
-        return drawn[:count]
+        return sorted(addresses, key=lambda address: self._draw())[:count]
+
+    def _draw(self) -> float:
+        return self._services.generator.uniform(0, 1)
 
     def _messages(self, digests: Iterable[bytes]) -> list[gateway.QuarantineNews]:
         """What is known of these requests, in messages that fit into datagrams."""
         now = self._clock.monotonic()
         known = [(one, case) for one in digests if (case := self._quarantine.case(one))]
-        known.sort(key=lambda one: len(one[1].engines()), reverse=True)
+        # Those of equal weight in turns: not all of them may fit.
+        known.sort(key=lambda one: (-len(one[1].engines()), self._draw()))
         messages: list[gateway.QuarantineNews] = []
         room = 0
         for digest, case in known:
@@ -236,7 +243,7 @@
         since = max(0, milliseconds(self._clock.wall()) - saved.written_at_ms) / 1000
         told = _unpack(saved.request, self._clock.monotonic() - since)
         if told.forgotten_at() <= self._clock.monotonic():
-            self._drop(saved.request.digest)
+            self._drop_once(saved.request.digest)
         else:
             self._saved[saved.request.digest] = len(told.engines())
             self._merge(saved.request.digest, told, "store")
@@ -269,6 +276,12 @@
         node_id = self._services.identity.node_id
         return self._services.peers.successor(digest.hex(), self_works=True) == node_id
 
+    def _drop_once(self, digest: bytes) -> None:
+        """Drop what the store still keeps of a request whose time was over at this node's start."""
+        if digest not in self._over:
+            self._over.add(digest)
+            self._drop(digest)
+
     def _drop(self, digest: bytes) -> None:
         self._saved.pop(digest, None)
         gevent.spawn(self._append, digest, b"")
--- a/postvalve/gateway/request_guard.py
+++ b/postvalve/gateway/request_guard.py
@@ -33,6 +33,8 @@
         self._engine_id = ""
         self._sent_at = 0.0
         self._first_event_at: float | None = None
+        self._cleared = False
+        """Whether the run under way has shown that the request ends no engine."""
         self.alone = False
         """Whether the next run, or the one under way, is that of a doubtful request."""
 
@@ -69,6 +71,7 @@
         """The request is about to be sent to an engine."""
         now = self._clock.monotonic()
         self._engine_id, self._sent_at, self._first_event_at = engine_id, now, None
+        self._cleared = False
         if self.alone:
             self._trial = self._quarantine.begin_trial(self.identity, engine_id, now)
             self._events.emit(
@@ -86,9 +89,16 @@
         """An event came."""
         if self._first_event_at is None:
             self._first_event_at = self._clock.monotonic()
+        elif not self._cleared and not self._just_began:
+            self.note_answered()
 
     def note_answered(self) -> None:
-        """The engine's answer is whole."""
+        """The engine's answer is whole, or has gone on for so long that the request can't end it.
+
+        An item runs for seconds, and is lost with its job's time where it is held back: one that
+        three engines cut short while they generated for it is none that ends engines.
+        """
+        self._cleared = True
         self._end_trial()
         if self._quarantine.note_answered(self.identity, self._clock.monotonic()):
             self._events.emit(
