Tests that fail: the quarantine against a naive list; an engine that was blamed wrongly ends later

Found by the differential test: a node that only hears from others that an engine lives still takes it for one that has ended, so an end that it sees there later does not count.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 """What nodes know together of requests under which engines ended."""
 
+import itertools
 import random
 import unittest
 
@@ -9,6 +10,9 @@
 from postvalve.core.admission.quarantine import (
     ANSWER_TIME,
     DOUBT_TIME,
+    DOUBTFUL_ENDS,
+    ENOUGH_VARIANTS,
+    HELD_ENDS,
     HOLD_TIME,
     MAX_ANSWERS,
     MAX_CASES,
@@ -17,6 +21,7 @@
     Fact,
     Quarantine,
     Ruling,
+    hold_time,
 )
 from postvalve.core.admission.request_identity import RequestIdentity
 
@@ -212,6 +217,15 @@
         tell(second, first, 1.2)
         self.assertIs(first.rule(REQUEST, 1.2).ruling, Ruling.FREE)
 
+    def test_an_engine_that_was_blamed_wrongly_may_end_later(self):
+        """Others saw it live: an end that this node sees after that counts here too."""
+        first, second = Quarantine("a"), Quarantine("b")
+        first.note_end(OTHER, "e1", 0.9, 1.0)
+        tell(first, second, 1.1)
+        first.note_alive("e1", 1.2)
+        tell(first, second, 1.3)
+        self.assertTrue(second.note_end(REQUEST, "e1", 1.4, 1.5))
+
     def test_news_stops(self):
         """What was heard before is no news: nodes don't tell each other the same for ever."""
         first, second = Quarantine("a"), Quarantine("b")
@@ -258,3 +272,68 @@
         for request in (REQUEST, OTHER, variant(2), variant(3)):
             rulings = {node.rule(request, now) for node in nodes}
             self.assertEqual(len(rulings), 1)
+
+
+class NaiveQuarantine:
+    """One list of everything that happened, looked through for each question."""
+
+    def __init__(self):
+        self.ends = []
+        """Identity, engine, and when it ended."""
+        self.answers = []
+
+    def note_end(self, identity, engine, sent_at, now):
+        if any(one == engine and at < sent_at for _, one, at in self.ends):
+            return
+        if any(one == identity and now - at < ANSWER_TIME for one, at in self.answers):
+            return
+        self.ends.append((identity, engine, now))
+
+    def note_answered(self, identity, now):
+        self.answers.append((identity, now))
+        self.ends = [one for one in self.ends if one[0] != identity]
+
+    def note_alive(self, engine, sent_at):
+        self.ends = [one for one in self.ends if one[1] != engine or one[2] >= sent_at]
+
+    def rule(self, identity, now):
+        own = [one for one in self.ends if one[0].digest == identity.digest]
+        first = {}
+        for _, engine, at in own:
+            first[engine] = min(at, first.get(engine, at))
+        if len(first) < DOUBTFUL_ENDS:
+            return Ruling.FREE
+        latest = max(first.values())
+        if len(first) < HELD_ENDS:
+            return Ruling.ALONE if now - latest < DOUBT_TIME else Ruling.FREE
+        variants = {one.variant for one, _, _ in own}
+        concerned = identity.variant in variants or len(variants) >= ENOUGH_VARIANTS
+        held = now < latest + hold_time(len(first)) and concerned
+        return Ruling.HELD if held else Ruling.ALONE
+
+
+class DifferentialTest(unittest.TestCase):
+    @given(st.integers(0, 2**32))
+    def test_nodes_that_hear_all_agree_with_one_list(self, seed):
+        """Four nodes, each event at one of them and heard by all before the next one."""
+        generator = random.Random(seed)
+        nodes = [Quarantine(f"n{number}") for number in range(4)]
+        naive = NaiveQuarantine()
+        requests = [REQUEST, variant(2), variant(3), variant(4), OTHER]
+        now = 0.0
+        for _ in range(25):
+            now += generator.random() * 0.5
+            node, request = generator.choice(nodes), generator.choice(requests)
+            engine, sent_at = f"e{generator.randrange(5)}", now - generator.random() * 0.3
+            action = generator.random()
+            for one in (node, naive):
+                if action < 0.75:
+                    one.note_end(request, engine, sent_at, now)
+                elif action < 0.85:
+                    one.note_answered(request, now)
+                else:
+                    one.note_alive(engine, sent_at)
+            for source, target in itertools.product([node, *nodes], nodes):
+                tell(source, target, now)
+            for one, asked in itertools.product(nodes, requests):
+                self.assertEqual(one.rule(asked, now).ruling, naive.rule(asked, now))
