Quarantine: whether an engine has ended is read from the facts that stand, at every node

Cause: each node kept its own list of engines that had ended, and took one off it only by an answer to itself; where another node saw the engine live, the next end seen here did not count, so a request could end more engines than three. Change: facts that stand decide. A node that starts asks peers and the store at once, not one after the other; a stall is a gap of 2 s, as an idle node looks once a second; the answer names no number of engines, of which one may be a trial.

--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -200,14 +200,6 @@
         }
 
 
-@dataclass(slots=True)
-class _Blame:
-    """When an engine ended: its first and its last fact. Several requests saw it end."""
-
-    first: float
-    last: float
-
-
 @dataclass(frozen=True, slots=True)
 class Trial:
     """A run of a doubtful request, told before it began."""
@@ -225,8 +217,8 @@
         self._stamps = 0
         self._answered: dict[RequestIdentity, float] = {}
         """When a request was answered last, the latest one last."""
-        self._blamed: dict[str, _Blame] = {}
-        """Engines that have ended, as far as is known."""
+        self._blamed: set[str] = set()
+        """Engines that facts name, some of which may not stand any more."""
         self.on_change: Callable[[bytes], None] = lambda digest: None
         """Called with a digest of which something new is known."""
 
@@ -273,8 +265,7 @@
             Whether that counts: a request that was answered lately, or was sent there after the
             engine had ended for somebody else, did not end it.
         """
-        blame = self._blamed.get(engine)
-        if blame is not None and blame.first < sent_at:
+        if any(fact.ended_at < sent_at for _, _, fact in self._ends_of(engine)):
             return False
         if self._was_answered(identity, now):
             return False
@@ -312,17 +303,23 @@
 
     def note_alive(self, engine: str, sent_at: float) -> None:
         """An engine answered a request that was sent to it at `sent_at`: it had not ended."""
-        blame = self._blamed.get(engine)
-        if blame is None or blame.last >= sent_at:
-            return
-        del self._blamed[engine]
-        for digest, case in self._cases.items():
-            false = [
-                fact
-                for name, fact in case.facts.items()
-                if name.engine == engine and not fact.trial and fact.ended_at < sent_at
-            ]
-            self._excuse(digest, case, false)
+        ends = self._ends_of(engine)
+        for digest, case, fact in ends:
+            if fact.ended_at < sent_at:
+                self._excuse(digest, case, [fact])
+        if all(fact.ended_at < sent_at for _, _, fact in ends):
+            self._blamed.discard(engine)
+
+    def _ends_of(self, engine: str) -> list[tuple[bytes, Case, Fact]]:
+        """Facts that stand and name an engine."""
+        if engine not in self._blamed:
+            return []
+        return [
+            (digest, case, fact)
+            for digest, case in self._cases.items()
+            for name, fact in case.facts.items()
+            if name.engine == engine and not fact.trial and not fact.excused
+        ]
 
     def preferred_engine(self, identity: RequestIdentity, engines: Iterable[str]) -> str | None:
         """Where a doubtful request runs; alike at all nodes with the same engines."""
@@ -335,8 +332,7 @@
         case = self._cases.get(digest) or Case()
         if not case.merge(told):
             return False
-        for name, fact in told.facts.items():
-            self._blame(name.engine, fact)
+        self._blamed.update(name.engine for name in told.facts)
         self._keep(digest, case)
         self.on_change(digest)
         self._speak_for(digest, case)
@@ -356,8 +352,7 @@
         old = [(digest, case) for digest, case in cases if case.forgotten_at() <= now]
         for digest, _ in old:
             del self._cases[digest]
-        for engine in [one for one, blame in self._blamed.items() if blame.last <= now - HOLD_TIME]:
-            del self._blamed[engine]
+        self._blamed = {name.engine for case in self._cases.values() for name in case.facts}
         return old
 
     def _add(self, identity: RequestIdentity, engine: str, now: float, *, trial: bool) -> FactId:
@@ -366,20 +361,12 @@
         stamp = xxhash.xxh32_intdigest(f"{self._node_id} {now} {self._stamps}".encode())
         name = FactId(engine, stamp)
         case = self._cases.get(digest) or Case()
-        fact = Fact(now, identity.variant, trial)
-        case.merge(Case({name: fact}))
-        self._blame(engine, fact)
+        case.merge(Case({name: Fact(now, identity.variant, trial)}))
+        self._blamed.add(engine)
         self._keep(digest, case)
         self.on_change(digest)
         return name
 
-    def _blame(self, engine: str, fact: Fact) -> None:
-        if fact.trial or fact.excused:
-            return
-        blame = self._blamed.setdefault(engine, _Blame(fact.ended_at, fact.ended_at))
-        blame.first = min(blame.first, fact.ended_at)
-        blame.last = max(blame.last, fact.ended_at)
-
     def _excuse(self, digest: bytes, case: Case, facts: Iterable[Fact]) -> bool:
         fresh = [fact for fact in facts if not fact.excused]
         for fact in fresh:
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -166,9 +166,9 @@
     http_status = 502
     verdict = Verdict.MAY_HAVE_RUN
 
-    def __init__(self, ends: int, seconds: float) -> None:
+    def __init__(self, seconds: float) -> None:
         super().__init__(
-            f"{ends} engines ended while they ran this request; it is not run for {seconds:.0f} s"
+            f"engines ended while they ran this request before; it is not run for {seconds:.0f} s"
         )
         self.seconds = seconds
 
--- a/postvalve/gateway/quarantine_sharing.py
+++ b/postvalve/gateway/quarantine_sharing.py
@@ -52,8 +52,9 @@
 others read the store for it would grow with the square of the fleet."""
 CUT_TIME = 60.0
 """Seconds for which it reads the store then; after that the others count as gone."""
-STALL = 1.0
-"""Seconds between two looks after which this node must have stood still."""
+STALL = 2.0
+"""Seconds between two looks after which this node must have stood still; an idle node looks about
+once a second."""
 
 
 class QuarantineSharing:
@@ -175,16 +176,14 @@
 
     def learn(self) -> None:
         """Ask the store and peers what they know, as this node starts."""
-        gevent.spawn_later(LEARN_PATIENCE, self._set_learned)
-        self._read_store()
+        asked = [gevent.spawn(self._read_store), gevent.spawn(self._ask_known_peers)]
+        gevent.joinall(asked, timeout=LEARN_PATIENCE)
+        self.learned.set()
+        self.on_learned()
+
+    def _ask_known_peers(self) -> None:
         self._peers_known.wait(LEARN_PATIENCE)
         self._ask_peers()
-        self._set_learned()
-
-    def _set_learned(self) -> None:
-        if not self.learned.is_set():
-            self.learned.set()
-            self.on_learned()
 
     def look(self) -> None:
         """Called some times a second: see whether this node has stood still."""
--- a/postvalve/gateway/request_guard.py
+++ b/postvalve/gateway/request_guard.py
@@ -65,7 +65,7 @@
                 age=round(decision.age, 3),
                 seconds=round(decision.seconds, 1),
             )
-            raise QuarantinedError(decision.ends, decision.seconds)
+            raise QuarantinedError(decision.seconds)
 
     def begin(self, engine_id: str) -> None:
         """The request is about to be sent to an engine."""
