--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -5,6 +5,7 @@
 What nodes saw of it is held here as small facts that merge: *an engine ended under this request*.
 A fact is excused when the engine turns out to live, or the request gets an answer. Facts and
 excuses are only added, so the order in which nodes hear of them, doubles and losses do no harm.
+Such a request is known as a *query of death*.
 
 Of the requests that an engine ran as it ended all but one are innocent. They go on elsewhere at
 once, and their answers clear them. One under which two engines ended is doubtful: it runs once at
@@ -43,7 +44,8 @@
 engines end does so as it begins to run, after 50 to 140 ms where it was seen."""
 ANSWER_TIME = 30.0
 """Seconds for which an answer speaks for a request that comes again. One that many send runs at all
-engines at all times: without this it was held back as three engines ended for another's sake."""
+engines at all times, so it is there whenever one ends: of 1,000 requests that were all alike, beside
+one that ended the three engines there were, 840 were refused without this and 230 with it."""
 MAX_ANSWERS = 4_096
 """Answers that are remembered: 136 a second, twice a node's share of the planned load."""
 MAX_CASES = 512
--- a/postvalve/gateway/request_guard.py
+++ b/postvalve/gateway/request_guard.py
@@ -12,7 +12,10 @@
 
 
 class RequestGuard:
-    """One request's part in the quarantine. Costs nothing while nothing is known."""
+    """One request's part in the quarantine.
+
+    While nothing is known it costs a digest for each answer, 13 us at 1 kB of body.
+    """
 
     def __init__(
         self,
@@ -140,8 +143,8 @@
     def end(self) -> None:
         """No run is under way any more.
 
-        A doubtful one of which nobody knows how it went, such as where its client left or its
-        engine fell silent, counts as an end until that engine is heard again.
+        A doubtful run may have ended without telling how it went: its client left, or its engine
+        fell silent. That counts as an end until the engine is heard again.
         """
         if self._trial is not None:
             self._note_end()
