--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -44,8 +44,8 @@
 engines end does so as it begins to run, after 50 to 140 ms where it was seen."""
 ANSWER_TIME = 30.0
 """Seconds for which an answer speaks for a request that comes again. One that many send runs at all
-engines at all times, so it is there whenever one ends: beside a request that ended all three engines
-of a run, 84 in 100 of those that were all alike got a 502 without this, and 23 with it."""
+engines at all times, so it is there whenever one ends: beside a request that ended all engines of a
+run, three, 84 in 100 of those that were all alike got a 502 without this, and 23 with it."""
 MAX_ANSWERS = 4_096
 """Answers that are remembered: 136 a second, twice a node's share of the planned load."""
 MAX_CASES = 512
