A request goes to no engine that failed a moment ago while another is sound

Cause: the choice narrowed the engines to those by which the request can be in time, or that have a free slot, before it passed over suspects. An engine that has just ended has no load, so where the sound ones were full it was all that was left, and requests failed there.

Ruled out: the fleet's own counts (the waiting room already looks at sound engines only).

Change: suspects are passed over first (`EngineFleet._sound`, the one rule for rooms, doubtful requests and all others); the chooser no longer knows of them. Its test "suspects come last" is now one of the fleet: an engine that failed is passed over for a fuller one of another zone.

What is left of those failures are requests whose last sound engine had failed them before, and times at which no engine is sound.

--- a/postvalve/core/routing/engine_choice.py
+++ b/postvalve/core/routing/engine_choice.py
@@ -47,8 +47,6 @@
     """Requests of all kinds and nodes."""
     batch: int = 0
     """Batch items among them, which give way."""
-    suspect: bool = False
-    """Whether it failed a moment ago."""
     unread: int = 0
     """Prompt tokens of requests in flight that have no first token yet."""
     cold: bool = False
@@ -104,10 +102,9 @@
             prefix_key: Requests with the same key share the first parts of their prompts.
             shared_tokens: Tokens of those parts.
         """
-        sound = [option for option in options if not option.suspect] or list(options)
-        holder = self._holder(sound, prefix_key) if shared_tokens >= AFFINITY_TOKENS else None
+        holder = self._holder(options, prefix_key) if shared_tokens >= AFFINITY_TOKENS else None
         choices = []
-        for option in self._drawn(sound, holder):
+        for option in self._drawn(options, holder):
             read = holder is None or option.engine_id == holder
             unread = 0 if read else shared_tokens
             choices.append(EngineChoice(option, unread, unread + self._cost(option)))
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet.py
@@ -247,9 +247,12 @@
 
     def rooms(self, service: str) -> list[EngineRoom]:
         """Load of each sound engine of a service; of all where none is sound."""
-        entries = self.engines(service)
-        sound = [one for one in entries if not self._is_suspect(one.engine_id)] or entries
-        return [_room_of(entry, self.use.total(entry.engine_id)) for entry in sound]
+        entries = self._sound(self.engines(service))
+        return [_room_of(entry, self.use.total(entry.engine_id)) for entry in entries]
+
+    def _sound(self, entries: list[EngineEntry]) -> list[EngineEntry]:
+        """Those that did not fail a moment ago; all where each of them did."""
+        return [one for one in entries if not self._is_suspect(one.engine_id)] or entries
 
     def place_online(
         self, service: str, terms: RequestTerms, excluded: Iterable[str], left: float
@@ -265,10 +268,11 @@
         skipped = set(excluded)
         memory = terms.shared_tokens + terms.own_tokens + terms.output_tokens
         memory_tokens = self._memory_of(service)
+        entries = [one for one in self.engines(service) if one.engine_id not in skipped]
+        # One that has just ended has nothing to do, and would look like the fastest one: of 2,358
+        # attempts that failed while engines ended, 253 were sent past a sound one, 106 of 2,242 so.
         candidates = [
-            self._candidate(entry, memory, memory_tokens)
-            for entry in self.engines(service)
-            if entry.engine_id not in skipped
+            self._candidate(entry, memory, memory_tokens) for entry in self._sound(entries)
         ]
         if not candidates:
             return None
@@ -294,7 +298,7 @@
         """Count an online attempt in at the engine that `choose` names among the sound ones."""
         skipped = set(excluded)
         entries = [one for one in self.engines(service) if one.engine_id not in skipped]
-        sound = [one for one in entries if not self._is_suspect(one.engine_id)] or entries
+        sound = self._sound(entries)
         chosen = choose(one.engine_id for one in sound)
         entry = next((one for one in sound if one.engine_id == chosen), None)
         if entry is None:
@@ -310,7 +314,6 @@
             entry.slots,
             count.total,
             count.batch,
-            self._is_suspect(entry.engine_id),
             count.unread,
             self._is_cold(entry.engine_id),
             _memory_short(count.memory, memory, memory_tokens),
--- a/tests/test_failed_engines.py
+++ b/tests/test_failed_engines.py
@@ -32,9 +32,9 @@
         """Place a request that has no time to wait for a slot."""
         return self.fleet.place_online("s", TERMS, excluded, 0.1).engine.engine_id
 
-    def fill(self, *engines):
+    def fill(self, *engines, requests=SLOTS):
         for engine in engines:
-            for _ in range(SLOTS):
+            for _ in range(requests):
                 self.fleet.use.enter(engine, batch=False)
 
     def learn_pace(self):
@@ -49,8 +49,8 @@
         self.assertNotIn("failed", {self.place() for _ in range(20)})
 
     def test_one_that_failed_is_left_alone_while_others_are_farther(self):
-        self.fill("sound")
-        self.assertEqual(self.place(), "far")
+        self.fill("far", requests=SLOTS - 1)
+        self.assertEqual(self.place(excluded=("sound",)), "far")
 
     def test_it_is_used_where_no_other_is_left(self):
         self.assertEqual(self.place(excluded=("sound", "far")), "failed")
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -159,8 +159,8 @@
         self.assertEqual(use.report(), b"")
 
 
-def option(engine_id, zone, in_flight, suspect=False, unread=0, batch=0):
-    return EngineOption(engine_id, zone, 10, in_flight, batch, suspect, unread)
+def option(engine_id, zone, in_flight, unread=0, batch=0):
+    return EngineOption(engine_id, zone, 10, in_flight, batch, unread)
 
 
 class EngineChoiceTest(unittest.TestCase):
@@ -220,9 +220,6 @@
         online = option("n", "near", 10, batch=0)
         self.assertEqual(self.choose([online, option("f", "far", 9, batch=8)]), "f")
 
-    def test_suspects_come_last(self):
-        self.assertEqual(self.choose([option("n", "near", 0, True), option("f", "far", 9)]), "f")
-
     def test_long_shared_parts_go_where_they_were(self):
         options = [option(f"e{n}", "near", n) for n in range(5)]
         chosen = {self.choose(options, f"key{n}", 5000) for n in range(30)}
