--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from tests.gateway_support import take_ports
+from tests.ports import take_ports
 from tests.soak.clients import Clients, runs_in
 from tests.soak.faults import KINDS, schedule
 from tests.soak.fleet import ENGINES, NODES, Fleet
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -10,14 +10,8 @@
 import gevent
 from gevent import socket
 
-from tests.gateway_support import (
-    BATCH_PATH,
-    HOST,
-    ONCE_PATH,
-    STREAM_PATH,
-    parse_answer,
-    read_answer,
-)
+from tests.answers import parse_answer, read_answer
+from tests.gateway_support import BATCH_PATH, HOST, ONCE_PATH, STREAM_PATH
 from tests.soak.engine import FATAL, ITEM, ONLINE
 from tests.soak.promises import CONFIGURED, NOT_RUN, Job, Online, Run
 from tests.test_gateway_jobs import job_body, whole_text
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from tests.gateway_support import Behaviour, StandInEngine
+from tests.stand_in_engine import Behaviour, StandInEngine
 
 ITEM_MARK = "i-"
 """Begins the ids of batch items."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,17 +17,12 @@
 
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.platform.fleet import CONFIGURATION_KEY, CONFIGURATION_TOPIC, DIRECTORY_TOPIC
-from tests.gateway_support import (
-    BATCH_PATH,
-    HOST,
-    ONCE_PATH,
-    SERVICE,
-    STREAM_PATH,
-    free_port,
-)
+from tests.gateway_support import BATCH_PATH, HOST, ONCE_PATH, STREAM_PATH
+from tests.ports import free_port
 from tests.soak.promises import Leaving, Span
 from tests.soak.proxy import Proxy
 from tests.soak.store import pack_record
+from tests.stand_in_engine import SERVICE
 
 ROOT = Path(__file__).resolve().parents[2]
 NODES, ENGINES = 4, 3
--- /dev/null
+++ b/tests/stand_in_engine.py
@@ -0,0 +1,184 @@
+"""Engines of tests, at loopback addresses."""
+
+import contextlib
+import socket as sockets
+
+import gevent
+from gevent.server import StreamServer
+
+from tests.ports import free_port
+
+SERVICE = "s"
+ENDS_AFTER = 0.03
+"""Seconds that an engine runs a request under which it ends."""
+
+
+class Behaviour:
+    """What an engine does with one request."""
+
+    def __init__(self, **changes):
+        self.status = 200
+        self.refuse = False
+        """Say that it did not run."""
+        self.cut_after = None
+        """Events after which the connection is closed; -1: before the head."""
+        self.silent = False
+        self.foreign = False
+        self.surplus = b""
+        self.late_surplus = b""
+        """Bytes that come while the connection rests."""
+        self.pause = 0.0
+        self.thinks = 0.0
+        """Seconds before the head."""
+        self.events = 3
+        self.piecewise = False
+        self.__dict__.update(changes)
+
+
+class StandInEngine:
+    """An engine at a loopback address that answers as it is told."""
+
+    def __init__(self, engine_id, port=None):
+        self.engine_id = engine_id
+        self.expected_id = engine_id
+        self.port = port or free_port()
+        self.plan = []
+        """Behaviours of the next requests; then the usual one."""
+        self.usual = Behaviour()
+        self.runs = []
+        """Request id and last event id of each run."""
+        self.bodies = {}
+        self.heads = []
+        self.connections = 0
+        self.cut_by_peer = 0
+        self.running = 0
+        self.fatal_bodies = set()
+        """Bodies of the requests under which it ends as soon as it runs them."""
+        self.ended = False
+        self.on_end = lambda engine: None
+        self._open = set()
+        self._server = StreamServer(("127.0.0.1", self.port), self._serve)
+        self._server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    def entry(self, state="ready", slots=4, zone="z"):
+        return {
+            "service": SERVICE,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "sequence": 1,
+        }
+
+    def stop(self):
+        self._server.stop(timeout=0.1)
+
+    def end(self):
+        """End as a process does: nothing listens, and all connections are closed."""
+        if self.ended:
+            return
+        self.ended = True
+        self._server.close()
+        for connection in list(self._open):
+            connection.shutdown(sockets.SHUT_RDWR)
+        self.on_end(self)
+
+    def _serve(self, connection, address):
+        self.connections += 1
+        self._open.add(connection)
+        with contextlib.suppress(OSError):
+            while not self.ended and self._serve_one(connection):
+                pass
+        self._open.discard(connection)
+        connection.close()
+
+    def _serve_one(self, connection):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            part = connection.recv(65536)
+            if not part:
+                return False
+            head += part
+        head, _, body = head.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        while len(body) < int(headers.get("content-length", 0)):
+            body += connection.recv(65536)
+        self.heads.append((lines[0], headers))
+        request_id = headers["request-id"]
+        if headers.get("expect-instance") != self.expected_id:
+            connection.sendall(b"HTTP/1.1 421 -\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n")
+            return True
+        behaviour = self.plan.pop(0) if self.plan else self.usual
+        if behaviour.refuse:
+            connection.sendall(b"HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if behaviour.silent:
+            gevent.sleep(30)
+            return False
+        if behaviour.cut_after == -1:
+            self.runs.append((request_id, headers.get("last-event-id")))
+            return False
+        self.runs.append((request_id, headers.get("last-event-id")))
+        self.bodies[request_id] = body
+        if body in self.fatal_bodies:
+            gevent.sleep(ENDS_AFTER)
+            self.end()
+            return False
+        self.running += 1
+        try:
+            return self._answer(connection, behaviour, request_id, headers)
+        finally:
+            self.running -= 1
+
+    def _answer(self, connection, behaviour, request_id, headers):
+        gevent.sleep(behaviour.thinks)
+        told = "other" if behaviour.foreign else request_id
+        common = f"Request-Id: {told}\r\nResponse-Seal: seal-{self.engine_id}\r\n"
+        if behaviour.status != 200:
+            connection.sendall(
+                f"HTTP/1.1 {behaviour.status} -\r\n{common}Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
+        connection.sendall(
+            f"HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        first = int(headers.get("last-event-id", 0)) + 1
+        for sent, number in enumerate(range(first, behaviour.events + 1)):
+            if behaviour.cut_after is not None and sent >= behaviour.cut_after:
+                connection.sendall(b"9\r\nid: 9")
+                return False
+            event = f"id: {number}\ndata: {request_id} part {number}\n\n".encode()
+            chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+            for piece in (chunk[:9], chunk[9:]) if behaviour.piecewise else (chunk,):
+                connection.sendall(piece)
+                gevent.sleep(0.005 if behaviour.piecewise else 0)
+            if behaviour.pause and not self._still_there(connection, behaviour.pause):
+                self.cut_by_peer += 1
+                return False
+        connection.sendall(b"0\r\n\r\n" + behaviour.surplus)
+        if behaviour.late_surplus:
+            gevent.sleep(0.05)
+            connection.sendall(behaviour.late_surplus)
+        return True
+
+    @staticmethod
+    def _still_there(connection, pause):
+        connection.settimeout(pause)
+        try:
+            return bool(connection.recv(1, sockets.MSG_PEEK))
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        finally:
+            connection.settimeout(None)
--- a/tests/test_engine_watch.py
+++ b/tests/test_engine_watch.py
@@ -9,9 +9,11 @@
 from postvalve.core.batch.giving_way import encode_running
 from postvalve.core.membership.report_pace import ReportPace
 from postvalve.events import Event
-from tests.gateway_support import BATCH_PATH, STREAM_PATH, Behaviour, GatewayFleet, wait_until
+from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet
+from tests.stand_in_engine import Behaviour
 from tests.test_gateway_jobs import job_body
 from tests.test_zone_digest import FleetCase
+from tests.waiting import wait_until
 
 _TOLD = Event.ITEM_TOLD_TO_GIVE_WAY
 
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -10,13 +10,9 @@
 from postvalve.core.admission.engine_use import engine_hash
 from postvalve.core.membership.zone_reporting import ZoneReporting
 from postvalve.events import Event
-from tests.gateway_support import (
-    BATCH_PATH,
-    STREAM_PATH,
-    Behaviour,
-    GatewayFleet,
-    wait_until,
-)
+from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet
+from tests.stand_in_engine import Behaviour
+from tests.waiting import wait_until
 
 
 def job_body(job_id, items=3, tokens=100):
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -11,15 +11,10 @@
 from postvalve.gateway import routed_run
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.platform.fleet import DIRECTORY_TOPIC
-from tests.gateway_support import (
-    ONCE_PATH,
-    STREAM_PATH,
-    Behaviour,
-    GatewayFleet,
-    SlowClock,
-    read_answer,
-    wait_until,
-)
+from tests.answers import read_answer
+from tests.gateway_support import ONCE_PATH, STREAM_PATH, GatewayFleet, SlowClock
+from tests.stand_in_engine import Behaviour
+from tests.waiting import wait_until
 
 
 def whole_stream(request_id="r1", events=3):
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -15,9 +15,10 @@
 from postvalve.gateway.event_stream import event_data, event_id_of
 from postvalve.gateway.job_claims import ALL_HEARD_AFTER, CLAIM_AFTER_START, JobClaims
 from postvalve.messages.generated import gateway
-from tests.gateway_support import QuietLog, wait_until
+from tests.gateway_support import QuietLog
 from tests.test_job_board import accepted
 from tests.test_job_log import accept, job_log, positions
+from tests.waiting import wait_until
 
 
 class Clock:
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -26,7 +26,10 @@
 )
 from postvalve.core.admission.service_pace import LONGEST_QUEUE_FACTOR, ServicePace
 from postvalve.events import Event
-from tests.gateway_support import STREAM_PATH, Behaviour, GatewayFleet, read_answer, wait_until
+from tests.answers import read_answer
+from tests.gateway_support import STREAM_PATH, GatewayFleet
+from tests.stand_in_engine import Behaviour
+from tests.waiting import wait_until
 
 AIM = 0.3
 DEADLINE = 5.0
--- a/tests/test_item_progress.py
+++ b/tests/test_item_progress.py
@@ -22,9 +22,11 @@
     unpack_segment,
 )
 from postvalve.messages.generated import gateway
-from tests.gateway_support import Behaviour, QuietLog, wait_until
+from tests.gateway_support import QuietLog
+from tests.stand_in_engine import Behaviour
 from tests.test_gateway_jobs import JobCase, whole_text
 from tests.test_job_board import accepted
+from tests.waiting import wait_until
 
 
 class Clock:
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -7,13 +7,10 @@
 from postvalve.exceptions import AttemptError, Verdict
 from postvalve.gateway.engine_connections import ConnectionPool
 from postvalve.gateway.job_service import JobService
-from tests.gateway_support import (
-    STREAM_PATH,
-    GatewayFleet,
-    StandInEngine,
-    wait_until,
-)
+from tests.gateway_support import STREAM_PATH, GatewayFleet
+from tests.stand_in_engine import StandInEngine
 from tests.test_gateway_jobs import JobCase
+from tests.waiting import wait_until
 
 
 def leave(fleet, engines, nodes):
--- a/tests/test_node_directory.py
+++ b/tests/test_node_directory.py
@@ -9,7 +9,8 @@
 from postvalve.gateway.job_log import JOB_TOPIC
 from postvalve.gateway.node_directory import NODE_TOPIC, NodeDirectory
 from postvalve.messages.generated import gateway
-from tests.gateway_support import GatewayFleet, QuietLog, wait_until
+from tests.gateway_support import GatewayFleet, QuietLog
+from tests.waiting import wait_until
 
 
 def directory(topics, node_id):
--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -31,8 +31,9 @@
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.messages.generated import gateway
-from tests.gateway_support import BATCH_PATH, OwnTopics, QuietLog, wait_until
+from tests.gateway_support import BATCH_PATH, OwnTopics, QuietLog
 from tests.test_gateway_jobs import JobCase, whole_text
+from tests.waiting import wait_until
 
 
 def report(node_id, **fields):
--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -17,15 +17,10 @@
 from postvalve.events import Event
 from postvalve.gateway.item_progress import PROGRESS_TOPIC
 from postvalve.messages.generated import gateway
-from tests.gateway_support import (
-    BATCH_PATH,
-    STREAM_PATH,
-    Behaviour,
-    GatewayFleet,
-    SuspendedClock,
-    wait_until,
-)
+from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet, SuspendedClock
+from tests.stand_in_engine import Behaviour
 from tests.test_gateway_jobs import job_body
+from tests.waiting import wait_until
 
 FATAL = b"the body under which engines end"
 ENOUGH_ENDS = 3
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -20,16 +20,11 @@
     AnswerPatience,
     PlatformStore,
 )
-from tests.gateway_support import (
-    STREAM_PATH,
-    Behaviour,
-    GatewayFleet,
-    QuietLog,
-    StandInEngine,
-    free_port,
-    wait_until,
-)
+from tests.gateway_support import STREAM_PATH, GatewayFleet, QuietLog
+from tests.ports import free_port
 from tests.soak.proxy import Proxy
+from tests.stand_in_engine import Behaviour, StandInEngine
+from tests.waiting import wait_until
 
 
 class AnswerPatienceTest(unittest.TestCase):
--- a/tests/test_stale_knowledge.py
+++ b/tests/test_stale_knowledge.py
@@ -19,7 +19,8 @@
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.platform.fleet import DIRECTORY_TOPIC, parse_engine
-from tests.gateway_support import SERVICE, OwnTopics, QuietLog
+from tests.gateway_support import OwnTopics, QuietLog
+from tests.stand_in_engine import SERVICE
 
 SHORTEST_DRAIN = 2.0
 """Seconds for which a leaving engine may still get requests on the smallest deployments."""
--- a/tests/test_suspended_machine.py
+++ b/tests/test_suspended_machine.py
@@ -17,14 +17,10 @@
 from postvalve.events import Event
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.platform.store import QUICK_ANSWER_TIMEOUT, PlatformStore
-from tests.gateway_support import (
-    STREAM_PATH,
-    Behaviour,
-    GatewayFleet,
-    SuspendedClock,
-    read_answer,
-    wait_until,
-)
+from tests.answers import read_answer
+from tests.gateway_support import STREAM_PATH, GatewayFleet, SuspendedClock
+from tests.stand_in_engine import Behaviour
+from tests.waiting import wait_until
 
 
 class SystemClockTest(unittest.TestCase):
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -11,7 +11,8 @@
 from postvalve.events import Event
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError, TopicSlice
 from postvalve.gateway.topic_follower import TopicFollower
-from tests.gateway_support import QuietLog, wait_until
+from tests.gateway_support import QuietLog
+from tests.waiting import wait_until
 
 
 class SlowPages(MemoryTopics):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,7 +4,9 @@
 
 from postvalve.events import Event
 from postvalve.node.transport import NetworkTransport
-from tests.gateway_support import QuietLog, free_port, wait_until
+from tests.gateway_support import QuietLog
+from tests.ports import free_port
+from tests.waiting import wait_until
 
 
 class DatagramTest(unittest.TestCase):
