Test that fails: an engine's failure clears a request under which engines end

Found by going through all that clears a request: an answer of 500 ends a doubtful run and speaks for the request for 30 s like a whole answer does. Some engines answer many requests with a failure, so such a request can meet one; what ends under it in the next 30 s does not count then.

--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import unittest
+from typing import ClassVar
 
 import gevent
 
@@ -30,9 +31,10 @@
 class FatalRequestCase(unittest.TestCase):
     nodes = 3
     engines = 5
+    configuration: ClassVar = {}
 
     def setUp(self):
-        self.fleet = GatewayFleet(nodes=self.nodes, engines=self.engines)
+        self.fleet = GatewayFleet(self.nodes, self.engines, **self.configuration)
         self.addCleanup(self.fleet.stop)
         self.fleet.make_fragile(FATAL)
         self.wait_for_peers()
@@ -85,6 +87,35 @@
         self.assertLessEqual(len(self.ended()), ENOUGH_ENDS + ENOUGH_VARIANTS - 1)
 
 
+class FailureTest(FatalRequestCase):
+    """An engine that answers such a request with a failure, as some do with many requests.
+
+    It lives, which was taken for an answer that speaks for the request for 30 s: whatever ended
+    under it meanwhile did not count.
+    """
+
+    engines = 7
+    configuration: ClassVar = {"maxAttempts": 2}
+
+    def test_a_failure_does_not_clear_it(self):
+        self.send_fatal("n0", 0)
+        self.wait_for_news()
+        self.assertEqual(len(self.ended()), 2)
+        self.fail_it(True)
+        self.assertIn(self.send_fatal("n1", 1).status, (500, 502))
+        self.fail_it(False)
+        for number in range(2, 12):
+            self.send_fatal(f"n{number % self.nodes}", number)
+            self.wait_for_news()
+        self.assertLessEqual(len(self.ended()), ENOUGH_ENDS)
+
+    def fail_it(self, fails):
+        """Let engines answer with a failure, or end under the request again."""
+        for engine in self.fleet.engines:
+            engine.usual = Behaviour(status=500 if fails else 200)
+            engine.fatal_bodies = set() if fails else {FATAL}
+
+
 class BatchItemTest(FatalRequestCase):
     def test_an_item_ends_few_engines(self):
         item = {
