Test that fails: a request is sent by what was known before it waited for an engine

Found by reading: the quarantine is asked, then an engine is awaited for up to half of the request's time, then it is sent. When all engines are gone, copies of one request may wait so at several nodes.

--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -11,14 +11,23 @@
 import json
 import unittest
 from typing import ClassVar
+from unittest import mock
 
 import gevent
 
-from postvalve.core.admission.quarantine import BEGIN_TIME, ENOUGH_VARIANTS, HOLD_TIME
+from postvalve.core.admission.quarantine import (
+    BEGIN_TIME,
+    ENOUGH_VARIANTS,
+    HOLD_TIME,
+    Quarantine,
+)
+from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.events import Event
+from postvalve.exceptions import QuarantinedError
 from postvalve.gateway.item_progress import PROGRESS_TOPIC
+from postvalve.gateway.routed_run import RoutedRun, RunServices
 from postvalve.messages.generated import gateway
-from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet, SuspendedClock
+from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet, QuietLog, SuspendedClock
 from tests.stand_in_engine import Behaviour
 from tests.test_gateway_jobs import job_body
 from tests.waiting import wait_until
@@ -116,6 +125,39 @@
             engine.fatal_bodies = set() if fails else {FATAL}
 
 
+class WaitingTest(unittest.TestCase):
+    """A request that waits for an engine to be listed, while others learn what it does."""
+
+    def test_it_is_looked_at_again_before_it_is_sent(self):
+        identity, quarantine = RequestIdentity(b"0123456789abcdef", 1), Quarantine("n0")
+
+        def await_engines(service, patience):
+            for number in range(ENOUGH_ENDS):
+                quarantine.note_end(identity, f"e{number}", 0.0, 0.0)
+            return True
+
+        pool = mock.Mock()
+        services = RunServices(
+            clock=mock.Mock(**{"monotonic.return_value": 0.0}),
+            events=QuietLog(),
+            fleet=mock.Mock(**{"engines.return_value": [], "await_engines": await_engines}),
+            pool=pool,
+            dialect=mock.Mock(
+                **{"identify.return_value": identity, "attempt_headers.return_value": []}
+            ),
+            metrics=mock.Mock(),
+            waiting_room=mock.Mock(),
+            quarantine=quarantine,
+        )
+        route = mock.Mock(target_latency=0.2, max_attempts=2)
+        request = mock.Mock(
+            method="POST", target="/x", body=b"", arrived_at=0.0, deadline=5.0, route=route
+        )
+        pool.start.side_effect = AssertionError("it was sent")
+        with self.assertRaises(QuarantinedError):
+            RoutedRun(services, request).start()
+
+
 class BatchItemTest(FatalRequestCase):
     def test_an_item_ends_few_engines(self):
         item = {
