Test that fails: the soak's own sign of a suspension ends a node that is still starting

Its log: the node's drain finished at 17:59.2, the roll started it again, and no line of the second life came; the schedule has node_suspend for n1 at second 20.6, which is 18:02. A process that has no handler yet ends on SIGUSR1. The product uses no such signal.

--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -332,9 +332,8 @@
         self.assertEqual(
             fleet.request("n0", BATCH_PATH + "x", body=body, request_id="job").status, 202
         )
-        holder = next(name for name, node in fleet.nodes.items() if node._runner.in_progress)
         wait_until(lambda: self.saved_failures(fleet) == 2)
-        fleet.kill(holder)
+        fleet.kill(next(one for one in fleet.nodes if fleet.events(one, Event.ROUTED_ITEM_FAILED)))
         other = next(iter(fleet.nodes))
         wait_until(
             lambda: fleet.request(other, "/api/lots/job?watchAfter=0", method="GET").document[
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,17 @@
 """The soak: each check can fail, a seed gives its faults again, and a short run holds."""
 
 import itertools
+import signal
 import tempfile
 import unittest
 from pathlib import Path
 
+import gevent
+
+from tests.ports import free_port
 from tests.soak.__main__ import Soak
 from tests.soak.faults import ALONE, KINDS, REST, schedule
+from tests.soak.fleet import Process
 from tests.soak.promises import TIMED, Job, Leaving, Online, Promises, Run, Span
 from tests.soak.proxy import Proxy
 
@@ -237,6 +242,20 @@
         self.assertGreater(proxy.port, 0)
 
 
+class ProcessTest(unittest.TestCase):
+    """The sign of a suspension came to a node that was still starting, and ended it."""
+
+    def test_the_sign_of_a_suspension_ends_no_process_that_starts(self):
+        with tempfile.TemporaryDirectory() as folder:
+            process = Process("e", Path(folder), ["tests.soak.engine", "e", str(free_port())])
+            process.start()
+            process.signal(signal.SIGUSR1)
+            gevent.sleep(0.3)
+            runs = process.runs
+            process.kill()
+        self.assertTrue(runs)
+
+
 class ShortRunTest(unittest.TestCase):
     def test_a_short_run_of_a_fixed_seed_holds(self):
         with tempfile.TemporaryDirectory() as folder:
