A process of the soak ignores the sign of a suspension until it can handle it

Cause: SIGUSR1 ends a process that has no handler, and the soak sent it to a node that was still starting.

Change: the soak starts its processes with the signal ignored; a node sets its handler as before. A suspension during a start is an ordinary stop then.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -92,6 +92,8 @@
             return
         self.lives += 1
         self.ends = False
+        # Inherited: the sign of a suspension may come before the program can handle it.
+        signal.signal(signal.SIGUSR1, signal.SIG_IGN)
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
                 [sys.executable, "-W", "ignore", "-m", *self._words],
