The soak: a deadline that passed excuses a cut on a kept connection

Traced in its logs: the engine gave five events, wrote no line from 00:41:06.59 to 00:41:10.06 (two others did), and the node ended the stream at its deadline, 4.0 s after it came (210 "age 4.0", 212 "the time is over"). No fault was in force. The soak's own program, through which engines and store are reached, stood still from 00:41:10.4 to 22.7: no engine got anything and the faults of seconds 10.3 and 14.5 did not come. So processes of this machine stood still; why the machine let them is not known.

Cuts before the deadline break it as before (both are tested).

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -163,6 +163,7 @@
         request_id = f"o-{next(self._numbers)}"
         req = Online(request_id, True, node.name, time.time(), expected=whole_stream(request_id))
         req.kept = conn.answers > 0
+        req.deadline = req.sent_at + PATIENCE_MS / 1000
         self.requests.append(req)
         try:
             with gevent.Timeout(PATIENCE_MS / 1000 + 4.0, OSError("no answer")):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -205,6 +205,15 @@
             self.promises.runs_seen(ran, [cut], [])
         self.assertEqual(self.broken(), ["a kept connection answers what it took"] * 2)
 
+    def test_a_request_on_a_kept_connection_whose_time_is_over(self):
+        """Its engine was silent until then, so its node could end it in no other way."""
+        cut = self.online(status=0, whole=False, kept=True, deadline=2.0)
+        self.promises.runs_seen([Run("o-1", 1.1)], [cut], [])
+        self.assertEqual(self.broken(), [])
+        cut.deadline = 2.1
+        self.promises.runs_seen([Run("o-1", 1.1)], [cut], [])
+        self.assertEqual(self.broken(), ["a kept connection answers what it took"])
+
     def test_a_planned_stop_that_cuts(self):
         under_way = self.online(status=0, whole=False)
         stop = Span("node_term", "n0", 1.5, 4.0)
