--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -221,14 +221,18 @@
             response.read()
             return response.status_code == 200
 
+    def _append(self, path, body):
+        with self._calls.post(path, body=body) as response:
+            response.read()
+            return response.status_code == 200
+
     def _write(self, topic, key, document):
         value = json.dumps(document).encode() if document is not None else b""
         body = pack_record(KeyedRecord(key, value))
         # The platform and its operator write whatever is wrong with the nodes' ways.
         for _ in range(200):
-            with self._calls.post(f"/api/log-append?topic={topic}&part=0", body=body) as response:
-                response.read()
-                if response.status_code == 200:
+            with contextlib.suppress(OSError):
+                if self._append(f"/api/log-append?topic={topic}&part=0", body):
                     return
             gevent.sleep(0.1)
         raise TimeoutError("the store takes nothing")
