--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -217,11 +217,9 @@
 
     def fault(self, **change):
         """Change what is wrong with the store."""
-        with self._calls.post("/fault", body=json.dumps(change).encode()) as response:
-            response.read()
-            return response.status_code == 200
+        return self._post("/fault", json.dumps(change).encode())
 
-    def _append(self, path, body):
+    def _post(self, path, body):
         with self._calls.post(path, body=body) as response:
             response.read()
             return response.status_code == 200
@@ -232,7 +230,7 @@
         # The platform and its operator write whatever is wrong with the nodes' ways.
         for _ in range(200):
             with contextlib.suppress(OSError):
-                if self._append(f"/api/log-append?topic={topic}&part=0", body):
+                if self._post(f"/api/log-append?topic={topic}&part=0", body):
                     return
             gevent.sleep(0.1)
         raise TimeoutError("the store takes nothing")
