A failure never ends a stream that its client has begun to get

Cause: with no attempt left, an engine's failure was passed on as the answer. Where the client had the head of a former attempt, the failure's empty body was read as the end of the stream.

Change: a failure is passed on only while the client has no head (`_passes_on`); else it is a failed attempt, and with none left the stream is cut, as for any other failure.

--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/routed_run.py
@@ -134,6 +134,8 @@
         """Whether the attempt under way has a head, and was counted as a run."""
         self._failed = False
         """Whether that head tells of the engine's failure."""
+        self._resumes = False
+        """Whether the client has a head, that of a former attempt."""
 
     @property
     def may_have_run(self) -> bool:
@@ -288,13 +290,20 @@
         self._judged = True
         self._failed = judgement in (Judgement.FAILED, Judgement.HOPELESS)
         self._guard.note_head()
-        if judgement is Judgement.FAILED and self._may_repeat_failed():
+        if self._failed and not self._passes_on(judgement):
             self._progress.runs -= 1
             self._guard.note_engine_failed()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
-    def _may_repeat_failed(self) -> bool:
-        return self._may_go_on(Verdict.MAY_HAVE_RUN)
+    def _passes_on(self, judgement: Judgement) -> bool:
+        """Whether the client gets an engine's failure: the last one, while it has no head.
+
+        Read as the end of a stream that it has begun to get, a failure made a short answer look
+        whole: one or two a day where half of the engines failed many requests.
+        """
+        if self._resumes:
+            return False
+        return judgement is Judgement.HOPELESS or not self._may_go_on(Verdict.MAY_HAVE_RUN)
 
     @property
     def _engine_id(self) -> str:
@@ -438,6 +447,7 @@
         self._fail_attempt(error)
         if not self._may_go_on(error.verdict):
             raise self._final_error(error)
+        self._resumes = True
         self._open()
         self._services.metrics.resumed.inc()
         self._services.events.emit(
