The gateway's modules stand in folders by subject

Cause: 38 modules and 7,600 lines in one folder; parts that are built side by side meet in it. Change: serving/ (HTTP, steps of a request), fleet/ (engines, nodes, reports, quarantine that is shared), jobs/ (log, claims, runner), knowledge/ (followed topics, configuration), engines/ (connections, events, what holds requests back from them); gateway.py, interfaces.py, metrics.py and status.py stay. fleet.py is fleet/engine_fleet.py and knowledge.py is knowledge/freshness.py, since a folder has their name now. import-linter keeps the order: gateway > serving, jobs > fleet > knowledge, engines > interfaces. Only paths of imports and of pages differ; no line of logic. Ruled out: quarantine in knowledge/ as first drawn; it talks to peers, so knowledge would import upwards. Checked: ruff, mypy, lint-imports (five contracts kept) and, before the merge, all tests.

--- a/postvalve/gateway/directory_reader.py
+++ b/postvalve/gateway/fleet/directory_reader.py
@@ -13,9 +13,9 @@
 from postvalve.core.membership.shared_freshness import SharedFreshness
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PlatformError
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import EngineEntry, KeyedRecord, KeyedTopics
-from postvalve.gateway.topic_follower import TopicFollower
+from postvalve.gateway.knowledge.topic_follower import TopicFollower
 
 READ_WAIT = 0.8
 """Seconds that a read of the directory waits. A way that falls silent is noticed so much later, and
--- a/postvalve/gateway/fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -15,10 +15,10 @@
 from postvalve.core.randomness import RandomSource
 from postvalve.core.routing.engine_choice import AFFINITY_TOKENS, EngineChooser, EngineOption
 from postvalve.events import Event, EventLog
-from postvalve.gateway.engine_connections import ConnectionPool
-from postvalve.gateway.engine_standing import EngineStandings
+from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.engine_standing import EngineStandings
+from postvalve.gateway.fleet.usable_engines import UsableEngines
 from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
-from postvalve.gateway.usable_engines import UsableEngines
 from postvalve.settings.routes import ServiceSpec
 
 USABLE_MEMORY = 0.95
--- a/postvalve/gateway/engine_watch.py
+++ b/postvalve/gateway/fleet/engine_watch.py
@@ -18,7 +18,7 @@
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.membership.ownership import Owners
 from postvalve.events import Event
-from postvalve.gateway.peer_services import PeerServices
+from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
 
--- a/postvalve/gateway/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -29,9 +29,9 @@
 from postvalve.core.membership.zone_digest import ZONE_PREFIX
 from postvalve.core.membership.zone_reporting import tells_by_digest
 from postvalve.events import Event
-from postvalve.gateway.engine_watch import EngineWatch
-from postvalve.gateway.peer_services import PeerServices
-from postvalve.gateway.zone_digests import ZoneDigests
+from postvalve.gateway.fleet.engine_watch import EngineWatch
+from postvalve.gateway.fleet.peer_services import PeerServices
+from postvalve.gateway.fleet.zone_digests import ZoneDigests
 from postvalve.messages.framing import (
     FrameError,
     Message,
--- a/postvalve/gateway/peer_services.py
+++ b/postvalve/gateway/fleet/peer_services.py
@@ -9,7 +9,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.randomness import RandomSource
 from postvalve.events import EventLog
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.messages.generated import gateway
 from postvalve.node.transport import Transport
 
--- a/postvalve/gateway/quarantine_sharing.py
+++ b/postvalve/gateway/fleet/quarantine_sharing.py
@@ -19,8 +19,8 @@
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.events import Event
 from postvalve.exceptions import PeerUnavailableError
+from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.gateway.interfaces import KeyedRecord, KeyedTopics, StoreUnavailableError
-from postvalve.gateway.peer_services import PeerServices
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
--- a/postvalve/gateway/zone_digests.py
+++ b/postvalve/gateway/fleet/zone_digests.py
@@ -17,7 +17,7 @@
     tells_by_digest,
 )
 from postvalve.events import Event
-from postvalve.gateway.peer_services import PeerServices
+from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
 
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -22,42 +22,42 @@
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
 from postvalve.events import Event, EventLog
-from postvalve.gateway.application import GatewayApplication
-from postvalve.gateway.configuration import ConfigurationHolder, Parser
-from postvalve.gateway.directory_reader import DirectoryParser, DirectoryReader
-from postvalve.gateway.end_writer import EndWriter
-from postvalve.gateway.engine_connections import ConnectionPool
-from postvalve.gateway.fleet import EngineFleet
-from postvalve.gateway.http_calls import JobCalls
-from postvalve.gateway.http_server import GatewayServer, plain_server
+from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.directory_reader import DirectoryParser, DirectoryReader
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.load_reports import MAX_SILENCE, LoadReports
+from postvalve.gateway.fleet.node_directory import NodeDirectory
+from postvalve.gateway.fleet.peer_services import PeerServices
+from postvalve.gateway.fleet.quarantine_sharing import QuarantineSharing
 from postvalve.gateway.interfaces import (
     Dialect,
     GatewaySettings,
     KeyedTopics,
     StoreUnavailableError,
 )
-from postvalve.gateway.item_progress import (
+from postvalve.gateway.jobs.end_writer import EndWriter
+from postvalve.gateway.jobs.item_progress import (
     PROGRESS_TOPIC,
     SWEEP_INTERVAL,
     ProgressLog,
 )
-from postvalve.gateway.item_runner import ItemRunner
-from postvalve.gateway.job_claims import JobClaims
-from postvalve.gateway.job_log import JobLog
-from postvalve.gateway.job_service import JobService
-from postvalve.gateway.knowledge import Knowledge
-from postvalve.gateway.load_reports import MAX_SILENCE, LoadReports
+from postvalve.gateway.jobs.item_runner import ItemRunner
+from postvalve.gateway.jobs.job_claims import JobClaims
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.job_service import JobService
+from postvalve.gateway.knowledge.configuration import ConfigurationHolder, Parser
+from postvalve.gateway.knowledge.freshness import Knowledge
+from postvalve.gateway.knowledge.relayed_topics import RelayedTopics, RelayServer
+from postvalve.gateway.knowledge.revision_fetch import RevisionFetcher
+from postvalve.gateway.knowledge.topic_follower import TopicFollower
 from postvalve.gateway.metrics import GatewayMetrics
-from postvalve.gateway.node_directory import NodeDirectory
-from postvalve.gateway.peer_services import PeerServices
-from postvalve.gateway.quarantine_sharing import QuarantineSharing
-from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
-from postvalve.gateway.revision_fetch import RevisionFetcher
-from postvalve.gateway.routed_run import RunServices
+from postvalve.gateway.serving.application import GatewayApplication
+from postvalve.gateway.serving.http_calls import JobCalls
+from postvalve.gateway.serving.http_server import GatewayServer, plain_server
+from postvalve.gateway.serving.routed_run import RunServices
+from postvalve.gateway.serving.tenant_credit import TenantCredit
+from postvalve.gateway.serving.waiting_room import WaitingRoom
 from postvalve.gateway.status import engine_rows, job_rows, peer_rows, quarantine_rows
-from postvalve.gateway.tenant_credit import TenantCredit
-from postvalve.gateway.topic_follower import TopicFollower
-from postvalve.gateway.waiting_room import WaitingRoom
 from postvalve.messages.generated import gateway
 from postvalve.node.transport import NetworkTransport
 from postvalve.settings.routes import RouteSpec, ServiceSpec
--- a/postvalve/gateway/end_writer.py
+++ b/postvalve/gateway/jobs/end_writer.py
@@ -12,9 +12,9 @@
 from postvalve.core.batch.job_board import RecordKind, record_key
 from postvalve.events import Event, EventLog
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
-from postvalve.gateway.job_log import JobLog
-from postvalve.gateway.result_texts import text_prefix
-from postvalve.gateway.stored_values import ValueRef
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.result_texts import text_prefix
+from postvalve.gateway.knowledge.stored_values import ValueRef
 
 COMMIT_PATIENCE = 4.0
 """Seconds of repetition until a failed append is told; then it is repeated again."""
--- a/postvalve/gateway/item_preemption.py
+++ b/postvalve/gateway/jobs/item_preemption.py
@@ -7,8 +7,8 @@
 from postvalve.core.admission.engine_use import engine_hash
 from postvalve.core.batch.giving_way import RunningItems, encode_running, giving_way
 from postvalve.core.membership.engine_life import EngineLife
-from postvalve.gateway.fleet import EngineFleet
-from postvalve.gateway.running_item import RunningItem
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.jobs.running_item import RunningItem
 
 
 class ItemPreemption:
--- a/postvalve/gateway/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -17,21 +17,21 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
-from postvalve.gateway.end_writer import EndedItem, EndWriter
-from postvalve.gateway.engine_connections import ConnectionPool, EngineAnswer, request_bytes
-from postvalve.gateway.event_stream import event_data, event_id_of
-from postvalve.gateway.fleet import EngineFleet, Placement
+from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
+from postvalve.gateway.engines.event_stream import event_data, event_id_of
+from postvalve.gateway.engines.request_guard import RequestGuard
+from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.load_reports import LoadReports
 from postvalve.gateway.interfaces import Dialect, Judgement
-from postvalve.gateway.item_preemption import ItemPreemption
-from postvalve.gateway.item_progress import ProgressLog
-from postvalve.gateway.job_log import JobLog
-from postvalve.gateway.job_service import JobService
-from postvalve.gateway.load_reports import LoadReports
+from postvalve.gateway.jobs.end_writer import EndedItem, EndWriter
+from postvalve.gateway.jobs.item_preemption import ItemPreemption
+from postvalve.gateway.jobs.item_progress import ProgressLog
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.job_service import JobService
+from postvalve.gateway.jobs.own_items import OwnItems
+from postvalve.gateway.jobs.result_texts import pack_text
+from postvalve.gateway.jobs.running_item import RunningItem
 from postvalve.gateway.metrics import GatewayMetrics
-from postvalve.gateway.own_items import OwnItems
-from postvalve.gateway.request_guard import RequestGuard
-from postvalve.gateway.result_texts import pack_text
-from postvalve.gateway.running_item import RunningItem
 from postvalve.messages.generated import gateway
 from postvalve.settings.routes import RouteSpec
 
--- a/postvalve/gateway/job_claims.py
+++ b/postvalve/gateway/jobs/job_claims.py
@@ -11,7 +11,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event, EventLog
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
-from postvalve.gateway.job_log import JobLog
+from postvalve.gateway.jobs.job_log import JobLog
 from postvalve.messages.generated import gateway
 
 CLAIM_INTERVAL = 0.4
--- a/postvalve/gateway/job_log.py
+++ b/postvalve/gateway/jobs/job_log.py
@@ -19,9 +19,9 @@
     PositionTakenError,
     StoreUnavailableError,
 )
-from postvalve.gateway.result_texts import ResultTexts
-from postvalve.gateway.stored_values import ValueRef, ValueStore
-from postvalve.gateway.topic_follower import TopicFollower
+from postvalve.gateway.jobs.result_texts import ResultTexts
+from postvalve.gateway.knowledge.stored_values import ValueRef, ValueStore
+from postvalve.gateway.knowledge.topic_follower import TopicFollower
 
 JOB_TOPIC = "jobs"
 REQUEST_TOPIC = "requests"
--- a/postvalve/gateway/job_service.py
+++ b/postvalve/gateway/jobs/job_service.py
@@ -28,8 +28,8 @@
     KeyedRecord,
     StoreUnavailableError,
 )
-from postvalve.gateway.job_log import JobLog
-from postvalve.gateway.stored_values import ValueRef
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.knowledge.stored_values import ValueRef
 from postvalve.messages.generated import gateway
 from postvalve.settings.routes import RouteSpec
 
--- a/postvalve/gateway/own_items.py
+++ b/postvalve/gateway/jobs/own_items.py
@@ -10,10 +10,10 @@
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.batch.progress import SavedJob
 from postvalve.events import Event, EventLog
-from postvalve.gateway.item_progress import ProgressLog, unpack_segment
-from postvalve.gateway.job_log import JobLog
-from postvalve.gateway.job_service import JobService
-from postvalve.gateway.running_item import RunningItem
+from postvalve.gateway.jobs.item_progress import ProgressLog, unpack_segment
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.job_service import JobService
+from postvalve.gateway.jobs.running_item import RunningItem
 from postvalve.messages.generated import gateway
 
 
--- a/postvalve/gateway/result_texts.py
+++ b/postvalve/gateway/jobs/result_texts.py
@@ -11,7 +11,7 @@
 from postvalve.core.batch.item_end import ItemEnd
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.gateway.interfaces import GatewaySettings, KeyedTopics
-from postvalve.gateway.stored_values import ValueRef, ValueStore
+from postvalve.gateway.knowledge.stored_values import ValueRef, ValueStore
 
 TEXT_TOPIC = "texts"
 CACHE_BYTES = 2 * 1024 * 1024
--- a/postvalve/gateway/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 from postvalve.core.membership.engine_life import EngineLife
-from postvalve.gateway.engine_connections import EngineAnswer
-from postvalve.gateway.fleet import Placement
-from postvalve.gateway.item_progress import Chain
-from postvalve.gateway.request_guard import RequestGuard
+from postvalve.gateway.engines.engine_connections import EngineAnswer
+from postvalve.gateway.engines.request_guard import RequestGuard
+from postvalve.gateway.fleet.engine_fleet import Placement
+from postvalve.gateway.jobs.item_progress import Chain
 
 
 @dataclass(slots=True)
--- a/postvalve/gateway/revision_fetch.py
+++ b/postvalve/gateway/knowledge/revision_fetch.py
@@ -6,7 +6,7 @@
 
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PeerUnavailableError
-from postvalve.gateway.configuration import ConfigurationHolder
+from postvalve.gateway.knowledge.configuration import ConfigurationHolder
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
 from postvalve.node.transport import Transport
--- a/postvalve/gateway/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -22,12 +22,12 @@
     RequestTooLargeError,
     Verdict,
 )
-from postvalve.gateway.client_watch import ClientWatch
-from postvalve.gateway.engine_connections import EngineAnswer
-from postvalve.gateway.http_calls import HttpCall, HttpReply, JobCalls, error_reply
-from postvalve.gateway.http_server import CONNECTION_KEY, HEADERS_KEY, TARGET_KEY, CutAnswer
-from postvalve.gateway.knowledge import Knowledge
-from postvalve.gateway.routed_run import RoutedRequest, RoutedRun, RunServices
+from postvalve.gateway.engines.engine_connections import EngineAnswer
+from postvalve.gateway.knowledge.freshness import Knowledge
+from postvalve.gateway.serving.client_watch import ClientWatch
+from postvalve.gateway.serving.http_calls import HttpCall, HttpReply, JobCalls, error_reply
+from postvalve.gateway.serving.http_server import CONNECTION_KEY, HEADERS_KEY, TARGET_KEY, CutAnswer
+from postvalve.gateway.serving.routed_run import RoutedRequest, RoutedRun, RunServices
 from postvalve.settings.routes import RouteSpec
 
 START_PATIENCE = 2.5
--- a/postvalve/gateway/pace_observer.py
+++ b/postvalve/gateway/serving/pace_observer.py
@@ -6,7 +6,7 @@
 
 from postvalve.clock import Clock
 from postvalve.events import Event, EventLog
-from postvalve.gateway.fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
 from postvalve.gateway.metrics import GatewayMetrics
 
 
--- a/postvalve/gateway/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -13,15 +13,15 @@
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, RefusedError, Verdict
-from postvalve.gateway.engine_connections import ConnectionPool, EngineAnswer, request_bytes
-from postvalve.gateway.event_stream import event_id_of
-from postvalve.gateway.fleet import EngineFleet, Placement
+from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
+from postvalve.gateway.engines.event_stream import event_id_of
+from postvalve.gateway.engines.request_guard import RequestGuard
+from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
-from postvalve.gateway.pace_observer import Attempts, PaceObserver
-from postvalve.gateway.request_guard import RequestGuard
-from postvalve.gateway.tenant_credit import TenantCredit
-from postvalve.gateway.waiting_room import WaitingRoom
+from postvalve.gateway.serving.pace_observer import Attempts, PaceObserver
+from postvalve.gateway.serving.tenant_credit import TenantCredit
+from postvalve.gateway.serving.waiting_room import WaitingRoom
 from postvalve.settings.routes import RepeatPolicy, RouteSpec
 
 HEAD_SILENCE = 2.0
--- a/postvalve/gateway/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -17,7 +17,7 @@
 )
 from postvalve.events import Event
 from postvalve.exceptions import LimitUnknownError, PeerUnavailableError, RateLimitedError
-from postvalve.gateway.peer_services import PeerServices
+from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
 from postvalve.settings.routes import RoutedTenant
--- a/postvalve/gateway/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -21,7 +21,7 @@
 from postvalve.core.randomness import RandomSource
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import RefusedError
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.settings.routes import RouteSpec
--- a/postvalve/gateway/status.py
+++ b/postvalve/gateway/status.py
@@ -7,7 +7,7 @@
 from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.batch.job_board import JobBoard
 from postvalve.core.membership.peers import PeerView
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 
 
 def peer_rows(peers: PeerView, now: float) -> list[dict[str, Any]]:
--- a/postvalve/platform/lots.py
+++ b/postvalve/platform/lots.py
@@ -11,8 +11,8 @@
 from postvalve.core.admission.callers import Caller
 from postvalve.core.batch.identity import job_id_of
 from postvalve.exceptions import InvalidRequestError, MethodNotAllowedError
-from postvalve.gateway.http_calls import HttpCall, HttpReply
-from postvalve.gateway.job_service import JobService, ResultPage, Submission, SubmittedItem
+from postvalve.gateway.jobs.job_service import JobService, ResultPage, Submission, SubmittedItem
+from postvalve.gateway.serving.http_calls import HttpCall, HttpReply
 from postvalve.platform.dialect import REQUEST_ID, PlatformDialect, without_caller
 from postvalve.settings.routes import RouteSpec
 
--- a/tests/test_connection_share.py
+++ b/tests/test_connection_share.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from postvalve.core.admission.connection_share import MAX_RESTING, resting_limit
-from postvalve.gateway.engine_connections import ConnectionPool
+from postvalve.gateway.engines.engine_connections import ConnectionPool
 
 
 class RestingLimitTest(unittest.TestCase):
--- a/tests/test_failed_engines.py
+++ b/tests/test_failed_engines.py
@@ -11,8 +11,8 @@
 from unittest import mock
 
 from postvalve.core.membership.engine_life import EngineLife
-from postvalve.gateway.engine_standing import SUSPECT_TIME
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.engine_standing import SUSPECT_TIME
 from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
 from tests.gateway_support import QuietLog
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -14,7 +14,7 @@
 from postvalve.core.membership.report_pace import IDLE_INTERVAL, NEAR_RATE, ReportPace
 from postvalve.core.routing.engine_choice import EngineChooser, EngineOption
 from postvalve.core.routing.route_table import RouteTable, choose_target
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import EngineEntry, EngineState
 from postvalve.settings.routes import (
     RoutedConfiguration,
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -8,8 +8,8 @@
 import gevent
 
 from postvalve.events import Event
-from postvalve.gateway import routed_run
 from postvalve.gateway.interfaces import KeyedRecord
+from postvalve.gateway.serving import routed_run
 from postvalve.platform.fleet import DIRECTORY_TOPIC
 from tests.answers import read_answer
 from tests.gateway_support import ONCE_PATH, STREAM_PATH, GatewayFleet, SlowClock
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -11,9 +11,9 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.events import Event
-from postvalve.gateway.end_writer import EndedItem, EndWriter
-from postvalve.gateway.event_stream import event_data, event_id_of
-from postvalve.gateway.job_claims import ALL_HEARD_AFTER, CLAIM_AFTER_START, JobClaims
+from postvalve.gateway.engines.event_stream import event_data, event_id_of
+from postvalve.gateway.jobs.end_writer import EndedItem, EndWriter
+from postvalve.gateway.jobs.job_claims import ALL_HEARD_AFTER, CLAIM_AFTER_START, JobClaims
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
 from tests.test_job_board import accepted
--- a/tests/test_item_preemption.py
+++ b/tests/test_item_preemption.py
@@ -5,8 +5,8 @@
 
 from postvalve.core.admission.engine_use import engine_hash
 from postvalve.core.batch.giving_way import RunningItems, encode_running
-from postvalve.gateway.item_preemption import ItemPreemption
-from postvalve.gateway.running_item import RunningItem
+from postvalve.gateway.jobs.item_preemption import ItemPreemption
+from postvalve.gateway.jobs.running_item import RunningItem
 
 
 def running(index, due, events=0, engine="e0"):
--- a/tests/test_item_progress.py
+++ b/tests/test_item_progress.py
@@ -13,7 +13,7 @@
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import StoreUnavailableError
-from postvalve.gateway.item_progress import (
+from postvalve.gateway.jobs.item_progress import (
     LEAST_EVENTS,
     PROGRESS_TOPIC,
     RESTORE_PATIENCE,
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -13,11 +13,11 @@
 from postvalve.core.batch.job_items import ItemSpec, pack_items
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.exceptions import Verdict
-from postvalve.gateway import result_texts
-from postvalve.gateway.end_writer import EndedItem, EndWriter
 from postvalve.gateway.interfaces import GatewaySettings, KeyedRecord, StoreUnavailableError
-from postvalve.gateway.job_log import JobLog
-from postvalve.gateway.result_texts import pack_text
+from postvalve.gateway.jobs import result_texts
+from postvalve.gateway.jobs.end_writer import EndedItem, EndWriter
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.result_texts import pack_text
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
 from tests.test_job_board import accepted
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -5,8 +5,8 @@
 
 from postvalve.clock import SystemClock
 from postvalve.exceptions import AttemptError, Verdict
-from postvalve.gateway.engine_connections import ConnectionPool
-from postvalve.gateway.job_service import JobService
+from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.jobs.job_service import JobService
 from tests.gateway_support import STREAM_PATH, GatewayFleet
 from tests.stand_in_engine import StandInEngine
 from tests.test_gateway_jobs import JobCase
--- a/tests/test_many_engines.py
+++ b/tests/test_many_engines.py
@@ -16,7 +16,7 @@
 from postvalve.core.membership import ownership
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.membership.ownership import Owners, preferred_owner
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
 from tests.gateway_support import QuietLog
 
--- a/tests/test_node_directory.py
+++ b/tests/test_node_directory.py
@@ -5,9 +5,9 @@
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.events import Event
 from postvalve.gateway import gateway as gateway_module
+from postvalve.gateway.fleet.node_directory import NODE_TOPIC, NodeDirectory
 from postvalve.gateway.interfaces import KeyedRecord
-from postvalve.gateway.job_log import JOB_TOPIC
-from postvalve.gateway.node_directory import NODE_TOPIC, NodeDirectory
+from postvalve.gateway.jobs.job_log import JOB_TOPIC
 from postvalve.messages.generated import gateway
 from tests.gateway_support import GatewayFleet, QuietLog
 from tests.waiting import wait_until
--- a/tests/test_quarantine_sharing.py
+++ b/tests/test_quarantine_sharing.py
@@ -15,8 +15,8 @@
 from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.emulator.virtual_time import VirtualClock, run_virtual
-from postvalve.gateway.peer_services import PeerServices
-from postvalve.gateway.quarantine_sharing import (
+from postvalve.gateway.fleet.peer_services import PeerServices
+from postvalve.gateway.fleet.quarantine_sharing import (
     DATAGRAM_BYTES,
     LEARN_PATIENCE,
     ROUND_DATAGRAMS,
--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -28,8 +28,8 @@
     PositionTakenError,
     StoreUnavailableError,
 )
+from postvalve.gateway.knowledge.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.metrics import GatewayMetrics
-from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.messages.generated import gateway
 from tests.gateway_support import BATCH_PATH, OwnTopics, QuietLog
 from tests.test_gateway_jobs import JobCase, whole_text
--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -24,8 +24,8 @@
 from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.events import Event
 from postvalve.exceptions import QuarantinedError
-from postvalve.gateway.item_progress import PROGRESS_TOPIC
-from postvalve.gateway.routed_run import RoutedRun, RunServices
+from postvalve.gateway.jobs.item_progress import PROGRESS_TOPIC
+from postvalve.gateway.serving.routed_run import RoutedRun, RunServices
 from postvalve.messages.generated import gateway
 from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet, QuietLog, SuspendedClock
 from tests.stand_in_engine import Behaviour
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -9,7 +9,7 @@
 from postvalve.clock import SystemClock
 from postvalve.events import Event
 from postvalve.exceptions import AttemptError, PeerUnavailableError, Verdict
-from postvalve.gateway.engine_connections import ConnectionPool
+from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
--- a/tests/test_stale_knowledge.py
+++ b/tests/test_stale_knowledge.py
@@ -12,12 +12,12 @@
 from postvalve.emulator.virtual_time import VirtualClock, run_virtual
 from postvalve.events import Event
 from postvalve.exceptions import PeerUnavailableError, Verdict
-from postvalve.gateway.directory_reader import DirectoryReader
-from postvalve.gateway.engine_connections import ConnectionPool
-from postvalve.gateway.fleet import EngineFleet
+from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.directory_reader import DirectoryReader
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import KeyedRecord
+from postvalve.gateway.knowledge.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.metrics import GatewayMetrics
-from postvalve.gateway.relayed_topics import RelayedTopics, RelayServer
 from postvalve.platform.fleet import DIRECTORY_TOPIC, parse_engine
 from tests.gateway_support import OwnTopics, QuietLog
 from tests.stand_in_engine import SERVICE
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -12,7 +12,7 @@
 from postvalve.events import Event
 from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import KeyedRecord, StoreUnavailableError, TopicSlice
-from postvalve.gateway.topic_follower import TopicFollower
+from postvalve.gateway.knowledge.topic_follower import TopicFollower
 from tests.gateway_support import QuietLog
 from tests.waiting import wait_until
 
--- a/tests/test_zone_digest.py
+++ b/tests/test_zone_digest.py
@@ -34,8 +34,8 @@
     tells_by_digest,
 )
 from postvalve.events import Event
-from postvalve.gateway.load_reports import LoadReports
-from postvalve.gateway.peer_services import PeerServices
+from postvalve.gateway.fleet.load_reports import LoadReports
+from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
 
