Design and interfaces for callers who compete and engines that differ

Cause: nothing says whose turn it is between tenants, how fast an engine's life is, or what a fleet of two builds can do; parts that are built side by side need their seams first.

--- a/postvalve/core/membership/load_report.py
+++ b/postvalve/core/membership/load_report.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from postvalve.core.membership.extensions import Extensions, pack_extensions, unpack_extensions
+
 _HEAD = struct.Struct("!QIQHB")
 """Incarnation, sequence, revision, silence of the store in hundredths of a second, flags."""
 _LENGTHS = struct.Struct("!BBBHHHH")
@@ -79,6 +81,8 @@
     """Urgencies and numbers of the items that wait; see `core/batch/item_order`."""
     directory: DirectoryState | None = None
     """What the node knows of the engines; None before it has read their directory."""
+    extensions: Extensions = field(default_factory=dict)
+    """Parts that came later than the fixed layout; see `core/membership/extensions`."""
 
     def pack(self) -> bytes:
         """The report for the wire."""
@@ -104,6 +108,7 @@
                 *parts,
                 *map(pack_running, running),
                 _pack_directory(self.directory),
+                pack_extensions(self.extensions),
             )
         )
 
@@ -143,6 +148,7 @@
     if flags & _DIRECTORY_KNOWN:
         offset, age = _DIRECTORY.unpack_from(data, start)
         directory = DirectoryState(offset, age * _SILENCE_UNIT_MS)
+        start += _DIRECTORY.size
     return LoadReport(
         node_id=node_id.decode(),
         incarnation=incarnation,
@@ -158,6 +164,7 @@
         store_failing=bool(flags & _STORE_FAILING),
         items_waiting=items_waiting,
         directory=directory,
+        extensions=unpack_extensions(data, start),
     )
 
 
--- a/postvalve/core/membership/peers.py
+++ b/postvalve/core/membership/peers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from postvalve.core.batch.item_order import decode_groups
+from postvalve.core.membership.extensions import OWN_FEATURES, Feature, features_of
 from postvalve.core.membership.load_report import LoadReport, RunningItem
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneMember
@@ -162,6 +163,19 @@
         """Number of these."""
         return len(self._peers) + sum(len(zone.members) for zone in self._zones.values())
 
+    def features(self) -> Feature:
+        """What all of them can do: a zone's digest tells what all its nodes can.
+
+        Of a zone whose digests come, the newest one counts, also where its members are those that
+        an earlier one listed: an older build may have taken a machine's place.
+        """
+        common = OWN_FEATURES
+        for peer in self._peers.values():
+            common &= features_of(peer.report.extensions)
+        for zone in self._zones.values():
+            common &= features_of(zone.digest.extensions)
+        return common
+
     def neighbours(self, zone: str) -> list[Peer]:
         """Peers of a zone that report themselves."""
         return [one for one in self._peers.values() if one.report.zone == zone]
@@ -214,7 +228,8 @@
 
 
 def _member_peer(digest: ZoneDigest, member: ZoneMember, now: float) -> Peer:
-    return Peer(member.report(digest.zone, digest.sequence, digest.revision), now, [])
+    report = member.report(digest.zone, digest.sequence, digest.revision, digest.extensions)
+    return Peer(report, now, [])
 
 
 def _is_newer(report: LoadReport, known: LoadReport) -> bool:
--- a/postvalve/core/membership/zone_digest.py
+++ b/postvalve/core/membership/zone_digest.py
@@ -15,6 +15,7 @@
 
 import xxhash
 
+from postvalve.core.membership.extensions import Extensions, pack_extensions, unpack_extensions
 from postvalve.core.membership.load_report import (
     LoadReport,
     LoadReportError,
@@ -61,8 +62,12 @@
     store_silent: bool = False
     """Whether it has not heard the store for so long that others should work on its jobs."""
 
-    def report(self, zone: str, sequence: int, revision: int) -> LoadReport:
-        """What a load report of this node would say of it, counts left out."""
+    def report(self, zone: str, sequence: int, revision: int, extensions: Extensions) -> LoadReport:
+        """What a load report of this node would say of it, counts left out.
+
+        Args:
+            extensions: Of the digest: they hold for each member.
+        """
         return LoadReport(
             node_id=self.node_id,
             incarnation=self.incarnation,
@@ -73,6 +78,7 @@
             log_silence_ms=SILENT_STORE_MS if self.store_silent else 0,
             revision=revision,
             store_failing=self.store_failing,
+            extensions=extensions,
         )
 
 
@@ -104,6 +110,8 @@
     """None where they are left out, since they are the same as before."""
     running: list[RunningItem] = field(default_factory=list)
     """Items that its leaving nodes still run."""
+    extensions: Extensions = field(default_factory=dict)
+    """Parts that came later than the fixed layout, of all members together."""
 
     @property
     def key(self) -> str:
@@ -131,6 +139,7 @@
                 *parts,
                 *map(_pack_member, members),
                 *map(pack_running, running),
+                pack_extensions(self.extensions),
             )
         )
 
@@ -169,6 +178,7 @@
     parts, start = split_parts(data, _HEAD.size + _LENGTHS.size, lengths)
     zone, reporter, address, engine_use, items_running, items_waiting = parts
     members, start = _unpack_members(data, start, size if listed else 0)
+    items, start = unpack_running(data, start, running)
     return ZoneDigest(
         zone=zone.decode(),
         reporter=reporter.decode(),
@@ -182,7 +192,8 @@
         size=size,
         members_version=version,
         members=members if listed else None,
-        running=unpack_running(data, start, running)[0],
+        running=items,
+        extensions=unpack_extensions(data, start),
     )
 
 
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -11,6 +11,12 @@
 
 from postvalve.core.batch.giving_way import encode_zone_running
 from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups
+from postvalve.core.membership.extensions import (
+    OWN_FEATURES,
+    Extension,
+    features_of,
+    pack_features,
+)
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.membership.peers import STORE_SILENT_AFTER, Peer
@@ -114,6 +120,7 @@
             members_version=version,
             members=members if listed else None,
             running=[item for one in reports for item in one.running],
+            extensions=merge_extensions(reports),
         )
         data = digest.pack()
         self._size = len(data) if not listed or not self._size else self._size
@@ -121,6 +128,14 @@
         return data
 
 
+def merge_extensions(reports: Sequence[LoadReport]) -> dict[int, bytes]:
+    """Parts of a zone's digest: what its nodes tell together."""
+    features = OWN_FEATURES
+    for report in reports:
+        features &= features_of(report.extensions)
+    return {Extension.FEATURES: pack_features(features)}
+
+
 def _waiting(own: LoadReport, neighbours: Sequence[Peer]) -> list[tuple[int, int]]:
     groups = [one for peer in neighbours for one in peer.waiting]
     return merge_groups([*decode_groups(own.items_waiting), *groups])[:ZONE_GROUPS]
--- a/postvalve/gateway/fleet/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -10,6 +10,7 @@
 
 from postvalve.core.batch.giving_way import RunningItems
 from postvalve.core.batch.item_order import encode_groups, group_by_due
+from postvalve.core.membership.extensions import OWN_FEATURES, Extension, pack_features
 from postvalve.core.membership.load_report import (
     DirectoryState,
     LoadReport,
@@ -73,6 +74,10 @@
         self.items_running: Callable[[], bytes] = bytes
         self.store_failing: Callable[[], bool] = bool
         self.directory: Callable[[], DirectoryState | None] = lambda: None
+        self.extensions: dict[Extension, Callable[[], bytes]] = {
+            Extension.FEATURES: lambda: pack_features(OWN_FEATURES)
+        }
+        """Gives each part of a report beyond its fixed layout."""
         self.on_look: Callable[[], None] = lambda: None
         """Called about every `TARGETS_AGE` seconds."""
         self.items = RunningItems()
@@ -181,8 +186,14 @@
             store_failing=self.store_failing(),
             items_waiting=encode_groups(group_by_due(self.waiting_due())),
             directory=self.directory(),
+            extensions=self._extensions(),
         )
 
+    def _extensions(self) -> dict[int, bytes]:
+        """Parts that other parts of the node have to tell; empty ones are left out."""
+        parts = {number: tell() for number, tell in self.extensions.items()}
+        return {number: data for number, data in parts.items() if data}
+
     def receive(self, data: bytes, address: str) -> None:
         """Take a datagram."""
         try:
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -60,7 +60,10 @@
     gateway.QuarantineFetch,
     gateway.CreditAsk,
     gateway.CreditReply,
+    gateway.LineState,
+    gateway.LineGrant,
 )
+"""Their positions are on the wire: new ones go to the end, and none is taken out."""
 _KIND_OF_TYPE = {message_type: kind for kind, message_type in enumerate(_MESSAGE_KINDS)}
 
 
--- a/tests/test_zone_digest.py
+++ b/tests/test_zone_digest.py
@@ -374,7 +374,9 @@
         self.play(2.0)
         self.assertTrue(all(node.use.total("e0").total == 8 for node in self.nodes))
         for module in ("load_reports", "zone_digests"):
-            patch = mock.patch(f"postvalve.gateway.{module}.tells_by_digest", return_value=True)
+            patch = mock.patch(
+                f"postvalve.gateway.fleet.{module}.tells_by_digest", return_value=True
+            )
             patch.start()
             self.addCleanup(patch.stop)
         for _ in range(8):
