--- /dev/null
+++ b/tests/test_accounts.py
@@ -0,0 +1,124 @@
+"""What tenants got: sums that hold whatever is folded, and accounts of bounded number."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from postvalve.core.scheduling import accounts
+from postvalve.core.scheduling.accounts import (
+    MOST_OWN,
+    ORDERS,
+    OTHERS,
+    RANKED,
+    SLICE,
+    WINDOW,
+    Accounts,
+    Counts,
+    End,
+    ItemOutcome,
+    first,
+    total_of,
+)
+
+TENANTS = [f"t{number}" for number in range(MOST_OWN * 3)]
+REQUESTS = st.lists(
+    st.tuples(
+        st.sampled_from(TENANTS),
+        st.sampled_from(list(End)),
+        st.sampled_from((0.0, 0.01, 0.4, SLICE, WINDOW)),
+        st.integers(0, 500),
+    ),
+    max_size=60,
+)
+
+
+def crowd(book, count, now, prefix="c"):
+    """Requests of so many tenants, one each."""
+    for number in range(count):
+        book.note_request(f"{prefix}{number:04}", End.IN_TIME, now)
+
+
+class SumTest(unittest.TestCase):
+    @given(REQUESTS, st.integers(0, 3))
+    def test_totals_add_up_whatever_is_folded_and_the_bound_is_kept(self, requests, crowds):
+        book, now, sent = Accounts(), 0.0, []
+        for number, (tenant, end, pause, wait_ms) in enumerate(requests):
+            now += pause
+            if number < crowds:
+                crowd(book, MOST_OWN, now, f"c{number}-")
+                sent += [(now, End.IN_TIME, 0.0)] * MOST_OWN
+            book.note_request(tenant, end, now, waited=wait_ms / 1000, sent=True)
+            sent.append((now, end, wait_ms / 1000))
+            self.assertLessEqual(len(book), MOST_OWN)
+        total = total_of(row.total for row in book.rows(now))
+        self.assertEqual(total.asked, len(sent))
+        self.assertEqual(total.asked, sum(total.ends.values()))
+        for end in End:
+            self.assertEqual(total.ends.get(end, 0), sum(one == end for _, one, _ in sent))
+        self.assertAlmostEqual(total.waited, sum(waited for *_, waited in sent))
+        self.assertEqual(total.worst_wait, max((waited for *_, waited in sent), default=0.0))
+        lately = total_of(row.lately for row in book.rows(now))
+        since = (now // SLICE - accounts.SLICES + 1) * SLICE
+        self.assertEqual(lately.asked, sum(at >= since for at, *_ in sent))
+
+    @given(REQUESTS)
+    def test_the_first_of_each_order_are_kept(self, requests):
+        book, now = Accounts(), 0.0
+        crowd(book, MOST_OWN, now)
+        for tenant, end, pause, wait_ms in requests:
+            now += pause
+            before = {row.tenant: row.lately for row in book.rows(now) if row.tenant != OTHERS}
+            book.note_request(tenant, end, now, engine_seconds=wait_ms / 1000)
+            after = {row.tenant for row in book.rows(now)}
+            for order in ORDERS:
+                self.assertLessEqual(set(first(before, order, RANKED)), after)
+
+    def test_a_large_and_a_badly_served_tenant_among_thousands_keep_their_accounts(self):
+        book = Accounts()
+        for second in range(60):
+            crowd(book, 60, float(second), f"s{second}-")
+            book.note_request("large", End.IN_TIME, second, engine_seconds=1.0)
+            book.note_request("starved", End.NO_ROOM, second)
+        rows = {row.tenant: row for row in book.rows(60.0)}
+        self.assertEqual(rows["large"].total.engine_seconds, 60.0)
+        self.assertEqual(rows["starved"].total.ends, {End.NO_ROOM: 60})
+        self.assertEqual(book.rows(60.0)[0].tenant, "starved")
+        self.assertEqual(sum(row.total.asked for row in rows.values()), 60 * 62)
+
+
+class CountTest(unittest.TestCase):
+    def test_lately_forgets_and_the_total_does_not(self):
+        book = Accounts()
+        book.note_request("a", End.LATE, 1.0)
+        self.assertEqual(book.rows(WINDOW - 0.1)[0].lately.asked, 1)
+        row = book.rows(WINDOW + SLICE)[0]
+        self.assertEqual((row.lately.asked, row.total.asked), (0, 1))
+
+    def test_one_refusal_ranks_behind_many(self):
+        book = Accounts()
+        book.note_request("once", End.NO_ROOM, 0.0)
+        for _ in range(50):
+            book.note_request("often", End.NO_ROOM, 0.0)
+        self.assertEqual([row.tenant for row in book.rows(0.0)], ["often", "once"])
+
+    def test_what_is_the_callers_own_doing_is_not_owed(self):
+        counts = Counts(asked=4, ends={End.OVER_LIMIT: 2, End.LEFT: 1, End.IN_TIME: 1})
+        self.assertEqual((counts.owed, counts.in_time_share, counts.refused), (1, 1.0, 2))
+
+    def test_items(self):
+        book = Accounts()
+        book.note_item_run("a", 2.5, 0.0)
+        book.note_item_run("a", 1.0, 0.0)
+        book.note_item_end("a", ItemOutcome.LATE, 0.0)
+        total = book.rows(0.0)[0].total
+        self.assertEqual((total.item_seconds, total.items), (3.5, {ItemOutcome.LATE: 1}))
+
+    def test_fields_are_read_back_also_those_of_another_build(self):
+        counts = Counts(3, 2, {End.LATE: 3}, {ItemOutcome.LATE: 1}, 0.5, 0.25, 1.5, 2.5)
+        self.assertEqual(Counts.read(counts.fields()).fields(), counts.fields())
+        self.assertEqual(Counts.read({"asked": 2, "newer": 7}).asked, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
