What each tenant got, in status, metrics and the log

Cause: neither status nor metrics nor a line of the log summed what a tenant asked for and got, so nobody could say which caller pays for which.

GivenUpError and ClientGoneError moved to exceptions, since two modules need them.

Weighed: counting at the arrival and at the end (a row folded meanwhile would have ended more than was asked); space-saving counters (they over-count, so sums would not add up); the folded account as a decayed sum (no exact window).

--- a/postvalve/cli/status.py
+++ b/postvalve/cli/status.py
@@ -1,10 +1,11 @@
-"""`postvalve status`: what one node knows of the fleet."""
+"""`postvalve status`: what nodes know of the fleet, and what tenants got at them."""
 
 from __future__ import annotations
 
 import argparse
 import json
 import os
+import sys
 from typing import Any
 
 from geventhttpclient import HTTPClient
@@ -12,25 +13,46 @@
 
 from postvalve.cli.connection import OPERATOR_KEY_VARIABLE
 from postvalve.cli.output import ExitCode, add_output_flag, print_rows
+from postvalve.cli.tenants import (
+    TENANT_COLUMNS,
+    WAITING_COLUMNS,
+    add_up,
+    tenant_documents,
+    tenant_table,
+    waiting_rows,
+)
+from postvalve.core.scheduling.accounts import WINDOW
 from postvalve.exceptions import AuthenticationError, PlatformError
 
 NODE_COLUMNS = ("node", "zone", "state", "revision", "engine", "online", "batch", "slots")
+ASKED_COLUMNS = ("node", "zone", "state", "revision", "peers", "engines")
 TIMEOUT = 5.0
 """Seconds until a node's answer is given up."""
+EXAMPLES = """examples:
+  postvalve status --node http://127.0.0.1:8080 --output json
+  postvalve status --node http://10.0.0.1:9001 --node http://10.0.0.2:9001
+"""
 
 
 def add_parser(commands: Any) -> None:
     """Add the command."""
     parser = commands.add_parser(
         "status",
-        help="what a node knows of the fleet",
-        epilog="example:\n  postvalve status --node http://127.0.0.1:8080 --output json",
+        help="what nodes know of the fleet, and what tenants got at them",
+        epilog=EXAMPLES,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument(
         "--node",
+        action="append",
         required=True,
-        help="any node, http://IP:PORT; on the users' platform its metrics address",
+        help="any node, http://IP:PORT; on the users' platform its metrics address. "
+        "Given several times: what tenants got at all of them together",
+    )
+    parser.add_argument(
+        "--since-start",
+        action="store_true",
+        help=f"what tenants got since the nodes' start, not only in the last {WINDOW:.0f} s",
     )
     parser.add_argument(
         "--key",
@@ -42,8 +64,10 @@
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Print the node's view."""
-    document = fetch_status(arguments.node, arguments.key)
+    """Print one node's view, or what several nodes tell together."""
+    if len(arguments.node) > 1:
+        return _show_several(arguments)
+    document = fetch_status(arguments.node[0], arguments.key)
     if arguments.output == "json":
         print(json.dumps(document, indent=2))
         return ExitCode.OK
@@ -56,9 +80,57 @@
         if rows:
             print(f"\n{name}:")
             print_rows(rows, tuple(rows[0]), "table")
+    _print_callers([document], since_start=arguments.since_start)
     return ExitCode.OK
 
 
+def _show_several(arguments: argparse.Namespace) -> int:
+    """Print what nodes tell together; those that do not answer are named."""
+    documents, silent = [], []
+    for node in arguments.node:
+        try:
+            documents.append(fetch_status(node, arguments.key))
+        except PlatformError as error:
+            print(f"not counted: {error.message}", file=sys.stderr)
+            silent.append({"node": node, "error": error.message})
+    if arguments.output == "json":
+        summed = {
+            "tenants": tenant_documents(add_up(documents)),
+            "waiting": waiting_rows(documents),
+            "silent": silent,
+            "documents": documents,
+        }
+        print(json.dumps(summed, indent=2))
+    else:
+        print_rows([_asked_row(one) for one in documents], ASKED_COLUMNS, "table")
+        _print_callers(documents, since_start=arguments.since_start)
+    return ExitCode.OK if documents else ExitCode.UNAVAILABLE
+
+
+def _asked_row(document: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "node": document["node_id"],
+        "zone": document.get("zone", "-"),
+        "state": "leaving" if document.get("draining") else "running",
+        "revision": document.get("configuration_revision", "-"),
+        "peers": len(document.get("nodes", [])),
+        "engines": len(document.get("engines", [])),
+    }
+
+
+def _print_callers(documents: list[dict[str, Any]], *, since_start: bool) -> None:
+    """Print what tenants got, those served worst first, and who waits now."""
+    tenants = tenant_table(add_up(documents), since_start=since_start)
+    if tenants:
+        span = "since the start" if since_start else f"in the last {WINDOW:.0f} s"
+        print(f"\ntenants, {span}, at {len(documents)} of the nodes:")
+        print_rows(tenants, TENANT_COLUMNS, "table")
+    waiting = waiting_rows(documents)
+    if waiting:
+        print("\nwaiting:")
+        print_rows(waiting, WAITING_COLUMNS, "table")
+
+
 def _is_table(value: Any) -> bool:
     return isinstance(value, list) and any(isinstance(one, dict) for one in value)
 
--- /dev/null
+++ b/postvalve/cli/tenants.py
@@ -0,0 +1,91 @@
+"""What tenants got at several nodes, added up, and who waits: tables of `postvalve status`."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from postvalve.core.scheduling.accounts import OTHERS, Counts, End, Row, total_of
+
+WAITING_COLUMNS = ("node", "service", "request", "tenant", "rank", "waited", "behind")
+TENANT_COLUMNS = (
+    "tenant",
+    "asked",
+    "in_time",
+    "late",
+    "no_room",
+    "over_limit",
+    "refused_else",
+    "never",
+    "left",
+    "in_time_share",
+    "wait",
+    "worst_wait",
+    "engine_seconds",
+    "engine_share",
+)
+
+
+def add_up(documents: Iterable[dict[str, Any]]) -> list[Row]:
+    """One row a tenant from the status documents of nodes, those served worst lately first.
+
+    Nodes of a build that tells none add nothing.
+    """
+    found: dict[str, list[dict[str, Any]]] = {}
+    for document in documents:
+        for row in document.get("tenants", []):
+            found.setdefault(row["tenant"], []).append(row)
+    rows = [
+        Row(
+            tenant,
+            total_of(Counts.read(one["total"]) for one in parts),
+            total_of(Counts.read(one["lately"]) for one in parts),
+        )
+        for tenant, parts in found.items()
+    ]
+    return sorted(rows, key=lambda row: (row.tenant == OTHERS, row.lately.standing, row.tenant))
+
+
+def tenant_table(rows: Sequence[Row], *, since_start: bool) -> list[dict[str, Any]]:
+    """Rows by `TENANT_COLUMNS`, of the last seconds or since the nodes' start."""
+    counts = {row.tenant: row.total if since_start else row.lately for row in rows}
+    held = total_of(counts.values()).engine_seconds
+    return [_line(tenant or "-", one, held) for tenant, one in counts.items()]
+
+
+def _line(tenant: str, counts: Counts, held: float) -> dict[str, Any]:
+    ends = counts.ends
+    told = (End.NO_ROOM, End.OVER_LIMIT)
+    return {
+        "tenant": tenant,
+        "asked": counts.asked,
+        "in_time": ends[End.IN_TIME],
+        "late": ends[End.LATE],
+        **{str(end): ends[end] for end in told},
+        "refused_else": counts.refused - sum(ends[end] for end in told),
+        "never": ends[End.FAILED] + ends[End.GIVEN_UP],
+        "left": ends[End.LEFT],
+        "in_time_share": round(counts.in_time_share, 3),
+        "wait": round(counts.waited / counts.asked, 3) if counts.asked else 0.0,
+        "worst_wait": counts.worst_wait,
+        "engine_seconds": round(counts.engine_seconds, 1),
+        "engine_share": round(counts.engine_seconds / held, 3) if held else 0.0,
+    }
+
+
+def tenant_documents(rows: Sequence[Row]) -> list[dict[str, Any]]:
+    """Rows as a node's status document has them."""
+    return [
+        {"tenant": row.tenant, "total": row.total.fields(), "lately": row.lately.fields()}
+        for row in rows
+    ]
+
+
+def waiting_rows(documents: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Who waits at which node, by rank, the longest first."""
+    rows = [
+        {"node": document["node_id"], **row}
+        for document in documents
+        for row in document.get("waiting", [])
+    ]
+    return sorted(rows, key=lambda row: (row["rank"], -row["waited"]))
--- a/postvalve/core/admission/callers.py
+++ b/postvalve/core/admission/callers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from postvalve.core.routing.route_table import RouteTable
-from postvalve.exceptions import AuthenticationError, RefusedError
+from postvalve.exceptions import AuthenticationError, KeyUnknownError
 from postvalve.settings.routes import RoutedTenant, RouteSpec
 
 KEY_DOUBT_AGE = 2.0
@@ -59,14 +59,14 @@
 
     Raises:
         AuthenticationError: there is no key, or nobody holds it.
-        RefusedError: this node can't tell.
+        KeyUnknownError: this node can't tell.
     """
     if not table.names_callers:
         return Caller()
     if key is None and not needs_key:
         return Caller(named=True)
     if policy.fails_closed and age > policy.closes_after:
-        raise RefusedError(
+        raise KeyUnknownError(
             "this node may have missed that keys changed", retry_after=KEY_RETRY_AFTER
         )
     if key is None:
@@ -75,5 +75,5 @@
     if tenant is not None:
         return Caller(tenant, named=True)
     if age > KEY_DOUBT_AGE:
-        raise RefusedError("this node may not know the API key yet", retry_after=KEY_RETRY_AFTER)
+        raise KeyUnknownError("this node may not know the API key yet", retry_after=KEY_RETRY_AFTER)
     raise AuthenticationError("the API key is not valid")
--- a/postvalve/core/scheduling/accounts.py
+++ b/postvalve/core/scheduling/accounts.py
@@ -216,7 +216,7 @@
     def take(self, other: _Account) -> None:
         """Add another account to this one, slice by slice."""
         self._past.add(other._past)
-        slices = {number: counts for number, counts in self._slices}
+        slices = dict(self._slices)
         for number, counts in other._slices:
             slices.setdefault(number, Counts()).add(counts)
         self._slices = deque(sorted(slices.items()))
@@ -228,6 +228,8 @@
     def __init__(self) -> None:
         self._own: dict[str, _Account] = {}
         self._others: _Account | None = None
+        self.noted = 0
+        """Times that anything was counted."""
 
     def __len__(self) -> int:
         """Number of tenants that have accounts of their own."""
@@ -272,6 +274,7 @@
         items[outcome] = items.get(outcome, 0) + 1
 
     def _counts(self, tenant: str, now: float) -> Counts:
+        self.noted += 1
         number = int(now // SLICE)
         account = self._own.get(tenant)
         if account is None:
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -49,6 +49,7 @@
     LIMIT_UNKNOWN = (227, "warning", "request not run: nobody told whether its tenant has credit")
     CREDIT_NOT_TOLD = (228, "info", "a peer did not tell whether a tenant has credit")
     QUARANTINE_NOT_LEARNT = (224, "warning", "requests under which engines ended were not told")
+    TENANTS_SERVED = (230, "info", "what tenants asked for and got lately")
     CONFIGURATION_IN_FORCE = (300, "info", "configuration revision in force")
     CONFIGURATION_UNREADABLE = (301, "error", "accepted configuration cannot be read")
     CONFIGURATION_FROM_PEER = (302, "info", "configuration revision taken from a peer")
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -123,6 +123,18 @@
     code = "limit_unknown"
 
 
+class KeyUnknownError(RefusedError):
+    """This node can't tell whose API key it is: it may have missed that keys changed."""
+
+
+class StoreOutOfReachError(RefusedError):
+    """What was asked needs the store, and nothing of it was done."""
+
+
+class TimeOverError(RefusedError):
+    """The time that a request has was over before it could run."""
+
+
 class DrainingError(RefusedError):
     """This node is leaving and takes no new work."""
 
@@ -143,6 +155,20 @@
     http_status = 504
 
 
+class GivenUpError(DeadlineExceededError):
+    """The time of a request that may have run is over."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class ClientGoneError(PostvalveError):
+    """The client closed its connection."""
+
+    code = "client_gone"
+    http_status = 499
+    verdict = Verdict.MAY_HAVE_RUN
+
+
 class AttemptError(PostvalveError):
     """One attempt at an engine failed; the verdict says whether it may have run."""
 
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -52,6 +52,7 @@
 from postvalve.gateway.knowledge.topic_follower import TopicFollower
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.application import GatewayApplication
+from postvalve.gateway.serving.caller_accounts import CallerAccounts
 from postvalve.gateway.serving.http_calls import JobCalls
 from postvalve.gateway.serving.http_server import GatewayServer, plain_server
 from postvalve.gateway.serving.routed_run import RunServices
@@ -191,7 +192,11 @@
         self._limits = TenantCredit(
             peer_services, lambda: self.configuration.revision, settings.limit_bounds
         )
+        self._accounts = CallerAccounts(clock, events)
+        self._runner.accounts = self._accounts.accounts
+        self._metrics.tell_tenants(self._accounts.rows)
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
+        self._waiting_room = waiting_room
         waiting_room.nodes = lambda: self.peers.count() + 1
         self.application = GatewayApplication(
             RunServices(
@@ -209,6 +214,7 @@
             lambda: self.configuration.table,
             self._usable,
             generator,
+            self._accounts,
         )
         self._server = GatewayServer(settings.listen, self.application)
         self._ready_server = plain_server(settings.ready_listen, self._readiness)
@@ -362,6 +368,8 @@
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
+            "tenants": self._accounts.documents(),
+            "waiting": self._waiting_room.rows(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
@@ -439,6 +447,7 @@
             bounds = (one.max_connections for one in services)
             self._pool.limit_resting(resting_limit(bounds, self.peers.count() + 1))
             self._pool.expire()
+            self._accounts.tell()
 
     def _purge(self) -> None:
         """Drop jobs that nobody may ask for any more from the store."""
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -15,6 +15,7 @@
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.membership import load_report
 from postvalve.core.membership.peers import PeerView
+from postvalve.core.scheduling.accounts import Accounts, ItemOutcome
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
@@ -95,6 +96,8 @@
         self._quarantine = quarantine
         self._ends = ends
         self._progress = progress
+        self.accounts = Accounts()
+        """What tenants got; those of the node, once it is wired."""
         self._wakeup = GeventEvent()
         self._own = OwnItems(identity, events, log, jobs, progress, self.wake)
         self._own.on_taken = reports.changed
@@ -255,7 +258,9 @@
                 item.guard.end()
             item.running = False
             item.placement = None
-            item.run_seconds += self._clock.monotonic() - item.started_at
+            now = self._clock.monotonic()
+            item.run_seconds += now - item.started_at
+            self.accounts.note_item_run(self._tenant_of(item), now - item.started_at, now)
             self._fleet.leave(placement)
             self._wakeup.set()
 
@@ -426,15 +431,26 @@
         self._ends.add(EndedItem(item.job_id, item.index, item.claim_id, state, packed))
         outcome = "completed" if completed else "dead"
         self._metrics.items.labels(outcome).inc()
+        late = self._clock.wall() - item.due_at_ms / 1000
+        kind = ItemOutcome.LATE if late > 0 else ItemOutcome.IN_TIME
+        self.accounts.note_item_end(
+            self._tenant_of(item),
+            kind if completed else ItemOutcome.GIVEN_UP,
+            self._clock.monotonic(),
+        )
         self._events.emit(
             Event.ROUTED_ITEM_ENDED,
             job=item.job_id,
             item=item.index,
             outcome=outcome,
             seconds=round(item.seconds_run(self._clock.monotonic()), 3),
-            late=round(self._clock.wall() - item.due_at_ms / 1000, 2),
+            late=round(late, 2),
         )
 
+    def _tenant_of(self, item: RunningItem) -> str:
+        job = self._log.board.jobs.get(item.job_id)
+        return job.accepted.tenant if job is not None else ""
+
     def give_up_old(self) -> None:
         """End items that may be given up and can't be run, for ever."""
         while True:
--- a/postvalve/gateway/metrics.py
+++ b/postvalve/gateway/metrics.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from postvalve.core.scheduling.accounts import End, ItemOutcome, Row
 
 SECONDS_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 60.0)
 
@@ -59,6 +65,52 @@
             "postvalve_log_lines_dropped", "Since the start", registry=self.registry
         )
 
+    def tell_tenants(self, rows: Callable[[], list[Row]]) -> None:
+        """Tell what tenants got as well."""
+        self.registry.register(_TenantCollector(rows))
+
     def exposition(self) -> bytes:
         """The metrics in Prometheus' text format."""
         return generate_latest(self.registry)
+
+
+class _TenantCollector(Collector):
+    """Counts by tenant; labels are as many as there are accounts, see `core/scheduling/accounts`.
+
+    A tenant that loses its account loses its series, and the sum of the others grows.
+    """
+
+    def __init__(self, rows: Callable[[], list[Row]]) -> None:
+        self._rows = rows
+
+    def describe(self) -> list[CounterMetricFamily]:
+        """Nothing is read for the sake of names."""
+        return []
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """The accounts as they are now."""
+        requests = CounterMetricFamily(
+            "postvalve_tenant_requests", "Requests that ended", labels=["tenant", "end"]
+        )
+        items = CounterMetricFamily(
+            "postvalve_tenant_items", "Batch items that ended here", labels=["tenant", "outcome"]
+        )
+        waited = CounterMetricFamily(
+            "postvalve_tenant_wait_seconds",
+            "Until an engine got a request, or until it ended without one",
+            labels=["tenant"],
+        )
+        engine = CounterMetricFamily(
+            "postvalve_tenant_engine_seconds",
+            "For which requests and items were at engines",
+            labels=["tenant", "work"],
+        )
+        for row in self._rows():
+            for end in End:
+                requests.add_metric([row.tenant, end], row.total.ends.get(end, 0))
+            for outcome in ItemOutcome:
+                items.add_metric([row.tenant, outcome], row.total.items.get(outcome, 0))
+            waited.add_metric([row.tenant], row.total.waited)
+            engine.add_metric([row.tenant, "online"], row.total.online_seconds)
+            engine.add_metric([row.tenant, "batch"], row.total.item_seconds)
+        yield from (requests, items, waited, engine)
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -24,6 +24,7 @@
 )
 from postvalve.gateway.engines.engine_connections import EngineAnswer
 from postvalve.gateway.knowledge.freshness import Knowledge
+from postvalve.gateway.serving.caller_accounts import CallerAccounts, RequestAccount
 from postvalve.gateway.serving.client_watch import ClientWatch
 from postvalve.gateway.serving.http_calls import HttpCall, HttpReply, JobCalls, error_reply
 from postvalve.gateway.serving.http_server import CONNECTION_KEY, HEADERS_KEY, TARGET_KEY, CutAnswer
@@ -68,6 +69,7 @@
         table: Callable[[], RouteTable | None],
         started: GeventEvent,
         generator: RandomSource,
+        accounts: CallerAccounts,
     ) -> None:
         self._services = services
         self._clock: Clock = services.clock
@@ -76,6 +78,7 @@
         self._table = table
         self._started = started
         self._random = generator
+        self._accounts = accounts
         self.draining = False
         """Whether connections end after their answers."""
         self.refusing = False
@@ -90,12 +93,17 @@
         self.in_progress += 1
         arrived_at = self._clock.monotonic()
         try:
-            yield from self._serve(environ, start_response, arrived_at)
+            with self._accounts.open(arrived_at) as account:
+                yield from self._serve(environ, start_response, arrived_at, account)
         finally:
             self.in_progress -= 1
 
     def _serve(
-        self, environ: dict[str, Any], start_response: StartResponse, arrived_at: float
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+        arrived_at: float,
+        account: RequestAccount,
     ) -> Iterator[bytes]:
         request_id = ""
         try:
@@ -105,24 +113,30 @@
             table = self._usable_table(call)
             if self._jobs.matches(call):
                 caller = self._caller(call, table, needs_key=_needs_key(call, table))
+                account.dismiss()
                 yield from self._send(start_response, self._jobs.serve(call, caller))
                 return
             route = table.match(call.host, call.path)
             if route is None:
                 raise NotFoundError("no route leads there")
             caller = self._caller(call, table, needs_key=not route.anonymous)
+            account.identify(caller.name, route.target_latency)
             if route.batch is not None:
-                yield from self._send(start_response, self._jobs.submit(call, route, caller))
+                reply = self._jobs.submit(call, route, caller)
+                account.whole()
+                yield from self._send(start_response, reply)
                 return
-            request = self._routed_request(call, route, caller, arrived_at)
+            request = self._routed_request(call, route, caller, arrived_at, account)
             request_id = request.terms.request_id
             yield from self._relay(request, environ[CONNECTION_KEY], start_response)
         except PostvalveError as error:
+            account.failed(error)
             self._note_failure(request_id, error, arrived_at)
             yield from self._send(start_response, self._error_reply(error))
         except (GeneratorExit, CutAnswer):
             raise
         except Exception as error:  # every failure is answered, and the process goes on
+            account.failed(error)
             self._events.emit(Event.REQUEST_ERROR, request=request_id, error=repr(error))
             failure = PostvalveError("unexpected error")
             failure.verdict = Verdict.MAY_HAVE_RUN
@@ -208,7 +222,12 @@
         self._started.wait(patience)
 
     def _routed_request(
-        self, call: HttpCall, route: RouteSpec, caller: Caller, arrived_at: float
+        self,
+        call: HttpCall,
+        route: RouteSpec,
+        caller: Caller,
+        arrived_at: float,
+        account: RequestAccount,
     ) -> RoutedRequest:
         terms = self._services.dialect.read_terms(call.headers)
         deadline = arrived_at + route.timeout - DEADLINE_MARGIN
@@ -227,6 +246,7 @@
             host=call.host,
             arrived_at=arrived_at,
             deadline=deadline,
+            account=account,
         )
 
     def _relay(
--- /dev/null
+++ b/postvalve/gateway/serving/caller_accounts.py
@@ -0,0 +1,208 @@
+"""What callers of this node got: how requests end, put into the accounts and told to operators."""
+
+from __future__ import annotations
+
+from types import TracebackType
+from typing import Any
+
+from postvalve.clock import Clock
+from postvalve.core.scheduling.accounts import (
+    OTHERS,
+    Accounts,
+    Counts,
+    End,
+    Row,
+    by_asked,
+    by_standing,
+    first,
+)
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import (
+    AuthenticationError,
+    ClientGoneError,
+    DrainingError,
+    GivenUpError,
+    KeyUnknownError,
+    LimitUnknownError,
+    PostvalveError,
+    RateLimitedError,
+    RefusedError,
+    StoreOutOfReachError,
+    TimeOverError,
+    Verdict,
+)
+from postvalve.gateway.serving.http_server import CutAnswer
+
+TELL_INTERVAL = 10.0
+"""Seconds between lines about what tenants got."""
+TOLD = 5
+"""Tenants of each order in such a line."""
+
+ENDS: dict[type[BaseException], End] = {
+    AuthenticationError: End.KEY_UNKNOWN,
+    KeyUnknownError: End.KEY_UNKNOWN,
+    RateLimitedError: End.OVER_LIMIT,
+    LimitUnknownError: End.COUNT_UNKNOWN,
+    DrainingError: End.NODE_LEAVING,
+    StoreOutOfReachError: End.STORE_AWAY,
+    TimeOverError: End.TIME_OVER,
+    RefusedError: End.NO_ROOM,
+    GivenUpError: End.GIVEN_UP,
+    ClientGoneError: End.LEFT,
+    GeneratorExit: End.LEFT,
+}
+"""How requests end by an error; the nearest class of an error counts."""
+
+
+def end_of(error: BaseException) -> End:
+    """How a request ended that raised `error`."""
+    if isinstance(error, CutAnswer) and error.__cause__ is not None:
+        return end_of(error.__cause__)
+    for kind in type(error).__mro__:
+        if kind in ENDS:
+            return ENDS[kind]
+    not_run = isinstance(error, PostvalveError) and error.verdict is Verdict.NOT_RUN
+    return End.REFUSED_ELSE if not_run else End.FAILED
+
+
+class RequestAccount:
+    """One request, from its arrival to its end; a context that ends it whatever happens."""
+
+    __slots__ = (
+        "_accounts",
+        "_arrived_at",
+        "_clock",
+        "_end",
+        "_first_at",
+        "_placed_at",
+        "_seconds",
+        "_target_latency",
+        "_tenant",
+        "_waited",
+    )
+
+    def __init__(self, accounts: Accounts, clock: Clock, arrived_at: float) -> None:
+        self._accounts: Accounts | None = accounts
+        self._clock = clock
+        self._arrived_at = arrived_at
+        self._tenant = ""
+        self._target_latency = 0.0
+        self._waited: float | None = None
+        """Seconds until its first engine got it; None before."""
+        self._placed_at: float | None = None
+        """When the attempt under way began."""
+        self._first_at: float | None = None
+        self._seconds = 0.0
+        self._end: End | None = None
+
+    def __enter__(self) -> RequestAccount:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if error is not None:
+            self.failed(error)
+        if self._accounts is None:
+            return
+        now = self._clock.monotonic()
+        self._accounts.note_request(
+            self._tenant,
+            self._end or End.FAILED,
+            now,
+            waited=now - self._arrived_at if self._waited is None else self._waited,
+            sent=self._waited is not None,
+            engine_seconds=self._seconds,
+        )
+
+    def dismiss(self) -> None:
+        """Do not count it: it asks for nothing that an engine does."""
+        self._accounts = None
+
+    def identify(self, tenant: str, target_latency: float) -> None:
+        """Tell whose it is, and the seconds after which its first event is late."""
+        self._tenant = tenant
+        self._target_latency = target_latency
+
+    def placed(self, now: float) -> None:
+        """An attempt at an engine begins."""
+        self._placed_at = now
+        if self._waited is None:
+            self._waited = now - self._arrived_at
+
+    def not_run(self) -> None:
+        """The engine did not take the attempt under way."""
+        self._placed_at = None
+
+    def released(self) -> None:
+        """The engine is done with the attempt under way, if there is one."""
+        if self._placed_at is not None:
+            self._seconds += self._clock.monotonic() - self._placed_at
+            self._placed_at = None
+
+    def first_event(self) -> None:
+        """The first event of its answer came."""
+        self._first_at = self._clock.monotonic()
+
+    def whole(self) -> None:
+        """Its answer is whole."""
+        first_at = self._clock.monotonic() if self._first_at is None else self._first_at
+        in_time = first_at - self._arrived_at <= self._target_latency
+        self._end = self._end or (End.IN_TIME if in_time else End.LATE)
+
+    def failed(self, error: BaseException) -> None:
+        """It ended by an error; what was told first counts."""
+        self._end = self._end or end_of(error)
+
+
+class CallerAccounts:
+    """The accounts of this node, for its parts and its operators."""
+
+    def __init__(self, clock: Clock, events: EventLog) -> None:
+        self._clock = clock
+        self._events = events
+        self.accounts = Accounts()
+        self._told_at = clock.monotonic()
+        self._told = 0
+        """What was counted until the last line."""
+
+    def open(self, arrived_at: float) -> RequestAccount:
+        """An account for a request that arrived; nobody's until it is told whose it is."""
+        return RequestAccount(self.accounts, self._clock, arrived_at)
+
+    def rows(self) -> list[Row]:
+        """See `Accounts.rows`."""
+        return self.accounts.rows(self._clock.monotonic())
+
+    def documents(self) -> list[dict[str, Any]]:
+        """The rows, for the status document."""
+        return [
+            {"tenant": row.tenant, "total": row.total.fields(), "lately": row.lately.fields()}
+            for row in self.rows()
+        ]
+
+    def tell(self) -> None:
+        """Write a line once in a while, if tenants got anything since the last one."""
+        now = self._clock.monotonic()
+        if now - self._told_at < TELL_INTERVAL or self._told == self.accounts.noted:
+            return
+        self._told_at, self._told = now, self.accounts.noted
+        lately = {row.tenant: row.lately for row in self.rows() if row.tenant not in ("", OTHERS)}
+        lately = {tenant: counts for tenant, counts in lately.items() if counts != Counts()}
+        if not lately:
+            return
+        self._events.emit(
+            Event.TENANTS_SERVED,
+            tenants=len(lately),
+            largest=[_summary(one, lately[one]) for one in first(lately, by_asked, TOLD)],
+            worst=[_summary(one, lately[one]) for one in first(lately, by_standing, TOLD)],
+        )
+
+
+def _summary(tenant: str, counts: Counts) -> dict[str, Any]:
+    """The counts of a line that are not 0."""
+    told = {name: value for name, value in counts.fields().items() if value}
+    return {"tenant": tenant, **told}
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -12,13 +12,22 @@
 from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import AttemptError, PostvalveError, RefusedError, Verdict
+from postvalve.exceptions import (
+    AttemptError,
+    ClientGoneError,
+    GivenUpError,
+    PostvalveError,
+    RefusedError,
+    TimeOverError,
+    Verdict,
+)
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
 from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.serving.caller_accounts import RequestAccount
 from postvalve.gateway.serving.pace_observer import Attempts, PaceObserver
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.gateway.serving.waiting_room import WaitingRoom
@@ -40,23 +49,6 @@
 """Seconds told to a client when no engine takes its request."""
 
 
-class GivenUpError(PostvalveError):
-    """The request's time is over."""
-
-    code = "deadline_exceeded"
-    error_type = "timeout_error"
-    http_status = 504
-    verdict = Verdict.MAY_HAVE_RUN
-
-
-class ClientGoneError(PostvalveError):
-    """The client closed its connection."""
-
-    code = "client_gone"
-    http_status = 499
-    verdict = Verdict.MAY_HAVE_RUN
-
-
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
     """A request as a client sent it."""
@@ -75,6 +67,7 @@
     arrived_at: float
     deadline: float
     """Monotonic seconds; the client's or the route's, whichever comes first."""
+    account: RequestAccount
 
 
 @dataclass(slots=True)
@@ -170,6 +163,7 @@
                 request.arrived_at,
                 request.deadline,
                 lambda: self._client_gone,
+                request.caller.name,
             )
             return self._open()
         except PostvalveError as error:
@@ -208,7 +202,7 @@
     def _given_up(self) -> PostvalveError:
         if self.may_have_run:
             return GivenUpError("the time is over")
-        return RefusedError("the time is over", retry_after=OVERLOAD_RETRY_AFTER)
+        return TimeOverError("the time is over", retry_after=OVERLOAD_RETRY_AFTER)
 
     def _attempt(self) -> EngineAnswer:
         request = self._request
@@ -222,6 +216,7 @@
         self._progress.tried.add(placement.engine.life)
         now = self._clock.monotonic()
         self._pace.note_placed(now)
+        request.account.placed(now)
         headers = self._services.dialect.attempt_headers(
             request.headers,
             request.caller.name,
@@ -325,7 +320,9 @@
 
     def _fail_attempt(self, error: AttemptError) -> None:
         answer, life = self._answer, self._life
-        if error.verdict is not Verdict.NOT_RUN:
+        if error.verdict is Verdict.NOT_RUN:
+            self._request.account.not_run()
+        else:
             self._progress.runs += 1
             self._progress.unanswered = True
         judged = answer is not None and answer.status > 0 and error.verdict is Verdict.NOT_RUN
@@ -445,6 +442,7 @@
             self._guard.note_engine_failed()
         else:
             self._guard.note_answered()
+            self._request.account.whole()
 
     def _note_event(self, event: bytes) -> None:
         progress = self._progress
@@ -453,6 +451,7 @@
             self._fleet.note_read(self._placement)
         if not progress.events:
             self._pace.note_first_event(self._placement, progress)
+            self._request.account.first_event()
         progress.events += 1
         number = event_id_of(event)
         if number is not None:
@@ -505,6 +504,7 @@
         if self._placement is not None:
             self._fleet.leave(self._placement)
             self._placement = None
+            self._request.account.released()
 
     def finish(self, outcome: str) -> None:
         """Give everything back; only the first call counts."""
--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import gevent
 from gevent.event import AsyncResult
@@ -30,6 +31,10 @@
 """Seconds between looks at those that wait."""
 LEAST_RETURN_TIME = 1.0
 """Seconds that a client must have left to come back after a refusal."""
+MOST_ROWS = 50
+"""Requests that wait which are told to operators, the first in order."""
+MOST_AHEAD = 3
+"""Requests in front of one that its lines in the log name, the nearest ones."""
 
 
 @dataclass(slots=True, eq=False)
@@ -40,8 +45,14 @@
     """Its tenant's priority, then its route's; 0 is the most urgent."""
     held: HeldRequest
     gone: Callable[[], bool]
+    tenant: str = ""
+    """Who sends it; empty for nobody in particular."""
     decided: AsyncResult = field(default_factory=AsyncResult)
 
+    def order(self) -> tuple[tuple[int, int], float]:
+        """Its place among those that wait here: the least goes first."""
+        return (self.rank, self.held.arrived_at)
+
 
 class WaitingRoom:
     """Holds, releases and refuses; see `core/admission/holding` for the rules."""
@@ -76,6 +87,7 @@
         arrived_at: float,
         deadline: float,
         gone: Callable[[], bool],
+        tenant: str = "",
     ) -> None:
         """Return when an engine should get the request, or when its client has gone.
 
@@ -87,6 +99,7 @@
             arrived_at: Monotonic seconds.
             deadline: Likewise.
             gone: Tells whether the client has left.
+            tenant: Who sends it; empty for nobody in particular.
 
         Raises:
             RefusedError: there is no room in time, and the client can come back.
@@ -100,7 +113,7 @@
         )
         if self._fleet.has_room(service):
             return
-        entry = _Waiting(terms.request_id, service, rank, held, gone)
+        entry = _Waiting(terms.request_id, service, rank, held, gone, tenant)
         rooms = self._fleet.rooms(service)
         ruling = self._rule(entry, rooms)
         if ruling is Ruling.HOLD:
@@ -150,7 +163,7 @@
     def _look(self) -> None:
         """Decide about all that wait, the most urgent kinds and the oldest first."""
         rooms_of: dict[str, list[EngineRoom]] = {}
-        for entry in sorted(self._waiting, key=lambda one: (one.rank, one.held.arrived_at)):
+        for entry in sorted(self._waiting, key=_Waiting.order):
             if entry.decided.ready():
                 continue
             if entry.service not in rooms_of:
@@ -198,5 +211,39 @@
             waited=round(self._clock.monotonic() - entry.held.arrived_at, 3),
             slot_time=round(pace.held, 3),
             margin=round(pace.margin, 3),
+            **self._place_of(entry),
             **fields,
         )
+
+    def _ahead(self, entry: _Waiting) -> list[_Waiting]:
+        """Those that wait here for the same engines and go before it, the nearest one last."""
+        others = (one for one in self._waiting if one.service == entry.service)
+        return sorted((one for one in others if one.order() < entry.order()), key=_Waiting.order)
+
+    def _place_of(self, entry: _Waiting) -> dict[str, Any]:
+        """Whose a request is and behind whom it waits, where callers have names."""
+        if not entry.tenant:
+            return {}
+        ahead = self._ahead(entry)
+        nearest = [one.request_id for one in ahead[-MOST_AHEAD:]]
+        return {"tenant": entry.tenant, "before": len(ahead), "ahead": nearest}
+
+    def rows(self) -> list[dict[str, Any]]:
+        """Who waits here now, and behind whom, in the order in which they go."""
+        now = self._clock.monotonic()
+        rows: list[dict[str, Any]] = []
+        last: dict[str, str] = {}
+        """The request that came last in order, by service."""
+        for entry in sorted(self._waiting, key=_Waiting.order)[:MOST_ROWS]:
+            rows.append(
+                {
+                    "request": entry.request_id,
+                    "service": entry.service,
+                    "tenant": entry.tenant,
+                    "rank": list(entry.rank),
+                    "waited": round(now - entry.held.arrived_at, 3),
+                    "behind": last.get(entry.service, ""),
+                }
+            )
+            last[entry.service] = entry.request_id
+        return rows
