Explain shows what came of requests in front of one that waited

Cause: a refused request's lines named nobody else, so an operator could not go from its id to whoever was before it. Lines that name an id in a list now concern it, and the lines of those in front of a request are shown with its own; 230 of its node beside them. Two tests failed before the change.

--- a/postvalve/cli/explain.py
+++ b/postvalve/cli/explain.py
@@ -13,7 +13,7 @@
 from postvalve.cli.output import ExitCode, add_output_flag
 from postvalve.exceptions import NotFoundError
 
-CONTEXT_NUMBERS = frozenset((102, 103, 104, 300, 412, 413, 414, 610, 611, 613, 614))
+CONTEXT_NUMBERS = frozenset((102, 103, 104, 230, 300, 412, 413, 414, 610, 611, 613, 614))
 """Events of a node that may explain what happened to a request meanwhile."""
 CONTEXT_SECONDS = 5.0
 """Seconds before the first and after the last line about the id that context is shown for."""
@@ -34,8 +34,14 @@
     fields: dict[str, Any]
 
     def concerns(self, wanted: str) -> bool:
-        """Whether the line is about a request, job, item, engine or peer of that name."""
-        return any(value == wanted for value in self.fields.values())
+        """Whether the line is about a request, job, item, engine or peer of that name.
+
+        A line that names it in a list, as one that waited behind it, is among them.
+        """
+        return any(
+            value == wanted or (isinstance(value, list) and wanted in value)
+            for value in self.fields.values()
+        )
 
 
 def add_parser(commands: Any) -> None:
@@ -72,11 +78,15 @@
 
 
 def explain(lines: list[LogLine], wanted: str, *, context: bool = True) -> list[LogLine]:
-    """Lines about `wanted`, and those that tell what befell the nodes concerned meanwhile."""
+    """Lines about `wanted`, and those that tell what befell the nodes concerned meanwhile.
+
+    Of a request that waited they tell, too, what came of those in front of it.
+    """
     about = [line for line in lines if line.concerns(wanted)]
     if not about or not context:
         return about
     nodes = {line.node for line in about}
+    ahead = _ahead_of(wanted, about)
     engines = {line.fields["engine"] for line in about if "engine" in line.fields}
     first, last = _seconds(about[0].at), _seconds(about[-1].at)
 
@@ -86,7 +96,21 @@
         same_node = line.node in nodes and not other_engine
         return near and same_node and line.number in CONTEXT_NUMBERS
 
-    return [line for line in lines if line.concerns(wanted) or is_context(line)]
+    return [
+        line
+        for line in lines
+        if line.concerns(wanted) or line.fields.get("request") in ahead or is_context(line)
+    ]
+
+
+def _ahead_of(wanted: str, about: Iterable[LogLine]) -> set[str]:
+    """Requests that were in front of one while it waited: what came of them explains its wait."""
+    return {
+        request
+        for line in about
+        if line.fields.get("request") == wanted
+        for request in line.fields.get("ahead", ())
+    }
 
 
 def _read(names: Iterable[str]) -> Iterator[LogLine]:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -23,6 +23,11 @@
     line(9, "n2", 610, topic="jobs"),
     line(11, "n1", 213, request="r1", status=502),
     line(40, "n1", 102),
+    line(50, "n3", 215, request="q1", tenant="ann", before=0, ahead=[]),
+    line(50, "n3", 215, request="q2", tenant="bob", before=1, ahead=["q1"]),
+    line(51, "n3", 217, request="q3", tenant="bob", before=2, ahead=["q1", "q2"]),
+    line(52, "n3", 216, request="q1", tenant="ann", before=0, ahead=[]),
+    line(53, "n3", 230, worst=[{"tenant": "bob", "asked": 9}]),
 ]
 
 
@@ -47,6 +52,17 @@
         _, printed = self.explain("--alone", "r1")
         self.assertEqual(len(printed), 2)
 
+    def test_a_refused_request_with_those_in_front_of_it(self):
+        _, printed = self.explain("q3")
+        self.assertEqual([one[0] for one in printed], [" ", " ", "*", " ", " "])
+        self.assertIn("216 event 216: request=q1", printed[3])
+        self.assertIn("230 event 230", printed[4])
+
+    def test_a_request_with_those_that_waited_behind_it(self):
+        _, printed = self.explain("--alone", "q1")
+        named = [one.split("request=")[1].split()[0] for one in printed]
+        self.assertEqual(named, ["q1", "q2", "q3", "q1"])
+
     def test_unknown_id(self):
         code, printed = self.explain("none")
         self.assertNotEqual(code, 0)
