--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -138,7 +138,7 @@
         record = KeyedRecord(engine.engine_id, json.dumps(engine.entry(state)).encode())
         self.topics.append(DIRECTORY_TOPIC, 0, [record])
 
-    def configure(self, tenants=None, **changes):
+    def configure(self, tenants=None, limits=None, **changes):
         """Publish a configuration; changes go into every route."""
         self._version += 2
         batch = {"kind": "batch", "runAimMs": 20000, "keepS": 60, "maxQueuedTokens": 0}
@@ -153,6 +153,8 @@
         document = {"version": self._version, "routes": routes, "services": [{"name": SERVICE}]}
         if tenants is not None:
             document["tenants"] = tenants
+        if limits is not None:
+            document["limits"] = limits
         record = KeyedRecord(CONFIGURATION_KEY, json.dumps(document).encode())
         self.topics.append(CONFIGURATION_TOPIC, 0, [record])
 
--- /dev/null
+++ b/tests/test_client_limits.py
@@ -0,0 +1,32 @@
+"""What operators allow clients to send: bytes of a body, and of a head."""
+
+import unittest
+
+from tests.gateway_support import STREAM_PATH, GatewayFleet
+
+LIMITS = {"maxHeaderBytes": 600, "maxBodyBytes": 1_000}
+
+
+class ClientLimitTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = GatewayFleet(nodes=1, engines=1, limits=LIMITS)
+        self.addCleanup(self.fleet.stop)
+
+    def send(self, body=b"", header=""):
+        headers = [("X-One", header)] if header else ()
+        return self.fleet.request("n0", STREAM_PATH + "x", headers=headers, body=body)
+
+    def test_what_is_within_is_served(self):
+        self.assertEqual(self.send(b"b" * 1_000, "h" * 400).status, 200)
+
+    def test_what_is_larger_is_refused_and_reaches_no_engine(self):
+        for status, sent in ((413, {"body": b"b" * 1_001}), (431, {"header": "h" * 600})):
+            answer = self.send(**sent)
+            self.assertEqual(answer.status, status)
+            self.assertEqual(answer.document["error"]["verdict"], "not_run")
+        (engine,) = self.fleet.engines
+        self.assertEqual(engine.runs, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_jobs_of_zones.py
@@ -0,0 +1,71 @@
+"""What operators and other clients of a tenant may ask of jobs, at nodes of any zone."""
+
+import base64
+import json
+import unittest
+
+from tests.gateway_support import BATCH_PATH, GatewayFleet
+from tests.stand_in_engine import Behaviour
+from tests.test_gateway_jobs import job_body
+from tests.waiting import wait_until
+
+ZONES = ("lisboa-a", "lisboa-b", "lisboa-c")
+FIRST, SECOND = [("Api-Key", "first")], [("Api-Key", "second")]
+
+
+class JobsOfZonesTest(unittest.TestCase):
+    """Three zones, a node each; a job that another client of its tenant looks at."""
+
+    def setUp(self):
+        tenants = [{"name": "ann", "apiKeys": ["first", "second"]}]
+        self.fleet = GatewayFleet(nodes=0, engines=1, tenants=tenants)
+        self.addCleanup(self.fleet.stop)
+        for zone in ZONES:
+            node = self.fleet.start_node(zone, zone=zone)
+            wait_until(lambda node=node: node.ready)
+        (self.engine,) = self.fleet.engines
+
+    def submit(self, zone, headers):
+        return self.fleet.request(
+            zone, BATCH_PATH + "x", headers=headers, body=job_body("j", items=4), request_id="j"
+        )
+
+    def look(self, zone, path, method="GET"):
+        return self.fleet.request(zone, path, method=method, headers=SECOND)
+
+    def page(self, zone, position):
+        return self.look(zone, f"/api/lots/j?watchAfter={position}").document
+
+    def test_results_from_any_position_at_any_zone_those_given_up_among_them(self):
+        self.engine.plan = [Behaviour(), Behaviour(status=422)]
+        self.assertEqual(self.submit(ZONES[0], FIRST).status, 202)
+        wait_until(lambda: len(self.page(ZONES[1], 0)["results"]) == 4)
+        whole = self.page(ZONES[0], 0)["results"]
+        states = sorted(one["state"] for one in whole)
+        self.assertEqual(states, ["completed", "completed", "completed", "dead_letter"])
+        for zone in ZONES:
+            for position in (3, 1, 0, 2, 4):
+                wait_until(lambda zone=zone: len(self.page(zone, 0)["results"]) == 4)
+                page = self.page(zone, position)
+                self.assertEqual(page["results"], whole[position:], (zone, position))
+                self.assertEqual((page["total"], page["nextToken"]), (4, 4))
+
+    def test_bodies_a_second_hand_in_and_ends_by_another_client(self):
+        self.engine.usual = Behaviour(silent=True)
+        self.assertEqual(self.submit(ZONES[0], FIRST).status, 202)
+        # The same job at once at another zone, by another key of the tenant: taken once.
+        self.assertEqual(self.submit(ZONES[2], SECOND).status, 202)
+        sent = json.loads(job_body("j", items=4))["items"]
+        for zone in ZONES:
+            for item in sent:
+                answer = self.look(zone, f"/api/items/j?id={item['id']}")
+                self.assertEqual(
+                    (answer.status, answer.body), (200, base64.b64decode(item["body"]))
+                )
+            self.assertEqual(self.page(zone, 0)["total"], 4)
+        for zone in (*ZONES, *ZONES):
+            self.assertEqual(self.look(zone, "/api/lots/j", method="DELETE").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
