Heads over the operators' limit are answered with 431

Cause: maxHeaderBytes was read into the configuration and looked at by nothing. Change: counted from the headers as they came, never more than the wire's bytes, since clients may go up to the limit; answered 431, not run, before anything waits.

--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -61,6 +61,12 @@
     http_status = 413
 
 
+class HeadTooLargeError(RequestTooLargeError):
+    """A request's line and headers are over the operators' limit."""
+
+    http_status = 431
+
+
 class AuthenticationError(PostvalveError):
     """No API key, or one that no tenant has."""
 
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -15,6 +15,7 @@
 from postvalve.exceptions import (
     AuthenticationError,
     DrainingError,
+    HeadTooLargeError,
     InvalidRequestError,
     NotFoundError,
     NotReadyError,
@@ -172,7 +173,7 @@
             raise InvalidRequestError("the request's body was cut") from error
         if table and len(body) > limit:
             raise RequestTooLargeError(f"body over {limit} bytes")
-        return HttpCall(
+        call = HttpCall(
             environ["REQUEST_METHOD"],
             environ[TARGET_KEY],
             environ.get("HTTP_HOST", ""),
@@ -180,6 +181,9 @@
             body,
             address=environ.get("REMOTE_ADDR", ""),
         )
+        if table and call.head_bytes > table.configuration.limits.header_bytes:
+            raise HeadTooLargeError("the request's head is too large")
+        return call
 
     def _usable_table(self, call: HttpCall) -> RouteTable:
         """The configuration in force, alike for all that is decided of a request."""
--- a/postvalve/gateway/serving/http_calls.py
+++ b/postvalve/gateway/serving/http_calls.py
@@ -36,6 +36,14 @@
         """The query, undecoded."""
         return self.target.partition("?")[2]
 
+    @property
+    def head_bytes(self) -> int:
+        """Bytes of its line and headers, never more than came: blanks at values count for nothing,
+        and a client at the limit must not be refused.
+        """
+        line = len(self.method) + len(self.target) + len("  HTTP/1.1\r\n")
+        return line + sum(len(name) + len(value) + len(":\r\n") for name, value in self.headers)
+
     def header(self, name: str) -> str | None:
         """One header, by its name in any case."""
         wanted = name.lower()
