--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -8,7 +8,6 @@
 from postvalve.core.scheduling import accounts
 from postvalve.core.scheduling.accounts import (
     MOST_OWN,
-    ORDERS,
     OTHERS,
     RANKED,
     SLICE,
@@ -71,9 +70,27 @@
             before = {row.tenant: row.lately for row in book.rows(now) if row.tenant != OTHERS}
             book.note_request(tenant, end, now, engine_seconds=wait_ms / 1000)
             after = {row.tenant for row in book.rows(now)}
-            for order in ORDERS:
+            for order in (
+                lambda counts: -counts.asked,
+                lambda counts: -counts.online_seconds,
+                lambda counts: (counts.ends.get(End.IN_TIME, 0) + 2) / (counts.owed + 2),
+            ):
                 self.assertLessEqual(set(first(before, order, RANKED)), after)
 
+    def test_each_order_keeps_an_account_by_itself(self):
+        """A tenant that is first in one order only, and among the last in the others."""
+        book = Accounts()
+        for number in range(RANKED):
+            book.note_request(f"a{number}", End.IN_TIME, 0.0, engine_seconds=0.2)
+            book.note_request(f"a{number}", End.LATE, 0.0)
+        for _ in range(3):
+            book.note_request("asks", End.IN_TIME, 0.0)
+        book.note_request("holds", End.IN_TIME, 0.0, engine_seconds=5.0)
+        book.note_request("starves", End.NO_ROOM, 0.0)
+        crowd(book, MOST_OWN, 0.0)
+        rows = {row.tenant: row.total.asked for row in book.rows(0.0)}
+        self.assertEqual([rows.get(one) for one in ("asks", "holds", "starves")], [3, 1, 1])
+
     def test_a_large_and_a_badly_served_tenant_among_thousands_keep_their_accounts(self):
         book = Accounts()
         for second in range(60):
--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -69,6 +69,7 @@
             (RuntimeError("x"), End.FAILED),
             (GeneratorExit(), End.LEFT),
             (cut, End.LEFT),
+            (type("Narrower", (RateLimitedError,), {})("x"), End.OVER_LIMIT),
             (CutAnswer("cut"), End.FAILED),
         ):
             self.assertIs(end_of(error), end, error)
@@ -224,6 +225,8 @@
         behind = {name: row["behind"] for name, row in rows.items()}
         self.assertEqual(behind, {"r2": "", "r3": "r2", "r4": "", "r1": "r3"})
         self.assertEqual((rows["r3"]["tenant"], rows["r1"]["rank"]), ("bob", [1, 0]))
+        ahead = {fields["request"]: fields["ahead"] for _, fields in self.log.written}
+        self.assertEqual(ahead, {"r1": [], "r2": [], "r3": ["r2"], "r4": []})
 
     def test_rows_and_lines_are_bounded(self):
         for number in range(MOST_ROWS + 10):
@@ -275,6 +278,16 @@
         self.assertEqual(rows[""]["key_unknown"], 1)
         self.assertEqual(rows["bob"]["asked"], 1)
 
+    def test_an_engine_that_refuses_was_not_held(self):
+        self.engine.usual = Behaviour(refuse=True, thinks=0.1)
+        headers = [("Api-Key", "ann-key"), ("Deadline-Ms", "800")]
+        answer = self.fleet.request("n0", STREAM_PATH + "x", headers=headers, body=b"b")
+        self.assertEqual(answer.status, 503)
+        wait_until(lambda: "ann" in self.rows())
+        row = self.rows()["ann"]
+        self.assertEqual((row["sent"], row["no_room"] + row["time_over"]), (1, 1))
+        self.assertEqual(row["online_seconds"], 0.0)
+
     def test_a_client_that_leaves(self):
         self.engine.usual = Behaviour(pause=0.3, events=50)
         headers = [("Api-Key", "ann-key")]
@@ -292,6 +305,13 @@
         self.assertEqual((row["asked"], row["in_time"] + row["late"]), (1, 1))
         self.assertGreater(row["item_seconds"], 0)
 
+    def test_calls_about_jobs_are_no_requests(self):
+        headers = [("Api-Key", "ann-key")]
+        self.fleet.request("n0", "/api/lots/j?watchAfter=0", method="GET", headers=headers)
+        self.send("ann")
+        wait_until(lambda: "ann" in self.rows())
+        self.assertEqual(sum(row["asked"] for row in self.rows().values()), 1)
+
     def test_no_line_names_a_tenant_of_a_fleet_without_any(self):
         self.fleet.configure()
         wait_until(lambda: self.fleet.nodes["n0"].configuration.revision == 4)
