--- a/postvalve/cli/status.py
+++ b/postvalve/cli/status.py
@@ -17,7 +17,6 @@
     TENANT_COLUMNS,
     WAITING_COLUMNS,
     add_up,
-    tenant_documents,
     tenant_table,
     waiting_rows,
 )
@@ -95,7 +94,7 @@
             silent.append({"node": node, "error": error.message})
     if arguments.output == "json":
         summed = {
-            "tenants": tenant_documents(add_up(documents)),
+            "tenants": [row.fields() for row in add_up(documents)],
             "waiting": waiting_rows(documents),
             "silent": silent,
             "documents": documents,
--- a/postvalve/cli/tenants.py
+++ b/postvalve/cli/tenants.py
@@ -10,6 +10,7 @@
 WAITING_COLUMNS = ("node", "service", "request", "tenant", "rank", "waited", "behind")
 TENANT_COLUMNS = (
     "tenant",
+    "running",
     "asked",
     "in_time",
     "late",
@@ -40,6 +41,7 @@
             tenant,
             total_of(Counts.read(one["total"]) for one in parts),
             total_of(Counts.read(one["lately"]) for one in parts),
+            sum(one.get("running", 0) for one in parts),
         )
         for tenant, parts in found.items()
     ]
@@ -48,16 +50,17 @@
 
 def tenant_table(rows: Sequence[Row], *, since_start: bool) -> list[dict[str, Any]]:
     """Rows by `TENANT_COLUMNS`, of the last seconds or since the nodes' start."""
-    counts = {row.tenant: row.total if since_start else row.lately for row in rows}
-    held = total_of(counts.values()).engine_seconds
-    return [_line(tenant or "-", one, held) for tenant, one in counts.items()]
+    chosen = [(row, row.total if since_start else row.lately) for row in rows]
+    held = total_of(counts for _, counts in chosen).engine_seconds
+    return [_line(row, counts, held) for row, counts in chosen]
 
 
-def _line(tenant: str, counts: Counts, held: float) -> dict[str, Any]:
+def _line(row: Row, counts: Counts, held: float) -> dict[str, Any]:
     ends = counts.ends
     told = (End.NO_ROOM, End.OVER_LIMIT)
     return {
-        "tenant": tenant,
+        "tenant": row.tenant or "-",
+        "running": row.running,
         "asked": counts.asked,
         "in_time": ends[End.IN_TIME],
         "late": ends[End.LATE],
@@ -73,14 +76,6 @@
     }
 
 
-def tenant_documents(rows: Sequence[Row]) -> list[dict[str, Any]]:
-    """Rows as a node's status document has them."""
-    return [
-        {"tenant": row.tenant, "total": row.total.fields(), "lately": row.lately.fields()}
-        for row in rows
-    ]
-
-
 def waiting_rows(documents: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
     """Who waits at which node, by rank, the longest first."""
     rows = [
--- a/postvalve/core/scheduling/accounts.py
+++ b/postvalve/core/scheduling/accounts.py
@@ -181,6 +181,17 @@
     """Since the node's start, or since the tenant last got an account."""
     lately: Counts
     """Of the last `WINDOW` seconds."""
+    running: int = 0
+    """Online requests that are at engines now."""
+
+    def fields(self) -> dict[str, Any]:
+        """All of it by name, for output."""
+        return {
+            "tenant": self.tenant,
+            "running": self.running,
+            "total": self.total.fields(),
+            "lately": self.lately.fields(),
+        }
 
 
 class _Account:
@@ -228,6 +239,7 @@
     def __init__(self) -> None:
         self._own: dict[str, _Account] = {}
         self._others: _Account | None = None
+        self._running: dict[str, int] = {}
         self.noted = 0
         """Times that anything was counted."""
 
@@ -264,6 +276,21 @@
             counts.worst_wait = waited
         counts.online_seconds += engine_seconds
 
+    def note_started(self, tenant: str) -> None:
+        """An engine gets an online request of a tenant."""
+        self._running[tenant] = self._running.get(tenant, 0) + 1
+
+    def note_stopped(self, tenant: str) -> None:
+        """That engine is done with it."""
+        self._running[tenant] -= 1
+        if not self._running[tenant]:
+            del self._running[tenant]
+
+    def holders(self, count: int) -> dict[str, int]:
+        """Tenants with the most online requests at engines now, and how many."""
+        first_ones = sorted(self._running.items(), key=lambda one: (-one[1], one[0]))[:count]
+        return dict(first_ones)
+
     def note_item_run(self, tenant: str, seconds: float, now: float) -> None:
         """A batch item was at an engine for some time, whether it ended there or not."""
         self._counts(tenant, now).item_seconds += seconds
@@ -293,15 +320,20 @@
             self._others.take(self._own.pop(tenant))
 
     def rows(self, now: float) -> list[Row]:
-        """All accounts, those served worst lately first, the sum of the others last."""
+        """All accounts, those served worst lately first, the sum of the others last.
+
+        Tenants whose first request still runs are among the others.
+        """
         number = int(now // SLICE)
         rows = [
-            Row(tenant, account.total(), account.lately(number))
+            Row(tenant, account.total(), account.lately(number), self._running.get(tenant, 0))
             for tenant, account in self._own.items()
         ]
         rows.sort(key=lambda row: (row.lately.standing, row.total.standing, row.tenant))
-        if self._others is not None:
-            rows.append(Row(OTHERS, self._others.total(), self._others.lately(number)))
+        running = sum(self._running.values()) - sum(row.running for row in rows)
+        if self._others is not None or running:
+            others = self._others or _Account()
+            rows.append(Row(OTHERS, others.total(), others.lately(number), running))
         return rows
 
 
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -197,6 +197,7 @@
         self._metrics.tell_tenants(self._accounts.rows)
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
         self._waiting_room = waiting_room
+        waiting_room.holders = self._accounts.holders
         waiting_room.nodes = lambda: self.peers.count() + 1
         self.application = GatewayApplication(
             RunServices(
--- a/postvalve/gateway/serving/caller_accounts.py
+++ b/postvalve/gateway/serving/caller_accounts.py
@@ -35,6 +35,8 @@
 
 TELL_INTERVAL = 10.0
 """Seconds between lines about what tenants got."""
+HOLDERS = 3
+"""Tenants that are named as those who hold engines."""
 TOLD = 5
 """Tenants of each order in such a line."""
 
@@ -69,9 +71,10 @@
     """One request, from its arrival to its end; a context that ends it whatever happens."""
 
     __slots__ = (
-        "_accounts",
         "_arrived_at",
+        "_book",
         "_clock",
+        "_counted",
         "_end",
         "_first_at",
         "_placed_at",
@@ -82,7 +85,8 @@
     )
 
     def __init__(self, accounts: Accounts, clock: Clock, arrived_at: float) -> None:
-        self._accounts: Accounts | None = accounts
+        self._book = accounts
+        self._counted = True
         self._clock = clock
         self._arrived_at = arrived_at
         self._tenant = ""
@@ -106,10 +110,10 @@
     ) -> None:
         if error is not None:
             self.failed(error)
-        if self._accounts is None:
+        if not self._counted:
             return
         now = self._clock.monotonic()
-        self._accounts.note_request(
+        self._book.note_request(
             self._tenant,
             self._end or End.FAILED,
             now,
@@ -120,7 +124,7 @@
 
     def dismiss(self) -> None:
         """Do not count it: it asks for nothing that an engine does."""
-        self._accounts = None
+        self._counted = False
 
     def identify(self, tenant: str, target_latency: float) -> None:
         """Tell whose it is, and the seconds after which its first event is late."""
@@ -130,18 +134,26 @@
     def placed(self, now: float) -> None:
         """An attempt at an engine begins."""
         self._placed_at = now
+        self._book.note_started(self._tenant)
         if self._waited is None:
             self._waited = now - self._arrived_at
 
     def not_run(self) -> None:
         """The engine did not take the attempt under way."""
-        self._placed_at = None
+        self._take_back()
 
     def released(self) -> None:
         """The engine is done with the attempt under way, if there is one."""
-        if self._placed_at is not None:
-            self._seconds += self._clock.monotonic() - self._placed_at
-            self._placed_at = None
+        placed_at = self._take_back()
+        if placed_at is not None:
+            self._seconds += self._clock.monotonic() - placed_at
+
+    def _take_back(self) -> float | None:
+        """End the attempt under way; returns when it began, None where there is none."""
+        placed_at, self._placed_at = self._placed_at, None
+        if placed_at is not None:
+            self._book.note_stopped(self._tenant)
+        return placed_at
 
     def first_event(self) -> None:
         """The first event of its answer came."""
@@ -179,10 +191,11 @@
 
     def documents(self) -> list[dict[str, Any]]:
         """The rows, for the status document."""
-        return [
-            {"tenant": row.tenant, "total": row.total.fields(), "lately": row.lately.fields()}
-            for row in self.rows()
-        ]
+        return [row.fields() for row in self.rows()]
+
+    def holders(self) -> dict[str, int]:
+        """Tenants with the most online requests of this node at engines now, and how many."""
+        return self.accounts.holders(HOLDERS)
 
     def tell(self) -> None:
         """Write a line once in a while, if tenants got anything since the last one."""
--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -77,6 +77,8 @@
         self._looker: gevent.Greenlet | None = None
         self.nodes: Callable[[], int] = lambda: 1
         """Number of nodes that share the engines."""
+        self.holders: Callable[[], dict[str, int]] = dict
+        """Tenants with the most online requests of this node at engines, and how many."""
 
     def admit(
         self,
@@ -221,12 +223,13 @@
         return sorted((one for one in others if one.order() < entry.order()), key=_Waiting.order)
 
     def _place_of(self, entry: _Waiting) -> dict[str, Any]:
-        """Whose a request is and behind whom it waits, where callers have names."""
+        """Whose a request is, behind whom it waits and who runs, where callers have names."""
         if not entry.tenant:
             return {}
         ahead = self._ahead(entry)
         nearest = [one.request_id for one in ahead[-MOST_AHEAD:]]
-        return {"tenant": entry.tenant, "before": len(ahead), "ahead": nearest}
+        place = {"tenant": entry.tenant, "before": len(ahead), "ahead": nearest}
+        return {**place, "holders": self.holders()}
 
     def rows(self) -> list[dict[str, Any]]:
         """Who waits here now, and behind whom, in the order in which they go."""
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -112,6 +112,18 @@
         row = book.rows(WINDOW + SLICE)[0]
         self.assertEqual((row.lately.asked, row.total.asked), (0, 1))
 
+    def test_who_runs_now(self):
+        book = Accounts()
+        for tenant in ("a", "b", "b", "c", "c", "c"):
+            book.note_started(tenant)
+        self.assertEqual(book.holders(2), {"c": 3, "b": 2})
+        book.note_stopped("a")
+        self.assertEqual(book.holders(9), {"c": 3, "b": 2})
+        book.note_request("c", End.IN_TIME, 0.0)
+        self.assertEqual(
+            [(one.tenant, one.running) for one in book.rows(0.0)], [("c", 3), (OTHERS, 2)]
+        )
+
     def test_one_refusal_ranks_behind_many(self):
         book = Accounts()
         book.note_request("once", End.NO_ROOM, 0.0)
--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -97,12 +97,14 @@
             self.setUp()
             with self.open() as account:
                 account.placed(10.1)
+                self.assertEqual(self.accounts.holders(1), {"ann": 1})
                 self.at(first_at)
                 account.first_event()
                 self.at(12.0)
                 account.released()
                 account.whole()
             total = self.total()
+            self.assertEqual(self.accounts.holders(1), {})
             self.assertEqual(total.ends, {end: 1})
             self.assertEqual((total.sent, round(total.waited, 3)), (1, 0.1))
             self.assertAlmostEqual(total.online_seconds, 1.9)
@@ -115,6 +117,7 @@
             account.released()
             raise RefusedError("x")
         self.assertEqual(self.total().online_seconds, 0.0)
+        self.assertEqual(self.accounts.holders(1), {})
 
     def test_a_request_that_no_engine_got_waited_until_its_end(self):
         with contextlib.suppress(RefusedError), self.open():
@@ -237,11 +240,16 @@
         self.assertEqual(len(last["ahead"]), MOST_AHEAD)
         self.assertEqual(last["ahead"][-1], f"r{MOST_ROWS + 8}")
 
+    def test_lines_name_who_runs(self):
+        self.room.holders = lambda: {"bob": 4}
+        self.enter(1)
+        self.assertEqual(self.log.written[-1][1]["holders"], {"bob": 4})
+
     def test_callers_without_names_are_not_told_of(self):
         self.enter(1, tenant="")
         self.enter(2, tenant="")
         for _, fields in self.log.written:
-            self.assertFalse({"tenant", "before", "ahead"} & fields.keys())
+            self.assertFalse({"tenant", "before", "ahead", "holders"} & fields.keys())
 
 
 def tenants(**limits):
