--- a/tests/test_jobs_of_zones.py
+++ b/tests/test_jobs_of_zones.py
@@ -3,7 +3,9 @@
 import base64
 import json
 import unittest
+from unittest import mock
 
+from postvalve.gateway.jobs import item_runner
 from tests.gateway_support import BATCH_PATH, GatewayFleet
 from tests.stand_in_engine import Behaviour
 from tests.test_gateway_jobs import job_body
@@ -18,7 +20,7 @@
 
     def setUp(self):
         tenants = [{"name": "ann", "apiKeys": ["first", "second"]}]
-        self.fleet = GatewayFleet(nodes=0, engines=1, tenants=tenants)
+        self.fleet = GatewayFleet(nodes=0, engines=1, tenants=tenants, keepS=1)
         self.addCleanup(self.fleet.stop)
         for zone in ZONES:
             node = self.fleet.start_node(zone, zone=zone)
@@ -50,6 +52,17 @@
                 self.assertEqual(page["results"], whole[position:], (zone, position))
                 self.assertEqual((page["total"], page["nextToken"]), (4, 4))
 
+    def test_items_that_nobody_could_run_are_listed_as_given_up_at_every_zone(self):
+        self.engine.usual = Behaviour(refuse=True)
+        with mock.patch.object(item_runner, "GIVE_UP_MARGIN_MS", 0):
+            self.assertEqual(self.submit(ZONES[0], FIRST).status, 202)
+            for zone in ZONES:
+                wait_until(lambda zone=zone: len(self.page(zone, 0)["results"]) == 4)
+        for zone in ZONES:
+            for position in (2, 0):
+                states = [one["state"] for one in self.page(zone, position)["results"]]
+                self.assertEqual(states, ["dead_letter"] * (4 - position), zone)
+
     def test_bodies_a_second_hand_in_and_ends_by_another_client(self):
         self.engine.usual = Behaviour(silent=True)
         self.assertEqual(self.submit(ZONES[0], FIRST).status, 202)
