Accounts read through: silent nodes side by side, nobody left at an engine

A node that has no configuration yet refused for want of room by the accounts (NotReadyError is a RefusedError); an attempt that an unexpected error ended would have stayed among the holders. `postvalve status` asks 32 nodes at once, so that silent ones do not add up to minutes.

--- a/postvalve/cli/status.py
+++ b/postvalve/cli/status.py
@@ -8,6 +8,7 @@
 import sys
 from typing import Any
 
+from gevent.pool import Pool
 from geventhttpclient import HTTPClient
 from geventhttpclient.url import URL
 
@@ -27,6 +28,8 @@
 ASKED_COLUMNS = ("node", "zone", "state", "revision", "peers", "engines")
 TIMEOUT = 5.0
 """Seconds until a node's answer is given up."""
+ASKED_AT_ONCE = 32
+"""Nodes that are asked side by side: silent ones must not add up to minutes."""
 EXAMPLES = """examples:
   postvalve status --node http://127.0.0.1:8080 --output json
   postvalve status --node http://10.0.0.1:9001 --node http://10.0.0.2:9001
@@ -85,13 +88,15 @@
 
 def _show_several(arguments: argparse.Namespace) -> int:
     """Print what nodes tell together; those that do not answer are named."""
-    documents, silent = [], []
-    for node in arguments.node:
-        try:
-            documents.append(fetch_status(node, arguments.key))
-        except PlatformError as error:
-            print(f"not counted: {error.message}", file=sys.stderr)
-            silent.append({"node": node, "error": error.message})
+    answers = Pool(ASKED_AT_ONCE).map(lambda node: _ask(node, arguments.key), arguments.node)
+    documents = [one for one in answers if isinstance(one, dict)]
+    silent = [
+        {"node": node, "error": one.message}
+        for node, one in zip(arguments.node, answers, strict=True)
+        if isinstance(one, PlatformError)
+    ]
+    for error in silent:
+        print(f"not counted: {error['error']}", file=sys.stderr)
     if arguments.output == "json":
         summed = {
             "tenants": [row.fields() for row in add_up(documents)],
@@ -106,6 +111,13 @@
     return ExitCode.OK if documents else ExitCode.UNAVAILABLE
 
 
+def _ask(node: str, key: str) -> dict[str, Any] | PlatformError:
+    try:
+        return fetch_status(node, key)
+    except PlatformError as error:
+        return error
+
+
 def _asked_row(document: dict[str, Any]) -> dict[str, Any]:
     return {
         "node": document["node_id"],
--- a/postvalve/core/scheduling/accounts.py
+++ b/postvalve/core/scheduling/accounts.py
@@ -70,7 +70,6 @@
     GIVEN_UP = "items_given_up"
 
 
-SERVED = (End.IN_TIME, End.LATE)
 REFUSED = (
     End.OVER_LIMIT,
     End.COUNT_UNKNOWN,
--- a/postvalve/gateway/serving/caller_accounts.py
+++ b/postvalve/gateway/serving/caller_accounts.py
@@ -24,6 +24,7 @@
     GivenUpError,
     KeyUnknownError,
     LimitUnknownError,
+    NotReadyError,
     PostvalveError,
     RateLimitedError,
     RefusedError,
@@ -48,6 +49,7 @@
     DrainingError: End.NODE_LEAVING,
     StoreOutOfReachError: End.STORE_AWAY,
     TimeOverError: End.TIME_OVER,
+    NotReadyError: End.REFUSED_ELSE,
     RefusedError: End.NO_ROOM,
     GivenUpError: End.GIVEN_UP,
     ClientGoneError: End.LEFT,
@@ -108,6 +110,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        self.released()
         if error is not None:
             self.failed(error)
         if not self._counted:
--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from heapq import nsmallest
+from operator import attrgetter
 from typing import Any
 
 import gevent
@@ -49,9 +51,14 @@
     """Who sends it; empty for nobody in particular."""
     decided: AsyncResult = field(default_factory=AsyncResult)
 
-    def order(self) -> tuple[tuple[int, int], float]:
-        """Its place among those that wait here: the least goes first."""
-        return (self.rank, self.held.arrived_at)
+    order: tuple[tuple[int, int], float] = field(init=False)
+    """Its place among those that wait here: the least goes first."""
+
+    def __post_init__(self) -> None:
+        self.order = (self.rank, self.held.arrived_at)
+
+
+_order_of = attrgetter("order")
 
 
 class WaitingRoom:
@@ -165,7 +172,7 @@
     def _look(self) -> None:
         """Decide about all that wait, the most urgent kinds and the oldest first."""
         rooms_of: dict[str, list[EngineRoom]] = {}
-        for entry in sorted(self._waiting, key=_Waiting.order):
+        for entry in sorted(self._waiting, key=_order_of):
             if entry.decided.ready():
                 continue
             if entry.service not in rooms_of:
@@ -217,19 +224,19 @@
             **fields,
         )
 
-    def _ahead(self, entry: _Waiting) -> list[_Waiting]:
-        """Those that wait here for the same engines and go before it, the nearest one last."""
-        others = (one for one in self._waiting if one.service == entry.service)
-        return sorted((one for one in others if one.order() < entry.order()), key=_Waiting.order)
-
     def _place_of(self, entry: _Waiting) -> dict[str, Any]:
         """Whose a request is, behind whom it waits and who runs, where callers have names."""
         if not entry.tenant:
             return {}
-        ahead = self._ahead(entry)
-        nearest = [one.request_id for one in ahead[-MOST_AHEAD:]]
-        place = {"tenant": entry.tenant, "before": len(ahead), "ahead": nearest}
-        return {**place, "holders": self.holders()}
+        same_engines = (one for one in self._waiting if one.service == entry.service)
+        ahead = [one for one in same_engines if one.order < entry.order]
+        nearest = sorted(ahead, key=_order_of)[-MOST_AHEAD:]
+        return {
+            "tenant": entry.tenant,
+            "before": len(ahead),
+            "ahead": [one.request_id for one in nearest],
+            "holders": self.holders(),
+        }
 
     def rows(self) -> list[dict[str, Any]]:
         """Who waits here now, and behind whom, in the order in which they go."""
@@ -237,7 +244,7 @@
         rows: list[dict[str, Any]] = []
         last: dict[str, str] = {}
         """The request that came last in order, by service."""
-        for entry in sorted(self._waiting, key=_Waiting.order)[:MOST_ROWS]:
+        for entry in nsmallest(MOST_ROWS, self._waiting, key=_order_of):
             rows.append(
                 {
                     "request": entry.request_id,
--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -23,6 +23,7 @@
     InvalidRequestError,
     KeyUnknownError,
     LimitUnknownError,
+    NotReadyError,
     QuarantinedError,
     RateLimitedError,
     RefusedError,
@@ -60,6 +61,7 @@
             (LimitUnknownError("x"), End.COUNT_UNKNOWN),
             (RefusedError("x"), End.NO_ROOM),
             (DrainingError("x"), End.NODE_LEAVING),
+            (NotReadyError("x"), End.REFUSED_ELSE),
             (StoreOutOfReachError("x"), End.STORE_AWAY),
             (TimeOverError("x"), End.TIME_OVER),
             (GivenUpError("x"), End.GIVEN_UP),
@@ -138,6 +140,12 @@
             pass
         self.assertEqual(self.total().ends, {End.FAILED: 1})
 
+    def test_whatever_happens_nobody_is_left_at_an_engine(self):
+        with contextlib.suppress(RuntimeError), self.open() as account:
+            account.placed(10.0)
+            raise RuntimeError
+        self.assertEqual(self.accounts.holders(1), {})
+
     def test_calls_that_ask_engines_for_nothing_are_not_counted(self):
         with self.open() as account:
             account.dismiss()
