--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from heapq import nsmallest
+from operator import attrgetter
+from typing import Any
 
 import gevent
 from gevent.event import AsyncResult
@@ -30,6 +33,10 @@
 """Seconds between looks at those that wait."""
 LEAST_RETURN_TIME = 1.0
 """Seconds that a client must have left to come back after a refusal."""
+MOST_ROWS = 50
+"""Requests that wait which are told to operators, the first in order."""
+MOST_AHEAD = 3
+"""Requests in front of one that its lines in the log name, the nearest ones."""
 
 
 @dataclass(slots=True, eq=False)
@@ -40,8 +47,19 @@
     """Its tenant's priority, then its route's; 0 is the most urgent."""
     held: HeldRequest
     gone: Callable[[], bool]
+    tenant: str = ""
+    """Who sends it; empty for nobody in particular."""
     decided: AsyncResult = field(default_factory=AsyncResult)
 
+    order: tuple[tuple[int, int], float] = field(init=False)
+    """Its place among those that wait here: the least goes first."""
+
+    def __post_init__(self) -> None:
+        self.order = (self.rank, self.held.arrived_at)
+
+
+_order_of = attrgetter("order")
+
 
 class WaitingRoom:
     """Holds, releases and refuses; see `core/admission/holding` for the rules."""
@@ -66,6 +84,8 @@
         self._looker: gevent.Greenlet | None = None
         self.nodes: Callable[[], int] = lambda: 1
         """Number of nodes that share the engines."""
+        self.holders: Callable[[], dict[str, int]] = dict
+        """Tenants with the most online requests of this node at engines, and how many."""
 
     def admit(
         self,
@@ -76,6 +96,7 @@
         arrived_at: float,
         deadline: float,
         gone: Callable[[], bool],
+        tenant: str = "",
     ) -> None:
         """Return when an engine should get the request, or when its client has gone.
 
@@ -87,6 +108,7 @@
             arrived_at: Monotonic seconds.
             deadline: Likewise.
             gone: Tells whether the client has left.
+            tenant: Who sends it; empty for nobody in particular.
 
         Raises:
             RefusedError: there is no room in time, and the client can come back.
@@ -100,7 +122,7 @@
         )
         if self._fleet.has_room(service):
             return
-        entry = _Waiting(terms.request_id, service, rank, held, gone)
+        entry = _Waiting(terms.request_id, service, rank, held, gone, tenant)
         rooms = self._fleet.rooms(service)
         ruling = self._rule(entry, rooms)
         if ruling is Ruling.HOLD:
@@ -150,7 +172,7 @@
     def _look(self) -> None:
         """Decide about all that wait, the most urgent kinds and the oldest first."""
         rooms_of: dict[str, list[EngineRoom]] = {}
-        for entry in sorted(self._waiting, key=lambda one: (one.rank, one.held.arrived_at)):
+        for entry in sorted(self._waiting, key=_order_of):
             if entry.decided.ready():
                 continue
             if entry.service not in rooms_of:
@@ -198,5 +220,40 @@
             waited=round(self._clock.monotonic() - entry.held.arrived_at, 3),
             slot_time=round(pace.held, 3),
             margin=round(pace.margin, 3),
+            **self._place_of(entry),
             **fields,
         )
+
+    def _place_of(self, entry: _Waiting) -> dict[str, Any]:
+        """Whose a request is, behind whom it waits and who runs, where callers have names."""
+        if not entry.tenant:
+            return {}
+        same_engines = (one for one in self._waiting if one.service == entry.service)
+        ahead = [one for one in same_engines if one.order < entry.order]
+        nearest = sorted(ahead, key=_order_of)[-MOST_AHEAD:]
+        return {
+            "tenant": entry.tenant,
+            "before": len(ahead),
+            "ahead": [one.request_id for one in nearest],
+            "holders": self.holders(),
+        }
+
+    def rows(self) -> list[dict[str, Any]]:
+        """Who waits here now, and behind whom, in the order in which they go."""
+        now = self._clock.monotonic()
+        rows: list[dict[str, Any]] = []
+        last: dict[str, str] = {}
+        """The request that came last in order, by service."""
+        for entry in nsmallest(MOST_ROWS, self._waiting, key=_order_of):
+            rows.append(
+                {
+                    "request": entry.request_id,
+                    "service": entry.service,
+                    "tenant": entry.tenant,
+                    "rank": list(entry.rank),
+                    "waited": round(now - entry.held.arrived_at, 3),
+                    "behind": last.get(entry.service, ""),
+                }
+            )
+            last[entry.service] = entry.request_id
+        return rows
