--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -119,6 +119,8 @@
         "a peer knew more of the engines; they were read beside the read under way",
     )
     LOG_RECORD_INVALID = (601, "error", "log record cannot be read")
+    FEATURES_CHANGED = (630, "info", "what takes all nodes is on or off")
+    MESSAGES_NOT_KNOWN = (631, "info", "messages that only another build knows were passed over")
 
     @property
     def number(self) -> int:
