--- a/postvalve/gateway/fleet/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -37,10 +37,12 @@
     FrameError,
     Message,
     PackedReport,
+    UnknownKindError,
     decode_datagram,
     encode_frame,
 )
 from postvalve.messages.generated import gateway
+from postvalve.node.passed_over import PassedOver
 
 TARGETS_AGE = 0.5
 """Seconds between looks at who the peers are, and which of them are silent."""
@@ -59,6 +61,7 @@
         self._transport = services.transport
         self._fleet = services.fleet
         self._peers = services.peers
+        self._passed_over = PassedOver(services.events)
         self._near = ReportPace(NEAR_RATE)
         self._far = ReportPace(FAR_RATE)
         self._sequence = 0
@@ -198,6 +201,8 @@
         """Take a datagram."""
         try:
             self._take(decode_datagram(data), address)
+        except UnknownKindError as unknown:
+            self._passed_over.note(unknown.header.kind, address, self._clock.monotonic())
         except (FrameError, LoadReportError) as exc:
             self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(exc))
 
--- a/postvalve/gateway/knowledge/relayed_topics.py
+++ b/postvalve/gateway/knowledge/relayed_topics.py
@@ -191,7 +191,10 @@
             self._patience.note(False)
             raise StoreUnavailableError(f"relay {address}: {exc.message}", exc.verdict) from exc
         self._patience.note(True)
-        assert isinstance(reply, gateway.StoreReply)
+        if not isinstance(reply, gateway.StoreReply):
+            # A build that doesn't know the call has not made it.
+            told = f"relay {address}: {type(reply).__name__}"
+            raise StoreUnavailableError(told, Verdict.NOT_RUN)
         if reply.outcome == _Outcome.STORE_OUTCOME_DONE:
             return reply
         if reply.outcome == _Outcome.STORE_OUTCOME_POSITION_TAKEN:
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -65,12 +65,21 @@
 )
 """Their positions are on the wire: new ones go to the end, and none is taken out."""
 _KIND_OF_TYPE = {message_type: kind for kind, message_type in enumerate(_MESSAGE_KINDS)}
+_REPORT_KIND = _KIND_OF_TYPE[PackedReport]
 
 
 class FrameError(ValueError):
     """Bytes from a peer that are no frame."""
 
 
+class UnknownKindError(FrameError):
+    """A frame whose kind only another build knows; what follows it can be read."""
+
+    def __init__(self, header: FrameHeader) -> None:
+        super().__init__(f"frame of unknown kind {header.kind}")
+        self.header = header
+
+
 @dataclass(frozen=True, slots=True)
 class FrameHeader:
     """The fixed part of a frame."""
@@ -90,15 +99,13 @@
     """Read a header.
 
     Raises:
-        FrameError: when it is short, too long a frame, or of an unknown kind.
+        FrameError: when it is short, or too long a frame.
     """
     if len(data) != HEADER.size:
         raise FrameError("frame header is short")
     header = FrameHeader(*HEADER.unpack(data))
     if header.length > MAX_FRAME_BYTES:
         raise FrameError(f"frame of {header.length} bytes is over {MAX_FRAME_BYTES}")
-    if header.kind >= len(_MESSAGE_KINDS):
-        raise FrameError(f"frame of unknown kind {header.kind}")
     return header
 
 
@@ -106,10 +113,13 @@
     """Decode the message that follows a header.
 
     Raises:
+        UnknownKindError: when this build doesn't know the kind.
         FrameError: when the bytes are no such message.
     """
     if len(body) != header.length:
         raise FrameError("frame is cut")
+    if header.kind >= len(_MESSAGE_KINDS):
+        raise UnknownKindError(header)
     kind = _MESSAGE_KINDS[header.kind]
     if issubclass(kind, PackedReport):
         raise FrameError("load reports travel as datagrams")
@@ -120,11 +130,12 @@
     """Decode a datagram, which is one whole frame.
 
     Raises:
+        UnknownKindError: when this build doesn't know its kind.
         FrameError: when it is not.
     """
     header = decode_header(data[: HEADER.size])
     body = data[HEADER.size :]
-    if _MESSAGE_KINDS[header.kind] is PackedReport and len(body) == header.length:
+    if header.kind == _REPORT_KIND and len(body) == header.length:
         return PackedReport(body)
     return decode_body(header, body)
 
--- a/postvalve/node/peer_link.py
+++ b/postvalve/node/peer_link.py
@@ -8,6 +8,7 @@
 
 import enum
 import itertools
+import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -24,10 +25,13 @@
 from postvalve.messages.framing import (
     HEADER,
     FrameError,
+    UnknownKindError,
     decode_body,
     decode_header,
     encode_frame,
 )
+from postvalve.messages.generated import peer
+from postvalve.node.passed_over import PassedOver
 from postvalve.sockets import end_when_silent, send_at_once
 
 CONNECT_TIMEOUT = 0.5
@@ -49,6 +53,7 @@
     """Read one frame; None at the end of the connection.
 
     Raises:
+        UnknownKindError: when only another build knows its kind; the next frame can be read.
         FrameError: when the bytes are no frame.
     """
     raw_header = _read_exactly(connection, HEADER.size)
@@ -76,6 +81,7 @@
         host, _, port = listen.rpartition(":")
         self._handler = handler
         self._events = events
+        self._passed_over = PassedOver(events)
         self._server = StreamServer((host, int(port)), self._serve)
 
     def start(self) -> None:
@@ -92,7 +98,7 @@
         write_lock = RLock()
         handlers = Pool(MAX_HANDLERS_PER_CONNECTION)
         try:
-            while frame := read_frame(connection):
+            while frame := self._next_frame(connection, write_lock, address):
                 message, correlation_id = frame
                 handlers.spawn(self._answer, connection, write_lock, message, correlation_id)
         except FrameError as error:
@@ -103,6 +109,19 @@
             handlers.kill(block=False)
             connection.close()
 
+    def _next_frame(
+        self, connection: socket, write_lock: RLock, address: object
+    ) -> tuple[betterproto.Message, int] | None:
+        """The next call that this build knows; whoever sent another one hears at once."""
+        while True:
+            try:
+                return read_frame(connection)
+            except UnknownKindError as unknown:
+                self._passed_over.note(unknown.header.kind, str(address), time.monotonic())
+                data = encode_frame(peer.Acknowledgement(), unknown.header.correlation_id)
+                with write_lock:
+                    connection.sendall(data)
+
     def _answer(
         self,
         connection: socket,
@@ -173,7 +192,7 @@
 
     def _read_replies(self) -> None:
         try:
-            while frame := read_frame(self._socket):
+            while frame := self._next_reply():
                 message, correlation_id = frame
                 self._frames += 1
                 result = self._waiting.get(correlation_id)
@@ -185,6 +204,13 @@
         finally:
             self.close()
 
+    def _next_reply(self) -> tuple[betterproto.Message, int] | None:
+        """The next reply; one that only another build knows tells its caller nothing."""
+        try:
+            return read_frame(self._socket)
+        except UnknownKindError as unknown:
+            return peer.Acknowledgement(), unknown.header.correlation_id
+
     def close(self) -> None:
         """Close, and fail everything that waits."""
         self.closed = True
