What takes all nodes is on only while all that are heard can do it, and says so

Cause: PeerView.features() was what all heard just now can do: on at a node that starts, before it has heard anybody, and back on in the moment an earlier node is not heard. The raw view is PeerView.common_features(). Ruled out: off at every able node that is heard for the first time, each restart would switch a matter off in the whole fleet.

--- a/postvalve/core/membership/peers.py
+++ b/postvalve/core/membership/peers.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from postvalve.core.batch.item_order import decode_groups
-from postvalve.core.membership.extensions import OWN_FEATURES, Feature, features_of
+from postvalve.core.membership.extensions import Feature, features_of
+from postvalve.core.membership.feature_gate import FeatureGate
 from postvalve.core.membership.load_report import LoadReport, RunningItem
 from postvalve.core.membership.ownership import preferred_owner
-from postvalve.core.membership.zone_digest import ZoneDigest, ZoneMember
+from postvalve.core.membership.zone_digest import ZONE_PREFIX, ZoneDigest, ZoneMember
 
 SILENT_AFTER = 2.0
 """Seconds without a report after which a node counts as gone."""
@@ -89,6 +90,8 @@
         self._leaving: set[str] = set()
         """Peers that reported themselves as leaving."""
         self._looked_at: float | None = None
+        self.gate = FeatureGate()
+        """Which matters that take all nodes are in use."""
 
     def observe(self, report: LoadReport, now: float) -> bool:
         """Take a report in; returns whether it is newer than what was known."""
@@ -100,6 +103,7 @@
         waiting = decode_groups(report.items_waiting)
         self._peers[report.node_id] = Peer(report, now, waiting)
         (self._leaving.add if report.leaving else self._leaving.discard)(report.node_id)
+        self.gate.lower(features_of(report.extensions))
         return True
 
     def observe_zone(self, digest: ZoneDigest, now: float) -> bool:
@@ -121,6 +125,7 @@
             }
         for peer in zone.members.values():
             peer.heard_at = now
+        self.gate.lower(features_of(digest.extensions))
         return True
 
     def drop(self, node_id: str) -> None:
@@ -150,6 +155,7 @@
         ]
         for name in zones:
             del self._zones[name]
+        self.gate.look(self.common_features(), now)
         return Silence(nodes, zones)
 
     def all(self) -> list[Peer]:
@@ -164,18 +170,27 @@
         return len(self._peers) + sum(len(zone.members) for zone in self._zones.values())
 
     def features(self) -> Feature:
-        """What all of them can do: a zone's digest tells what all its nodes can.
+        """What takes all nodes and is in use: see `core/membership/feature_gate`."""
+        return self.gate.on
+
+    def common_features(self) -> Feature:
+        """What all that are heard can do: a zone's digest tells what all its nodes can.
 
         Of a zone whose digests come, the newest one counts, also where its members are those that
         an earlier one listed: an older build may have taken a machine's place.
         """
-        common = OWN_FEATURES
-        for peer in self._peers.values():
-            common &= features_of(peer.report.extensions)
-        for zone in self._zones.values():
-            common &= features_of(zone.digest.extensions)
+        common = self.gate.own
+        for _, features in self.features_heard():
+            common &= features
         return common
 
+    def features_heard(self) -> Iterator[tuple[str, Feature]]:
+        """What each node that reports itself, and each zone that is known by digests, can do."""
+        for peer in self._peers.values():
+            yield peer.node_id, features_of(peer.report.extensions)
+        for name, zone in self._zones.items():
+            yield ZONE_PREFIX + name, features_of(zone.digest.extensions)
+
     def neighbours(self, zone: str) -> list[Peer]:
         """Peers of a zone that report themselves."""
         return [one for one in self._peers.values() if one.report.zone == zone]
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -23,6 +23,7 @@
 from postvalve.core.routing.route_table import RouteTable
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.builds import Builds
 from postvalve.gateway.fleet.directory_reader import DirectoryParser, DirectoryReader
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.load_reports import MAX_SILENCE, LoadReports
@@ -128,6 +129,7 @@
         self._pool = ConnectionPool(clock)
         self._fleet = EngineFleet(settings.zone, clock, events, self._pool, generator)
         self.peers = PeerView(settings.node_id)
+        self._builds = Builds(self.peers, clock, events)
         self._transport = NetworkTransport(settings.peer_listen, events)
         self.configuration = ConfigurationHolder(
             platform.configuration_key, platform.parse_configuration, events
@@ -253,6 +255,7 @@
         self._quarantine.confirm(self._fleet.is_listed, known_at)
         self._sharing.look()
         self._limits.look()
+        self._builds.look()
 
     def _nodes_known(self) -> None:
         self._reports.look_again()
@@ -362,6 +365,7 @@
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
+            "builds": self._builds.fields(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -71,20 +71,20 @@
         parts = {Extension.FEATURES: (0xFFFF_FFFF).to_bytes(4, "big")}
         self.assertEqual(features_of(parts), Feature(sum(Feature)))
 
-    def test_what_takes_all_nodes_is_on_while_all_can(self):
+    def test_what_all_can_do_is_what_each_can(self):
         peers = PeerView("me")
         able = {Extension.FEATURES: pack_features(OWN_FEATURES)}
         peers.observe(report("new", extensions=able), 0.0)
-        self.assertEqual(peers.features(), OWN_FEATURES)
+        self.assertEqual(peers.common_features(), OWN_FEATURES)
         peers.observe(report("old"), 0.0)
-        self.assertEqual(peers.features(), Feature.NONE)
+        self.assertEqual(peers.common_features(), Feature.NONE)
         peers.drop("old")
-        self.assertEqual(peers.features(), OWN_FEATURES)
+        self.assertEqual(peers.common_features(), OWN_FEATURES)
 
     def test_a_zone_can_what_its_newest_digest_says(self):
         peers = PeerView("me")
         able = {Extension.FEATURES: pack_features(OWN_FEATURES)}
         peers.observe_zone(ZoneDigest("far", "a", "", 1, 1, extensions=able), 0.0)
-        self.assertEqual(peers.features(), OWN_FEATURES)
+        self.assertEqual(peers.common_features(), OWN_FEATURES)
         peers.observe_zone(ZoneDigest("far", "a", "", 1, 2), 0.1)
-        self.assertEqual(peers.features(), Feature.NONE)
+        self.assertEqual(peers.common_features(), Feature.NONE)
