--- /dev/null
+++ b/tests/earlier_build.py
@@ -0,0 +1,66 @@
+"""An earlier build of this repository, out of its own history."""
+
+import subprocess
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+LANDINGS = (
+    "a5efa4ee97a99d0bd6261f638e7aa525ab405bf0",
+    "a85a9a016c0ab9bc08f1327c1d16f44396ef1ce1",
+    "4dcb283acd54f39cf824945674f3e2dbaf7cde1b",
+)
+"""The last three, the newest one last; soaks by hand play them all."""
+FACULTIES = {
+    "limits": ("postvalve/core/admission/fleet_limits.py",),
+    "quarantine": ("postvalve/core/admission/quarantine.py",),
+}
+"""What a build knows, by the files that decide it; a promise holds where all builds keep it."""
+
+
+class HistoryMissingError(Exception):
+    """The commit is not in this clone."""
+
+
+@dataclass(frozen=True)
+class Build:
+    """A tree to start nodes from."""
+
+    name: str
+    root: Path
+    module: str
+    """What a node is started by."""
+
+    def knows(self, faculty):
+        return all((self.root / path).exists() for path in FACULTIES[faculty])
+
+
+PRESENT = Build("present", ROOT, "tests.soak.node")
+
+
+def production():
+    """The commit that runs when a day with an upgrade begins."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+    return deploy.get("production", LANDINGS[-1])
+
+
+def check_out(commit, folder):
+    """Put a commit's tree into a folder.
+
+    Raises:
+        HistoryMissingError: a shallow clone, or an export without history.
+    """
+    found = subprocess.run(
+        ["git", "-C", str(ROOT), "archive", commit], capture_output=True, check=False
+    )
+    if found.returncode:
+        told = found.stderr.decode(errors="replace").strip()
+        raise HistoryMissingError(
+            f"the build at {commit} can't be had from this repository's history ({told});"
+            " tests of two builds need a full clone"
+        )
+    root = Path(folder) / commit[:7]
+    root.mkdir(parents=True)
+    subprocess.run(["tar", "-x", "-C", str(root)], input=found.stdout, check=True)
+    return Build(commit[:7], root, "postvalve.startup")
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -268,7 +268,8 @@
         revision = answer.document["configuration_revision"]
         self._promises.revision_seen(life, revision)
         since = published_at + CONFIGURED
-        if asked_at > since and self._promises.calm(published_at, time.time()):
+        calm = self._promises.calm(published_at, time.time())
+        if asked_at > since and calm and self._promises.in_touch(node.name, "", time.time()):
             self._promises.revision_due(node.name, revision, version, published_at)
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,7 @@
 
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.platform.fleet import CONFIGURATION_KEY, CONFIGURATION_TOPIC, DIRECTORY_TOPIC
+from tests.earlier_build import PRESENT
 from tests.gateway_support import BATCH_PATH, HOST, ONCE_PATH, STREAM_PATH
 from tests.ports import free_port
 from tests.soak.processes import Engine, Node, Process, zone_of
@@ -54,6 +55,8 @@
         self.store = Process("store", folder, ["tests.soak.store", str(self.store_port)])
         self._calls = HTTPClient("127.0.0.1", port=self.store_port, concurrency=20)
         self.engines, self.nodes = [], []
+        self.first_build = PRESENT
+        """What nodes are started from at first."""
         self.version = 0
         self.published_at = 0.0
         self._publishing = RLock()
@@ -72,6 +75,7 @@
             zone = zone_of(number, self._node_count)
             node = Node(f"n{number}", zone, self.folder, self.store_port)
             self.nodes.append(node)
+            node.use(self.first_build)
             node.process.start()
         self._until(lambda: all(map(self.is_ready, self.nodes)))
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -7,12 +7,11 @@
 import subprocess
 import sys
 import time
-from pathlib import Path
 
+from tests.earlier_build import PRESENT, ROOT
 from tests.ports import free_port
 from tests.soak.proxy import Proxy
 
-ROOT = Path(__file__).resolve().parents[2]
 ZONES = "abcd"
 ZONE_NODES = 8
 """Nodes for which two zones are enough; else there are four."""
@@ -41,8 +40,10 @@
         self.ends = False
         """Whether it was told to end, or was killed, and was not started since."""
         self._folder = folder
-        self._words = words
-        self._env = {**os.environ, "PYTHONPATH": str(ROOT), **(env or {})}
+        self.words = words
+        self.root = ROOT
+        """The tree from which it is started next."""
+        self._env = {**os.environ, **(env or {})}
         self._popen = None
 
     @property
@@ -67,8 +68,9 @@
         signal.signal(signal.SIGUSR1, signal.SIG_IGN)
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-W", "ignore", "-m", *self._words],
-                cwd=ROOT, env=self._env, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                [sys.executable, "-W", "ignore", "-m", *self.words], cwd=self.root,
+                env=self._env | {"PYTHONPATH": str(self.root)},
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL,
             )  # fmt: skip
 
     def signal(self, number):
@@ -108,7 +110,13 @@
         }
         settings.write_text(json.dumps(document))
         env = {"POSTVALVE_CONFIG": str(settings)}
-        self.process = Process(name, folder, ["tests.soak.node"], env)
+        self.process = Process(name, folder, [PRESENT.module], env)
+        self.build = PRESENT
+
+    def use(self, build):
+        """Start it from this build from now on; a life that runs goes on."""
+        self.build = build
+        self.process.root, self.process.words = build.root, [build.module]
 
 
 class Engine:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -21,7 +21,9 @@
 """Seconds after an engine's leaving was acknowledged from which no request may reach it."""
 LEAVING_MARGIN = 0.25
 """Seconds more, for what was on its way on a machine that is busy."""
-PLANNED = frozenset(("node_term", "roll", "hup_series", "config_storm"))
+REPLACED = "node_replace"
+"""Kind of the span in which a node's machine is replaced by one with another build."""
+PLANNED = frozenset(("node_term", "roll", "hup_series", "config_storm", REPLACED))
 """Kinds of faults that are planned work: they cut no request that an engine runs."""
 FATAL_ENDS = 3
 """Engines that may end under a request before it is known for it, and as many later on."""
@@ -141,11 +143,14 @@
             self.broken.append(f"{promise}: {told}")
 
     def calm(self, start, end, but=None):
-        """Whether no fault, but for one, was in force from `start` on or shortly before."""
+        """Whether no fault, but for one, was in force from `start` on or shortly before.
+
+        That another node's machine is replaced excuses nothing.
+        """
         return not any(
             span.start <= end and span.end + CALM_AFTER >= start
             for span in self.spans
-            if span is not but
+            if span is not but and span.kind != REPLACED
         )
 
     def in_touch(self, node, engine, at, but=()):
@@ -332,7 +337,9 @@
     def stops_ended(self, requests):
         """Requests that were under way at a node when it was told to stop."""
         for span in self.spans:
-            if span.kind != "node_term" or not self.calm(span.start - 2.0, span.end, but=span):
+            if span.kind not in ("node_term", REPLACED) or not self.calm(
+                span.start - 2.0, span.end, but=span
+            ):
                 continue
             for req in requests:
                 under_way = req.node == span.target and req.sent_at < span.start < req.ended_at
--- a/tests/soak/tenants.py
+++ b/tests/soak/tenants.py
@@ -46,10 +46,14 @@
         self._pick = pick
         self._numbers = itertools.count()
         self.stopped = False
+        self.enabled = True
+        """Whether all builds that run know tenants."""
         self.statuses = {}
         """Of each answer, by the request's id."""
 
     def start(self):
+        if not self.enabled:
+            return
         gevent.spawn(self._send, "limited", lambda: self._random.expovariate(FLOOD_RATE))
         for tenant in ("large", "unknown"):
             gevent.spawn(self._send, tenant, lambda: OTHER_PAUSE)
