--- a/tests/earlier_build.py
+++ b/tests/earlier_build.py
@@ -1,11 +1,18 @@
-"""An earlier build of this repository, out of its own history."""
+"""An earlier build of this repository, out of its own history.
 
+`python -m tests.earlier_build` records the golden samples anew, after `production` was moved.
+"""
+
+import os
 import subprocess
+import sys
+import tempfile
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
+SAMPLES = ROOT / "tests" / "version_samples.py"
 LANDINGS = (
     "a5efa4ee97a99d0bd6261f638e7aa525ab405bf0",
     "a85a9a016c0ab9bc08f1327c1d16f44396ef1ce1",
@@ -64,3 +71,28 @@
     root.mkdir(parents=True)
     subprocess.run(["tar", "-x", "-C", str(root)], input=found.stdout, check=True)
     return Build(commit[:7], root, "postvalve.startup")
+
+
+def golden_folder():
+    """Samples of messages and records that the build in production made."""
+    return ROOT / "golden" / "versions" / production()[:7]
+
+
+def record_golden():
+    """Let the build in production make the samples, and say how it reads them itself."""
+    folder = golden_folder()
+    with tempfile.TemporaryDirectory() as trees:
+        build = check_out(production(), trees)
+        for verb, name in (("write", "agreements.json"), ("read", "read.json")):
+            told = subprocess.run(
+                [sys.executable, "-W", "ignore", str(SAMPLES), verb, str(folder)],
+                cwd=build.root,
+                env=os.environ | {"PYTHONPATH": str(build.root)},
+                stdout=subprocess.PIPE,
+                check=True,
+            ).stdout
+            (folder / name).write_bytes(told)
+
+
+if __name__ == "__main__":
+    record_golden()
