--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -11,7 +11,8 @@
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.events import Event
 from postvalve.gateway.fleet.builds import Builds
-from tests.gateway_support import QuietLog
+from tests.gateway_support import GatewayFleet, QuietLog
+from tests.waiting import wait_until
 
 LINE, SHARES = Feature.LINE, Feature.BATCH_SHARES
 OWN = LINE | SHARES
@@ -153,6 +154,13 @@
         self.play(LOOK)
         self.assertEqual(self.builds.fields()["off"]["line"], ["settling, 10 s"])
 
+    def test_the_status_of_a_node_has_it(self):
+        fleet = GatewayFleet(nodes=2, engines=1)
+        self.addCleanup(fleet.stop)
+        node = fleet.nodes["n0"]
+        wait_until(lambda: node.status_document()["builds"]["peers"] == 1)
+        self.assertEqual(node.status_document()["builds"]["lesser_peers"], {})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 from tests.soak.__main__ import Soak
 from tests.soak.faults import ALONE, KINDS, REST, schedule
 from tests.soak.processes import Engine, Process
-from tests.soak.promises import TIMED, Job, Leaving, Online, Promises, Run, Span
+from tests.soak.promises import REPLACED, TIMED, Job, Leaving, Online, Promises, Run, Span
 from tests.soak.proxy import Proxy
 from tests.soak.tenants import TenantClients
 
@@ -142,6 +142,21 @@
         self.promises.runs_seen([Run("i-1-0", 28.0)], [], [self.job])
         self.assertEqual(self.broken(), ["a cancelled job stops"])
 
+    def test_that_a_machine_is_replaced_excuses_nothing_elsewhere(self):
+        self.promises.spans.append(Span(REPLACED, "n0", 1.0, 9.0))
+        self.assertTrue(self.promises.calm(5.0, 6.0))
+        self.assertFalse(self.promises.in_touch("n0", "e0", 5.0))
+        self.assertTrue(self.promises.in_touch("n1", "e0", 5.0))
+
+    def test_a_replaced_machine_that_cuts_a_request(self):
+        self.promises.spans.append(Span(REPLACED, "n0", 1.5, 4.0))
+        self.promises.stops_ended([self.online(status=0, whole=False)])
+        self.promises.runs_seen(
+            [Run("o-1", 1.1)], [self.online(status=0, whole=False, kept=True)], []
+        )
+        wanted = ["a planned stop cuts nothing", "a kept connection answers what it took"]
+        self.assertEqual(self.broken(), wanted)
+
     def test_online_requests_behind_batch(self):
         calm = [Run("o-1", 5.0, waited=0.1, items=3)] * 20
         self.promises.runs_seen([*calm, Run("o-2", 5.0, waited=2.0, items=0)], [], [])
