--- a/postvalve/gateway/fleet/builds.py
+++ b/postvalve/gateway/fleet/builds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 
 from postvalve.clock import Clock
@@ -43,13 +44,14 @@
         )
 
     def fields(self) -> dict[str, Any]:
-        """For the status of the node; peers that can do all that this build can are counted."""
+        """For the status of the node: peers are counted, and named where they can do less."""
         own = self._peers.gate.own
         heard = dict(self._peers.features_heard())
+        counts = Counter(" ".join(feature_names(one)) or "none" for one in heard.values())
         lesser = {name: one for name, one in sorted(heard.items()) if own & ~one}
         return {
             "own": feature_names(own),
-            "peers": len(heard),
+            "peers": dict(sorted(counts.items())),
             "lesser_peers": {name: feature_names(one) for name, one in lesser.items()},
             "on": feature_names(self._peers.features()),
             "off": self._lacking(),
--- a/postvalve/node/membership_service.py
+++ b/postvalve/node/membership_service.py
@@ -15,10 +15,17 @@
 )
 from postvalve.events import Event
 from postvalve.exceptions import PlatformError
-from postvalve.messages.framing import FrameError, Message, decode_datagram, encode_frame
+from postvalve.messages.framing import (
+    FrameError,
+    Message,
+    UnknownKindError,
+    decode_datagram,
+    encode_frame,
+)
 from postvalve.messages.generated import peer
 from postvalve.node.background import BackgroundTasks
 from postvalve.node.context import NodeContext
+from postvalve.node.passed_over import PassedOver
 from postvalve.services.machines import Machine
 from postvalve.states import MachineKind, MachineState, NodeState
 
@@ -37,6 +44,7 @@
         self._settings = context.settings
         self._clock = context.clock
         self._events = context.events
+        self._passed_over = PassedOver(context.events)
         self._metrics = context.metrics
         self._machine_list = context.machine_list
         self._transport = context.transport
@@ -205,6 +213,8 @@
         try:
             message = decode_datagram(data)
             self._take(message)
+        except UnknownKindError as unknown:
+            self._passed_over.note(unknown.header.kind, address, self._clock.monotonic())
         except FrameError as error:
             self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(error))
 
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -145,7 +145,8 @@
         self.heard = {"a": OWN, "zone:far": None}
         self.play(LOOK)
         far = ["zone:far"]
-        wanted = {"own": ["line", "batch_shares"], "peers": 2, "lesser_peers": {"zone:far": []}}
+        peers = {"line batch_shares": 1, "none": 1}
+        wanted = {"own": ["line", "batch_shares"], "peers": peers, "lesser_peers": {"zone:far": []}}
         wanted |= {"on": [], "off": {"line": far, "batch_shares": far}}
         self.assertEqual(self.builds.fields(), wanted)
 
@@ -158,7 +159,7 @@
         fleet = GatewayFleet(nodes=2, engines=1)
         self.addCleanup(fleet.stop)
         node = fleet.nodes["n0"]
-        wait_until(lambda: node.status_document()["builds"]["peers"] == 1)
+        wait_until(lambda: node.status_document()["builds"]["peers"])
         self.assertEqual(node.status_document()["builds"]["lesser_peers"], {})
 
 
