--- a/postvalve/core/membership/feature_gate.py
+++ b/postvalve/core/membership/feature_gate.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from postvalve.core.membership.extensions import OWN_FEATURES, Feature
 
 SETTLE_TIME = 10.0
@@ -18,15 +16,6 @@
 moment, switches nothing on; and in so long a node that starts has heard all others."""
 
 
-@dataclass(frozen=True, slots=True)
-class FeatureChange:
-    """What is on from now on."""
-
-    on: Feature
-    common: Feature
-    """What all that are heard can do."""
-
-
 class FeatureGate:
     """One node's switches. All times are monotonic seconds."""
 
@@ -34,8 +23,6 @@
         self.own = own
         self.on = Feature.NONE
         """What is in use."""
-        self.common = Feature.NONE
-        """What all that were heard at the last look can do."""
         self._able_since: dict[Feature, float] = {}
         """Since when nobody was heard that can't do it; nothing where somebody is."""
         self._looked_at: float | None = None
@@ -44,7 +31,6 @@
         """Somebody was heard who can do just this: the rest goes off at once."""
         if self.own & ~features:
             self.on &= features
-            self.common &= features
             for one in list(self._able_since):
                 if one not in features:
                     del self._able_since[one]
@@ -61,8 +47,7 @@
             self.on, self._able_since = Feature.NONE, {}
         self._looked_at = now
         self.lower(common)
-        self.common = common & self.own
-        for one in self.common:
+        for one in common & self.own:
             if now - self._able_since.setdefault(one, now) >= SETTLE_TIME:
                 self.on |= one
 
