--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -23,6 +23,7 @@
 from postvalve.core.routing.route_table import RouteTable
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.builds import Builds
 from postvalve.gateway.fleet.directory_reader import DirectoryParser, DirectoryReader
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.load_reports import MAX_SILENCE, LoadReports
@@ -129,6 +130,7 @@
         self._pool = ConnectionPool(clock)
         self._fleet = EngineFleet(settings.zone, clock, events, self._pool, generator)
         self.peers = PeerView(settings.node_id)
+        self._builds = Builds(self.peers, clock, events)
         self._transport = NetworkTransport(settings.peer_listen, events)
         self.configuration = ConfigurationHolder(
             platform.configuration_key, platform.parse_configuration, events
@@ -260,6 +262,7 @@
         self._quarantine.confirm(self._fleet.is_listed, known_at)
         self._sharing.look()
         self._limits.look()
+        self._builds.look()
 
     def _nodes_known(self) -> None:
         self._reports.look_again()
@@ -371,6 +374,7 @@
             "limits": self._limits.fields(),
             "tenants": self._accounts.documents(),
             "waiting": self._waiting_room.rows(),
+            "builds": self._builds.fields(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
