Items start, run and end in modules of their own

Starting stays there; attempts at engines go to item_attempts.py, ends to item_ends.py. Nothing is decided otherwise.

--- /dev/null
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -0,0 +1,247 @@
+"""Attempts of items at engines: sending, reading, and what an attempt's end says of both."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from postvalve.clock import Clock
+from postvalve.core.admission.quarantine import Quarantine
+from postvalve.core.batch.item_end import ItemState
+from postvalve.core.batch.item_order import DurationEstimate
+from postvalve.core.batch.job_board import BoardJob
+from postvalve.events import Event, EventLog
+from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
+from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
+from postvalve.gateway.engines.event_stream import event_data, event_id_of
+from postvalve.gateway.engines.request_guard import RequestGuard
+from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.interfaces import Dialect, Judgement
+from postvalve.gateway.jobs.item_ends import ItemEnds
+from postvalve.gateway.jobs.item_progress import ProgressLog
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.job_service import JobService
+from postvalve.gateway.jobs.running_item import RunningItem
+from postvalve.messages.generated import gateway
+
+EVENT_SILENCE = 2.0
+"""Seconds without a byte until an engine counts as failed."""
+READ_PAUSE = 0.08
+"""Seconds between reads of one stream, in which events gather."""
+FAILED_PAUSE = 0.3
+"""Seconds before an item whose attempt failed is tried again."""
+QUARANTINE_LOOK = 5.0
+"""Seconds until an item that is held back looks whether it still is: it may have been cleared."""
+ANSWERS = frozenset((Judgement.ACCEPTED, Judgement.FAILED, Judgement.HOPELESS))
+"""What only the engine itself can have said."""
+ITEM_TIME = 120.0
+"""Seconds that one attempt may take."""
+
+
+class ItemAttempts:
+    """Runs an item at an engine until it ends, gives way or fails."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        log: JobLog,
+        jobs: JobService,
+        fleet: EngineFleet,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        ends: ItemEnds,
+        progress: ProgressLog,
+        quarantine: Quarantine,
+        estimate: DurationEstimate,
+        wake: Callable[[], None],
+    ) -> None:
+        """Set up; `wake` is called when an item may be started again, or a slot is free."""
+        self._clock = clock
+        self._events = events
+        self._log = log
+        self._jobs = jobs
+        self._fleet = fleet
+        self._pool = pool
+        self._dialect = dialect
+        self._ends = ends
+        self._progress = progress
+        self._quarantine = quarantine
+        self._estimate = estimate
+        self._wake = wake
+
+    def run(self, item: RunningItem, placement: Placement) -> None:
+        """Run an item that was counted in at an engine, and count it out."""
+        try:
+            self._attempt(item, placement)
+        except PostvalveError as error:
+            self._note_failure(item, placement, error)
+        finally:
+            if item.answer is not None:
+                item.answer.close()
+                item.answer = None
+            if item.guard is not None:
+                item.guard.end()
+            item.running = False
+            item.placement = None
+            item.run_seconds += self._clock.monotonic() - item.started_at
+            self._fleet.leave(placement)
+            self._wake()
+
+    def _attempt(self, item: RunningItem, placement: Placement) -> None:
+        job = self._log.board.jobs.get(item.job_id)
+        if job is None or item.cancelled:
+            return
+        item_id = job.items[item.index].item_id
+        req = self._jobs.item_request(job, item.index)
+        named = [(one.name, one.value) for one in req.headers]
+        guard = self._guard_of(item, job, req, named)
+        guard.check()
+        engine = placement.engine
+
+        def wanted() -> bool:
+            return self._fleet.takes_work(engine.life)
+
+        if item.cancelled or not wanted():
+            return
+        headers = self._dialect.attempt_headers(
+            self._dialect.item_headers(named, item_id, job.accepted.host),
+            job.accepted.tenant,
+            engine.engine_id,
+            None,
+            item.last_event_id,
+        )
+        data = request_bytes("POST", req.target, headers, req.body)
+        deadline = self._clock.monotonic() + ITEM_TIME
+        guard.begin(engine.life)
+        answer = item.answer = self._pool.start(engine.address, data, deadline, wanted=wanted)
+        if item.cancelled:
+            answer.abort()
+            return
+        answer.read_head(EVENT_SILENCE)
+        self._judge(item, placement, item_id, answer)
+        if not item.cancelled and answer.status == 200:
+            self._read_stream(item, answer)
+            self._fleet.note_success(engine.life)
+            guard.note_answered()
+            self._complete(item)
+
+    def _guard_of(
+        self,
+        item: RunningItem,
+        job: BoardJob,
+        req: gateway.ItemRequest,
+        headers: list[tuple[str, str]],
+    ) -> RequestGuard:
+        if item.guard is None:
+            item.guard = RequestGuard(
+                self._quarantine,
+                self._clock,
+                self._events,
+                job.items[item.index].item_id,
+                lambda: self._dialect.identify(
+                    job.accepted.tenant,
+                    job.accepted.host,
+                    "POST",
+                    req.target,
+                    req.body,
+                    headers,
+                ),
+            )
+        return item.guard
+
+    def _judge(
+        self, item: RunningItem, placement: Placement, item_id: str, answer: EngineAnswer
+    ) -> None:
+        judgement = self._dialect.judge(item_id, answer.status, answer.headers)
+        life = placement.engine.life
+        guard = item.guard
+        if guard is not None and judgement in ANSWERS:
+            guard.note_head()
+        if guard is not None and judgement in (Judgement.FAILED, Judgement.HOPELESS):
+            guard.note_engine_failed()
+        if judgement is Judgement.ACCEPTED:
+            return
+        if judgement is Judgement.HOPELESS:
+            self._ends.end(item, ItemState.DEAD)
+            return
+        if judgement is Judgement.FAILED:
+            item.failures += 1
+            job = self._log.board.jobs[item.job_id]
+            if item.failures >= max(1, job.accepted.max_attempts):
+                self._ends.end(item, ItemState.DEAD)
+                return
+            gevent.spawn(self._progress.save_failures, item)
+            raise AttemptError(f"the item failed: {answer.status}", Verdict.RAN)
+        if judgement is Judgement.REPLACED:
+            self._fleet.note_replaced(life)
+        verdict = Verdict.MAY_HAVE_RUN if judgement is Judgement.FOREIGN else Verdict.NOT_RUN
+        raise AttemptError(f"the engine did not take it: {answer.status}", verdict)
+
+    def _read_stream(self, item: RunningItem, answer: EngineAnswer) -> None:
+        while True:
+            event = answer.read_event(EVENT_SILENCE)
+            if not event:
+                return
+            if item.cancelled or item.preempted:
+                raise AttemptError("the attempt was ended", Verdict.MAY_HAVE_RUN)
+            number = event_id_of(event)
+            if number is None:
+                continue
+            if item.placement is not None:
+                self._fleet.note_read(item.placement)
+            if item.guard is not None:
+                item.guard.note_event()
+            item.events.append(event_data(event))
+            item.last_event_id = number
+            if not answer.has_event():
+                gevent.sleep(READ_PAUSE)
+
+    def _note_failure(self, item: RunningItem, placement: Placement, error: PostvalveError) -> None:
+        if item.cancelled:
+            return
+        if isinstance(error, QuarantinedError):
+            item.not_before = self._clock.monotonic() + min(error.seconds, QUARANTINE_LOOK)
+            return
+        life = placement.engine.life
+        if item.guard is not None:
+            item.guard.note_failure(error)
+        if item.preempted:
+            self._events.emit(
+                Event.ROUTED_ITEM_PREEMPTED,
+                job=item.job_id,
+                item=item.index,
+                engine=life,
+                events=len(item.events),
+            )
+            return
+        item.failed_engine = life
+        item.not_before = self._clock.monotonic() + FAILED_PAUSE
+        gevent.spawn_later(FAILED_PAUSE, self._forgive, item)
+        refused = item.answer is not None and error.verdict is Verdict.NOT_RUN
+        if isinstance(error, AttemptError) and error.verdict is not Verdict.RAN and not refused:
+            # It gave no answer, or one that can't be trusted.
+            self._fleet.note_failure(life, error.message)
+        self._events.emit(
+            Event.ROUTED_ITEM_FAILED,
+            job=item.job_id,
+            item=item.index,
+            engine=life,
+            events=len(item.events),
+            failures=item.failures,
+            verdict=error.verdict.value,
+            directory_age=round(self._fleet.directory_age(), 3),
+            digest=item.guard.identity.digest.hex() if item.guard else "",
+            error=error.message,
+        )
+
+    def _forgive(self, item: RunningItem) -> None:
+        # Where the failed engine is the only one with room, it is tried again.
+        item.failed_engine = None
+        self._wake()
+
+    def _complete(self, item: RunningItem) -> None:
+        if not item.cancelled:
+            self._estimate.observe(item.seconds_run(self._clock.monotonic()), item.output_tokens)
+            self._ends.end(item, ItemState.COMPLETED, b"\n".join(item.events))
--- /dev/null
+++ b/postvalve/gateway/jobs/item_ends.py
@@ -0,0 +1,92 @@
+"""Ends of the items that this node works on: what is written, told and counted of each."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import gevent
+
+from postvalve.clock import Clock, milliseconds
+from postvalve.core.batch.item_end import ItemState
+from postvalve.core.membership import load_report
+from postvalve.events import Event, EventLog
+from postvalve.gateway.jobs.end_writer import EndedItem, EndWriter
+from postvalve.gateway.jobs.item_progress import ProgressLog
+from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.own_items import OwnItems
+from postvalve.gateway.jobs.result_texts import pack_text
+from postvalve.gateway.jobs.running_item import RunningItem
+from postvalve.gateway.metrics import GatewayMetrics
+
+END_SPREADS = 1.5
+"""Seconds after an item's end in which other nodes may not have read it."""
+GIVE_UP_MARGIN_MS = 5_000
+"""Milliseconds by which clocks may differ or have been set ahead."""
+
+
+class ItemEnds:
+    """Ends items, each once."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        log: JobLog,
+        own: OwnItems,
+        writer: EndWriter,
+        progress: ProgressLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._clock = clock
+        self._events = events
+        self._log = log
+        self._own = own
+        self._writer = writer
+        self._progress = progress
+        self._metrics = metrics
+        self._ended_lately: deque[tuple[float, load_report.RunningItem]] = deque()
+
+    @property
+    def pending(self) -> int:
+        """Ends that are not durable yet."""
+        return self._writer.pending
+
+    def lately(self) -> list[load_report.RunningItem]:
+        """Items whose ends may not be read everywhere yet."""
+        now = self._clock.monotonic()
+        while self._ended_lately and self._ended_lately[0][0] < now - END_SPREADS:
+            self._ended_lately.popleft()
+        return [item for _, item in self._ended_lately]
+
+    def end(self, item: RunningItem, state: ItemState, text: bytes = b"") -> None:
+        """An item has ended, with this text where it was completed."""
+        self._own.remove(item)
+        self._progress.forget(item)
+        ended = load_report.RunningItem(job_id=item.job_id, item_index=item.index)
+        self._ended_lately.append((self._clock.monotonic(), ended))
+        completed = state == ItemState.COMPLETED
+        packed = pack_text(text) if completed else b""
+        self._writer.add(EndedItem(item.job_id, item.index, item.claim_id, state, packed))
+        outcome = "completed" if completed else "dead"
+        self._metrics.items.labels(outcome).inc()
+        self._events.emit(
+            Event.ROUTED_ITEM_ENDED,
+            job=item.job_id,
+            item=item.index,
+            outcome=outcome,
+            seconds=round(item.seconds_run(self._clock.monotonic()), 3),
+            late=round(self._clock.wall() - item.due_at_ms / 1000, 2),
+        )
+
+    def give_up_old(self) -> None:
+        """End items that may be given up and can't be run, for ever."""
+        while True:
+            gevent.sleep(1.0)
+            now_ms = milliseconds(self._clock.wall())
+            for job_id, items in list(self._own.by_job.items()):
+                job = self._log.board.jobs.get(job_id)
+                if job is None or now_ms < job.accepted.give_up_at_ms + GIVE_UP_MARGIN_MS:
+                    continue
+                for item in list(items.values()):
+                    if not item.running:
+                        self.end(item, ItemState.DEAD)
