Batch items by tenant shares; estimate told to peers; no double word

Change: - A node where no item has ended yet takes how long they run from its peers (part ITEM_PACE of reports and digests). - Urgency counts the present run: an item that ran was taken for hopeless while it still ended in time, and cut first. - An item that nearly ends gives way last. - A word that comes after the node's own look has stopped the item that was meant stops no second one. - No item starts at an engine whose mean of online requests of the last quarter second leaves no slot. - Order by shares of tenants: core/batch/item_shares, from the log of jobs; on with two tenants and BATCH_SHARES at all nodes heard. JobAccepted tells the clock of the node that accepted, so that dropped jobs change no order.

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -15,6 +15,7 @@
 
 import xxhash
 
+from postvalve.core.admission.online_means import OnlineMeans
 from postvalve.core.membership.engine_life import EngineLife
 
 _ENTRY = struct.Struct("!IHHHH")
@@ -72,6 +73,7 @@
         self._reports: dict[str, bytes] = {}
         """What each peer told last."""
         self._totals: dict[int, UseCount] = {}
+        self.means = OnlineMeans()
 
     def enter(self, life: EngineLife, *, batch: bool, unread: int = 0, memory: int = 0) -> None:
         """Count one request in.
@@ -105,6 +107,8 @@
                 count.batch += difference
             else:
                 count.online += difference
+        if not batch:
+            self.means.note(key, self._total(key).online)
 
     def _total(self, key: int) -> UseCount:
         total = self._totals.get(key)
@@ -143,6 +147,7 @@
             total.batch += batch
             total.unread += count.unread
             total.memory += count.memory
+            self.means.note(key, total.online)
         self._peers[node_id] = counts
 
     def forget(self, node_id: str) -> None:
@@ -170,10 +175,14 @@
         """Batch items that may be added; negative when there are more than should start.
 
         Items fill the gaps between the heaps of online work, and give way when one comes. Those
-        that have time leave more room, so that fewer have to.
+        that have time leave more room, so that fewer have to. A slot that a heap leaves free just
+        now is no room: see `online_means`.
         """
         fraction = RESERVED_FRACTION if pressing else RELAXED_FRACTION
-        return slots - math.ceil(slots * fraction) - self.total(life).total
+        total = self.total(life)
+        mean = math.ceil(self.means.at(engine_hash(life)))
+        beside_heap = slots - math.ceil(slots * RESERVED_FRACTION) - mean - total.batch
+        return min(slots - math.ceil(slots * fraction) - total.total, beside_heap)
 
     def excess(self, life: EngineLife, slots: int) -> int:
         """Batch items that should give way: the engine's queue has grown too long."""
--- a/postvalve/core/batch/job_board.py
+++ b/postvalve/core/batch/job_board.py
@@ -16,12 +16,13 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import betterproto
 
-from postvalve.core.batch.item_end import ItemEnd, unpack_end
+from postvalve.core.batch.item_end import ItemEnd, ItemState, unpack_end
+from postvalve.core.batch.item_shares import ItemShares
 from postvalve.core.batch.job_items import ItemSpec, JobItemsError, unpack_items
 from postvalve.messages.generated import gateway
 
@@ -114,8 +115,10 @@
 class JobBoard:
     """Jobs by id."""
 
-    def __init__(self) -> None:
+    def __init__(self, weights: Mapping[str, float] | None = None) -> None:
+        """Start with no jobs; weights by tenant, all the same where none are given."""
         self.jobs: dict[str, BoardJob] = {}
+        self.shares = ItemShares(weights or {})
         self._seen_offset = -1
         self.unreadable: list[str] = []
         """Keys of records that could not be read, until somebody tells of them."""
@@ -144,6 +147,7 @@
     def _drop(self, kind: str, rest: str) -> str | None:
         job_id = rest.partition("/")[0]
         if kind == RecordKind.ACCEPT and self.jobs.pop(job_id, None) is not None:
+            self.shares.closed(job_id)
             return job_id
         return None
 
@@ -158,8 +162,9 @@
         if isinstance(message, gateway.JobClaimed):
             return _claim(job, message)
         if isinstance(message, ItemEnd):
-            return _end_item(job, message)
+            return self._end_item(job, message)
         job.ended = True
+        self.shares.closed(job.job_id)
         return job.job_id
 
     def _accept(self, key: str, message: gateway.JobAccepted) -> str | None:
@@ -169,17 +174,34 @@
             return None
         if message.form != JOB_FORM:
             raise JobItemsError(f"job record of form {message.form}")
+        items = unpack_items(message.items)
         self.jobs[message.job_id] = BoardJob(
             message,
-            unpack_items(message.items),
+            items,
             message.claim_id,
             message.node_id,
             message.incarnation,
             keys=[key],
             claims=[(message.claim_id, message.node_id)],
         )
+        self.shares.accepted(
+            message.job_id,
+            message.tenant,
+            message.share_clock,
+            message.due_at_ms,
+            [item.tokens for item in items],
+        )
         return message.job_id
 
+    def _end_item(self, job: BoardJob, message: ItemEnd) -> str | None:
+        index = message.item_index
+        if job.ended or index in job.finished or index >= len(job.items):
+            return None
+        job.finished.add(index)
+        job.results.append(message)
+        self.shares.ended(job.job_id, index, ran=message.state is ItemState.COMPLETED)
+        return job.job_id
+
     def open_jobs(self) -> list[BoardJob]:
         """Jobs with items to run."""
         return [job for job in self.jobs.values() if job.open]
@@ -212,18 +234,11 @@
     return job.job_id
 
 
-def _end_item(job: BoardJob, message: ItemEnd) -> str | None:
-    index = message.item_index
-    if job.ended or index in job.finished or index >= len(job.items):
-        return None
-    job.finished.add(index)
-    job.results.append(message)
-    return job.job_id
-
-
-def board_of(records: Iterable[tuple[int, str, bytes]]) -> JobBoard:
+def board_of(
+    records: Iterable[tuple[int, str, bytes]], weights: Mapping[str, float] | None = None
+) -> JobBoard:
     """A board from records of any order."""
-    board = JobBoard()
+    board = JobBoard(weights)
     for offset, key, value in sorted(records):
         board.observe(offset, key, value)
     return board
--- a/postvalve/core/membership/extensions.py
+++ b/postvalve/core/membership/extensions.py
@@ -25,6 +25,8 @@
     """How far the fair shares have come: see `core/scheduling/fair_share`."""
     ENGINE_PACE = 3
     """Engines that differ from the others of their service: see `core/routing/engine_pace`."""
+    ITEM_PACE = 5
+    """How long batch items run: see `core/batch/item_order`."""
 
 
 class Feature(enum.IntFlag):
@@ -37,7 +39,7 @@
     """Batch items start and give way by the shares of tenants: see `core/batch/item_shares`."""
 
 
-OWN_FEATURES = Feature.NONE
+OWN_FEATURES = Feature.BATCH_SHARES
 """Of this build; a part adds its own with the code that keeps it."""
 
 Extensions = Mapping[int, bytes]
--- a/postvalve/core/membership/peers.py
+++ b/postvalve/core/membership/peers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from postvalve.core.batch.item_order import decode_groups
-from postvalve.core.membership.extensions import OWN_FEATURES, Feature, features_of
+from postvalve.core.membership.extensions import OWN_FEATURES, Extension, Feature, features_of
 from postvalve.core.membership.load_report import LoadReport, RunningItem
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneMember
@@ -176,6 +176,12 @@
             common &= features_of(zone.digest.extensions)
         return common
 
+    def extension_parts(self, number: Extension) -> list[bytes]:
+        """What nodes and zones tell in a part beyond the fixed layout, of those that tell it."""
+        told = [one.report.extensions for one in self._peers.values()]
+        told += [one.digest.extensions for one in self._zones.values()]
+        return [parts[number] for parts in told if number in parts]
+
     def neighbours(self, zone: str) -> list[Peer]:
         """Peers of a zone that report themselves."""
         return [one for one in self._peers.values() if one.report.zone == zone]
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Sequence
 
 from postvalve.core.batch.giving_way import encode_zone_running
-from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups
+from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups, merge_paces
 from postvalve.core.membership.extensions import (
     OWN_FEATURES,
     Extension,
@@ -133,7 +133,11 @@
     features = OWN_FEATURES
     for report in reports:
         features &= features_of(report.extensions)
-    return {Extension.FEATURES: pack_features(features)}
+    parts: dict[int, bytes] = {Extension.FEATURES: pack_features(features)}
+    told = [one.extensions.get(Extension.ITEM_PACE, b"") for one in reports]
+    if pace := merge_paces(told):
+        parts[Extension.ITEM_PACE] = pace
+    return parts
 
 
 def _waiting(own: LoadReport, neighbours: Sequence[Peer]) -> list[tuple[int, int]]:
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -93,6 +93,8 @@
     ROUTED_ITEM_ENDED = (516, "info", "batch item ended")
     ROUTED_ITEM_PREEMPTED = (517, "info", "batch item gave way")
     ITEM_TOLD_TO_GIVE_WAY = (521, "info", "batch item of a node told to give way")
+    ITEM_STARTED = (525, "info", "batch item started")
+    ITEM_ORDER = (526, "info", "order of batch items has changed")
     ROUTED_JOB_ENDED = (518, "info", "batch job ended")
     ROUTED_JOBS_PURGED = (519, "info", "old batch jobs dropped from the store")
     ROUTED_JOB_RESTORED = (
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -396,6 +396,7 @@
     def _configuration_changed(self, table: RouteTable) -> None:
         idle = table.configuration.limits.idle_timeout * IDLE_FACTOR
         self._server.set_idle_timeout(max(60.0, idle))
+        self._runner.urgency.configure(table)
         self._note_usable()
         self._reports.changed()
 
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -11,6 +11,7 @@
 from postvalve.core.batch.item_end import ItemState
 from postvalve.core.batch.item_order import DurationEstimate
 from postvalve.core.batch.job_board import BoardJob
+from postvalve.core.membership.engine_life import EngineLife
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
@@ -208,13 +209,7 @@
         if item.guard is not None:
             item.guard.note_failure(error)
         if item.preempted:
-            self._events.emit(
-                Event.ROUTED_ITEM_PREEMPTED,
-                job=item.job_id,
-                item=item.index,
-                engine=life,
-                events=len(item.events),
-            )
+            self._tell_preempted(item, life)
             return
         item.failed_engine = life
         item.not_before = self._clock.monotonic() + FAILED_PAUSE
@@ -236,6 +231,22 @@
             error=error.message,
         )
 
+    def _tell_preempted(self, item: RunningItem, life: EngineLife) -> None:
+        now = self._clock.monotonic()
+        use = self._fleet.use.total(life)
+        self._events.emit(
+            Event.ROUTED_ITEM_PREEMPTED,
+            job=item.job_id,
+            item=item.index,
+            engine=life,
+            cause=item.stopped_by,
+            ran=round(now - item.started_at, 3),
+            left=round(self._estimate.seconds_left(item.output_tokens, item.seconds_run(now)), 3),
+            events=len(item.events),
+            online=use.online,
+            batch=use.batch,
+        )
+
     def _forgive(self, item: RunningItem) -> None:
         # Where the failed engine is the only one with room, it is tried again.
         item.failed_engine = None
--- a/postvalve/gateway/jobs/item_ends.py
+++ b/postvalve/gateway/jobs/item_ends.py
@@ -74,6 +74,8 @@
             job=item.job_id,
             item=item.index,
             outcome=outcome,
+            events=len(item.events),
+            output_tokens=item.output_tokens,
             seconds=round(item.seconds_run(self._clock.monotonic()), 3),
             late=round(self._clock.wall() - item.due_at_ms / 1000, 2),
         )
--- a/postvalve/gateway/jobs/item_preemption.py
+++ b/postvalve/gateway/jobs/item_preemption.py
@@ -3,14 +3,30 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from postvalve.core.admission.engine_use import engine_hash
-from postvalve.core.batch.giving_way import RunningItems, encode_running, giving_way
+from postvalve.core.batch.giving_way import TOLD_TIME, RunningItems, encode_running, giving_way
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.jobs.running_item import RunningItem
 
 
+@dataclass(slots=True)
+class _Found:
+    """An item that this node has stopped by its own look."""
+
+    at: float
+    engine: int
+    urgency: int
+    item: RunningItem
+
+    @property
+    def gone(self) -> bool:
+        """Whether it has left the engine; it may run elsewhere since."""
+        return not self.item.preempted or not self.item.running
+
+
 class ItemPreemption:
     """Stops attempts of items; they go on later after their last event."""
 
@@ -21,13 +37,26 @@
         peer_items: RunningItems,
         items: Callable[[], Iterable[RunningItem]],
         urgency: Callable[[RunningItem], int],
+        now: Callable[[], float],
     ) -> None:
-        """Set up; `items` gives all items of this node, `urgency` how urgent one is now."""
+        """Set up.
+
+        Args:
+            node_id: This node.
+            fleet: Knows what runs at the engines.
+            peer_items: What peers run there.
+            items: Gives all items of this node.
+            urgency: How urgent one is now.
+            now: Gives monotonic seconds.
+        """
         self._node_id = node_id
         self._fleet = fleet
         self._peer_items = peer_items
         self._items = items
         self._urgency = urgency
+        self._now = now
+        self._found: list[_Found] = []
+        """Items that this node has stopped by its own look of late, and that nobody told to go."""
 
     def look(self) -> None:
         """Stop items at engines that run more than they have slots for."""
@@ -42,7 +71,9 @@
             # Of equally urgent ones, those that have the least to read anew.
             staying.sort(key=lambda item: (-self._urgency(item), len(item.events)))
             for item in staying[:count]:
-                _stop(item)
+                found = _Found(self._now(), engine_hash(life), self._urgency(item), item)
+                self._found.append(found)
+                _stop(item, "look")
 
     def stop_one(self, engine: int, urgency: int) -> None:
         """Let an item go that is one of the least urgent ones of all nodes at an engine.
@@ -52,6 +83,8 @@
             urgency: That of the item, as this node told it. Nothing goes where all that run are
                 more urgent: the item has ended meanwhile.
         """
+        if self._was_found(engine, urgency):
+            return
         for life, running in self._running().items():
             open_to = [item for item in running if not item.told_to_go]
             if engine_hash(life) != engine or not open_to:
@@ -63,8 +96,22 @@
             if self._urgency(item) < urgency:
                 continue
             item.told_to_go = True
+            self._found = [one for one in self._found if one.item is not item]
             if not item.preempted:
-                _stop(item)
+                _stop(item, "told")
+
+    def _was_found(self, engine: int, urgency: int) -> bool:
+        """Whether the item that is meant was stopped by this node's own look, and has gone.
+
+        The peer has seen the same excess, and a second item would go for it.
+        """
+        now = self._now()
+        self._found = [one for one in self._found if now - one.at < TOLD_TIME]
+        for found in self._found:
+            if found.gone and found.engine == engine and found.urgency >= urgency:
+                self._found.remove(found)
+                return True
+        return False
 
     def urgencies_at(self, life: EngineLife) -> list[int]:
         """Urgencies of this node's items at an engine, of those that give way already too."""
@@ -86,7 +133,8 @@
         return by_engine
 
 
-def _stop(item: RunningItem) -> None:
+def _stop(item: RunningItem, cause: str) -> None:
     item.preempted = True
+    item.stopped_by = cause
     if item.answer is not None:
         item.answer.abort()
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -7,13 +7,14 @@
 import gevent
 from gevent.event import Event as GeventEvent
 
-from postvalve.clock import Clock, milliseconds
+from postvalve.clock import Clock
 from postvalve.core.admission.quarantine import Quarantine
-from postvalve.core.batch.item_order import DurationEstimate, is_pressing, startable, urgency
+from postvalve.core.batch.item_order import DurationEstimate, startable
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.membership import load_report
+from postvalve.core.membership.extensions import Extension
 from postvalve.core.membership.peers import PeerView
-from postvalve.events import EventLog
+from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.load_reports import LoadReports
@@ -23,6 +24,7 @@
 from postvalve.gateway.jobs.item_ends import ItemEnds
 from postvalve.gateway.jobs.item_preemption import ItemPreemption
 from postvalve.gateway.jobs.item_progress import ProgressLog
+from postvalve.gateway.jobs.item_urgency import ItemUrgency
 from postvalve.gateway.jobs.job_log import JobLog
 from postvalve.gateway.jobs.job_service import JobService
 from postvalve.gateway.jobs.own_items import OwnItems
@@ -62,6 +64,7 @@
     ) -> None:
         self._identity = identity
         self._clock = clock
+        self._events = events
         self._log = log
         self._fleet = fleet
         self._peers = peers
@@ -70,7 +73,8 @@
         self._own = OwnItems(identity, events, log, jobs, progress, self.wake)
         self._own.on_taken = reports.changed
         self._looked_at = float("-inf")
-        self._estimate = DurationEstimate()
+        estimate = DurationEstimate()
+        self.urgency = ItemUrgency(clock, events, log, peers, estimate)
         self._ends = ItemEnds(clock, events, log, self._own, ends, progress, metrics)
         self._attempts = ItemAttempts(
             clock,
@@ -83,12 +87,18 @@
             self._ends,
             progress,
             quarantine,
-            self._estimate,
+            estimate,
             self.wake,
         )
         self._preemption = ItemPreemption(
-            identity.node_id, fleet, reports.items, self._own.all, self._urgency
+            identity.node_id,
+            fleet,
+            reports.items,
+            self._own.all,
+            self.urgency.of,
+            clock.monotonic,
         )
+        reports.extensions[Extension.ITEM_PACE] = estimate.pack
         reports.waiting_due = self.waiting_due
         reports.running_items = self.running_items
         reports.items_running = self._preemption.report
@@ -111,7 +121,7 @@
 
     def waiting_due(self) -> list[int]:
         """Urgencies of the items that wait here, ascending."""
-        return [] if self.draining else [self._urgency(item) for item in self._waiting()]
+        return [] if self.draining else [self.urgency.of(item) for item in self._waiting()]
 
     def running_items(self) -> list[load_report.RunningItem]:
         """Items that run here, and those whose ends may not be read everywhere yet."""
@@ -122,12 +132,8 @@
         ]
         return running + self._ends.lately()
 
-    def _urgency(self, item: RunningItem) -> int:
-        left = self._estimate.seconds_left(item.output_tokens, item.run_seconds)
-        return urgency(item.due_at_ms, milliseconds(self._clock.wall()), left)
-
     def _order(self, item: RunningItem) -> tuple[int, str, int]:
-        return (self._urgency(item), item.job_id, item.index)
+        return (self.urgency.of(item), item.job_id, item.index)
 
     def wake(self) -> None:
         """Look for room soon."""
@@ -156,6 +162,7 @@
                 gevent.sleep(early)
             self._wakeup.clear()
             self._looked_at = self._clock.monotonic()
+            self._fleet.use.means.roll(self._looked_at)
             self._preemption.look()
             if not self.draining:
                 self._start_items()
@@ -180,13 +187,13 @@
                 by_service.setdefault(self._service_of(job), []).append(item)
         for service, items in by_service.items():
             queue = self._zone_queue(items) / self._fleet.relaxed_slots(service)
-            pressing = [item for item in items if self._is_pressing(item, queue)]
+            pressing = [item for item in items if self.urgency.is_pressing(item, queue)]
             self._start_those(pressing, service, pressing=True)
             self._start_those([one for one in items if not one.running], service, pressing=False)
 
     def _start_those(self, items: list[RunningItem], service: str, *, pressing: bool) -> None:
         """Start the most urgent of these, as far as there is room beside the other nodes' ones."""
-        due = [self._urgency(item) for item in items]
+        due = [self.urgency.of(item) for item in items]
         room = self._fleet.batch_room(service, pressing=pressing)
         # Items that have time stay in their zone, and rank among those of it.
         others = self._peers.waiting(None if pressing else self._identity.zone)
@@ -199,10 +206,6 @@
         """Items that wait in this zone, these here among them."""
         return len(items) + sum(count for _, count in self._peers.waiting(self._identity.zone))
 
-    def _is_pressing(self, item: RunningItem, queue: float) -> bool:
-        left = self._estimate.seconds_left(item.output_tokens, item.run_seconds)
-        return is_pressing(item.due_at_ms, milliseconds(self._clock.wall()), left, queue)
-
     def _service_of(self, job: BoardJob) -> str:
         # The configuration in force decides, as it does for every other request.
         route = self._route_named(job.accepted.route)
@@ -221,5 +224,15 @@
         item.preempted = item.told_to_go = False
         item.placement = placement
         item.started_at = self._clock.monotonic()
+        self._events.emit(
+            Event.ITEM_STARTED,
+            job=item.job_id,
+            item=item.index,
+            engine=placement.engine.life,
+            pressing=pressing,
+            online=placement.online_seen,
+            batch=placement.batch_seen,
+            events=len(item.events),
+        )
         gevent.spawn(self._attempts.run, item, placement)
         return True
--- a/postvalve/gateway/jobs/job_log.py
+++ b/postvalve/gateway/jobs/job_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import gevent
 from gevent.event import Event as GeventEvent
@@ -56,6 +56,7 @@
             topics, REQUEST_TOPIC, settings.record_bytes, settings.call_bytes
         )
         self.texts = ResultTexts(settings, topics)
+        self._weights: Mapping[str, float] = {}
         self.board = JobBoard()
         self.changed = GeventEvent()
         self._listeners: list[ChangeListener] = []
@@ -67,10 +68,16 @@
         """Be told of changed jobs."""
         self._listeners.append(listener)
 
+    def weigh(self, weights: Mapping[str, float]) -> None:
+        """Take weights of tenants as the configuration has them now."""
+        self._weights = weights
+        self.board.shares.reweigh(weights)
+
     def _observe(self, records: Sequence[KeyedRecord], whole: bool) -> None:
         touched: set[str] = set()
         if whole:
-            self.board = board_of((one.offset, one.key, one.value) for one in records)
+            records_read = ((one.offset, one.key, one.value) for one in records)
+            self.board = board_of(records_read, self._weights)
             touched.update(self.board.jobs)
         else:
             for record in records:
--- a/postvalve/gateway/jobs/job_service.py
+++ b/postvalve/gateway/jobs/job_service.py
@@ -237,6 +237,7 @@
             request_offset=refs[0].offset,
             form=JOB_FORM,
             tenant=submission.tenant,
+            share_clock=self._log.board.shares.clock,
         )
 
     def _accept(
--- a/postvalve/gateway/jobs/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -33,6 +33,8 @@
     preempted: bool = False
     told_to_go: bool = False
     """Whether a peer has told this node to stop its present attempt."""
+    stopped_by: str = ""
+    """Who found that its attempt must give way: "look" of this node, or "told" by a peer."""
     answer: EngineAnswer | None = None
     placement: Placement | None = None
     started_at: float = 0.0
--- a/tests/test_item_preemption.py
+++ b/tests/test_item_preemption.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from postvalve.core.admission.engine_use import engine_hash
-from postvalve.core.batch.giving_way import RunningItems, encode_running
+from postvalve.core.batch.giving_way import TOLD_TIME, RunningItems, encode_running
 from postvalve.gateway.jobs.item_preemption import ItemPreemption
 from postvalve.gateway.jobs.running_item import RunningItem
 
@@ -22,8 +22,14 @@
         self.excess = 0
         self.peers = RunningItems()
         fleet = mock.Mock(excess=lambda engine_id: self.excess)
+        self.now = 0.0
         self.preemption = ItemPreemption(
-            "n0", fleet, self.peers, lambda: self.items, lambda item: item.due_at_ms
+            "n0",
+            fleet,
+            self.peers,
+            lambda: self.items,
+            lambda item: item.due_at_ms,
+            lambda: self.now,
         )
 
     def stopped(self):
@@ -57,6 +63,28 @@
         self.tell(50)
         self.assertEqual(len(self.stopped()), 2)
 
+    def test_an_item_that_the_own_look_stopped_is_told_late(self):
+        """The peer that watches over the engine has seen the same excess: one goes for it."""
+        self.items = [running(0, 50, events=1), running(1, 50)]
+        self.excess = 1
+        self.preemption.look()
+        self.items[1].running = False
+        self.tell(50)
+        self.assertEqual(self.stopped(), [1])
+        self.tell(50)
+        self.assertEqual(self.stopped(), [0, 1])
+
+    def test_a_word_about_another_engine_or_much_later_stops_an_item(self):
+        for engine, later in (("e1", 0.0), ("e0", TOLD_TIME)):
+            self.items = [running(0, 50)]
+            self.excess = 1
+            self.preemption.look()
+            self.items[0].running = False
+            self.items.append(running(1, 50, engine=engine))
+            self.now += later
+            self.tell(50, engine=engine)
+            self.assertEqual(sum(one.preempted for one in self.items if one.running), 1)
+
     def test_the_own_look_counts_what_gives_way_already(self):
         self.items = [running(0, 50), running(1, 40), running(2, 30)]
         self.excess = 2
