The engine of a batch item is the better of two drawn

Change: two engines with room are drawn, as for online requests, and the better one is taken. Ruled out: room counted too generously (each node's own view was right when it looked). Shown failing in a scratch copy: test_nodes_that_see_the_same_do_not_all_fill_one_engine (16 items at 8 slots).

--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -13,7 +13,12 @@
 from postvalve.core.admission.service_pace import ServicePace
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.randomness import RandomSource
-from postvalve.core.routing.engine_choice import AFFINITY_TOKENS, EngineChooser, EngineOption
+from postvalve.core.routing.engine_choice import (
+    AFFINITY_TOKENS,
+    DRAWN,
+    EngineChooser,
+    EngineOption,
+)
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.engine_standing import EngineStandings
@@ -396,7 +401,10 @@
         *,
         pressing: bool,
     ) -> Placement | None:
-        """Choose the engine with the most room for a batch item and count it in.
+        """Choose an engine with room for a batch item and count it in.
+
+        It is the better one of two that are drawn: nodes that take the best of one view all fill
+        the same engine, and items that just began are cut there.
 
         Args:
             service: The item's service.
@@ -422,7 +430,8 @@
         if not free:
             return None
         near = [one for one in free if one[1]] or free
-        chosen = max(near, key=lambda one: one[:3])[3]
+        drawn = self._random.sample(near, min(DRAWN, len(near)))
+        chosen = max(drawn, key=lambda one: one[:3])[3]
         return self._enter(chosen, True, prompt, prompt + output)
 
     def excess(self, life: EngineLife) -> int:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections import Counter
 from unittest import mock
 
 from hypothesis import given
@@ -277,6 +278,31 @@
         self.fleet.note_failure("n", "dark")
         self.assertEqual(place(False), "f")
 
+    def test_no_item_starts_where_a_heap_begins(self):
+        for now in (0.0, 0.3):
+            self.fleet.use.means.roll(now)
+        for _ in range(5):
+            self.fleet.use.enter("n", batch=False)
+        self.assertEqual(self.fleet.batch_room("s", pressing=False), 0)
+        for now in (0.6, 0.9):
+            self.fleet.use.means.roll(now)
+        self.assertEqual(self.fleet.batch_room("s", pressing=False), 1)
+
+    def test_nodes_that_see_the_same_do_not_all_fill_one_engine(self):
+        """Sixteen nodes start an item each before they hear of each other's: no engine gets more
+        than it has slots for. Eight of 8 slots; seven of them run one online request."""
+        counts = Counter()
+        for seed in range(16):
+            fleet = EngineFleet("near", self.clock, QuietLog(), mock.Mock(), random.Random(seed))
+            lives = [EngineLife(f"e{number}") for number in range(8)]
+            fleet.update(
+                EngineEntry(life, "s", f"{life}:1", "near", 8, EngineState.READY) for life in lives
+            )
+            for life in lives[1:]:
+                fleet.use.enter(life, batch=False)
+            counts[fleet.place_batch("s", 100, 100, (), pressing=False).engine.life] += 1
+        self.assertLessEqual(max(counts.values()), 8)
+
     def test_items_that_have_time_leave_cold_engines_alone(self):
         entries = [
             EngineEntry(
