--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -13,7 +13,12 @@
 from postvalve.core.admission.service_pace import ServicePace
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.randomness import RandomSource
-from postvalve.core.routing.engine_choice import AFFINITY_TOKENS, EngineChooser, EngineOption
+from postvalve.core.routing.engine_choice import (
+    AFFINITY_TOKENS,
+    DRAWN,
+    EngineChooser,
+    EngineOption,
+)
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.engine_standing import EngineStandings
@@ -355,8 +360,10 @@
         return _Candidate(entry, option, _room_of(entry, count))
 
     def batch_room(self, service: str, *, pressing: bool) -> int:
-        """Batch items that the service's engines have room for now."""
+        """Batch items that the service's engines have room for now; none where a heap begins."""
         entries = self._batch_engines(service, pressing)
+        if self.use.is_rising(entry.life for entry in entries):
+            return 0
         return sum(max(0, self._room(entry, pressing)) for entry in entries)
 
     def relaxed_slots(self, service: str) -> int:
@@ -394,7 +401,10 @@
         *,
         pressing: bool,
     ) -> Placement | None:
-        """Choose the engine with the most room for a batch item and count it in.
+        """Choose an engine with room for a batch item and count it in.
+
+        It is the better one of two that are drawn: nodes that take the best of one view all fill
+        the same engine, and items that just began are cut there.
 
         Args:
             service: The item's service.
@@ -420,7 +430,8 @@
         if not free:
             return None
         near = [one for one in free if one[1]] or free
-        chosen = max(near, key=lambda one: one[:3])[3]
+        drawn = self._random.sample(near, min(DRAWN, len(near)))
+        chosen = max(drawn, key=lambda one: one[:3])[3]
         return self._enter(chosen, True, prompt, prompt + output)
 
     def excess(self, life: EngineLife) -> int:
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -195,7 +195,7 @@
             peer_services, lambda: self.configuration.revision, settings.limit_bounds
         )
         self._accounts = CallerAccounts(clock, events)
-        self._runner.accounts = self._accounts.accounts
+        self._runner.ends.accounts = self._accounts.accounts
         self._metrics.tell_tenants(self._accounts.rows)
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
         self._waiting_room = waiting_room
@@ -409,6 +409,7 @@
     def _configuration_changed(self, table: RouteTable) -> None:
         idle = table.configuration.limits.idle_timeout * IDLE_FACTOR
         self._server.set_idle_timeout(max(60.0, idle))
+        self._runner.urgency.configure(table)
         self._note_usable()
         self._reports.changed()
 
