Requests wait by fair shares where the configuration names tenants

Cause: who waits at a node went by age, and a full fleet refused whoever came. Change: lenders stamp a start tag with the credit (CreditAsk.clock, cost, correction; CreditReply.tag); nodes stamp where none is told. Reports and digests tell the clock and the first that waits (SHARE_CLOCK). The waiting room orders by priority, tag, time left; whoever stands too far behind to be in time hears so (core/scheduling/turning_away), a newcomer doesn't pass those that wait. Nobody is held longer than HOLD_SHARE, as before. Off below two tenants: order, rule and draw as before.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -106,6 +106,8 @@
     """Seconds after which a refused caller finds credit, spread over those that were refused."""
     share: float = 1.0
     """Of the limit, that this node lent by."""
+    tag: float = 0.0
+    """Where the request stands, see `core/scheduling/fair_share`; 0 where nobody told."""
 
 
 @dataclass(slots=True)
@@ -156,16 +158,20 @@
         """Of the fleet, that this node hears."""
         return min(1.0, self.heard / max(1, self.known))
 
-    def look(self, live: Iterable[str], announced: int, now: float) -> None:
+    def look(self, live: Iterable[str], announced: int, now: float) -> bool:
         """Take in who is alive; called some times a second and before each decision.
 
+        Returns:
+            Whether this node stood still, so that others may have lent in its place.
+
         Args:
             live: Ids of the nodes that take work, as far as this one knows; itself among them
                 unless it leaves.
             announced: Nodes that the store knows of; counts while this node has just started.
             now: Monotonic seconds.
         """
-        if now - self._looked_at > STALL:
+        stalled = now - self._looked_at > STALL
+        if stalled:
             self._forget(now)
         self._looked_at = now
         nodes = frozenset(live)
@@ -175,6 +181,7 @@
         while len(self._views) > 1 and self._views[1].since < now - VIEW_TIME:
             self._views.popleft()
         self._note_size(len(nodes), announced, now)
+        return stalled
 
     def _note_size(self, heard: int, announced: int, now: float) -> None:
         while self._sizes and self._sizes[0][0] < now - KNOWN_TIME:
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -22,6 +22,7 @@
 from postvalve.core.membership.peers import STORE_SILENT_AFTER, Peer
 from postvalve.core.membership.report_pace import FAR_RATE
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneMember, members_version
+from postvalve.core.scheduling.waiting_order import merge_news
 
 DIGEST_INTERVAL = 0.25
 """Seconds between two digests of a zone at the least."""
@@ -133,7 +134,11 @@
     features = OWN_FEATURES
     for report in reports:
         features &= features_of(report.extensions)
-    return {Extension.FEATURES: pack_features(features)}
+    shares = merge_news(one.extensions.get(Extension.SHARE_CLOCK, b"") for one in reports)
+    parts: dict[int, bytes] = {Extension.FEATURES: pack_features(features)}
+    if shares:
+        parts[Extension.SHARE_CLOCK] = shares
+    return parts
 
 
 def _waiting(own: LoadReport, neighbours: Sequence[Peer]) -> list[tuple[int, int]]:
--- a/postvalve/core/scheduling/fair_share.py
+++ b/postvalve/core/scheduling/fair_share.py
@@ -23,6 +23,8 @@
 MAX_COST = 60.0
 """Slot seconds that one request, or one correction, counts for at the most: what a peer tells in
 error must not put a tenant behind for good."""
+FIRST_TIME = 1.0
+"""Of a clock that knows nothing: a tag of 0 says that none was told."""
 SAVED_TIME = 0.0
 """Seconds of its share that a tenant keeps for later. None: what it leaves is the others' at once,
 and one that comes back begins at the clock."""
@@ -40,7 +42,7 @@
     """The largest start tag that was served in turn, as far as this node has seen."""
 
     def __init__(self) -> None:
-        self.now = 0.0
+        self.now = FIRST_TIME
 
     def merge(self, told: float) -> None:
         """Take in what another node tells; doubles and old ones change nothing."""
--- /dev/null
+++ b/postvalve/core/scheduling/turning_away.py
@@ -0,0 +1,93 @@
+"""Whether a request that stands in order waits for its turn, starts, or is asked to come back.
+
+Beside `core/admission/holding`, where tenants have shares. The load it answers: tenants that
+together want more than the engines can serve in time. By age everybody is late by a little. In
+order, those in front are in time, and whoever stands too far behind hears so while its client can
+still come back. Nobody is turned away for those that stand behind it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from postvalve.core.admission.holding import (
+    HOLD_SHARE,
+    LEAST_RETURN,
+    REFUSE_SHARE,
+    RETURN_SHARE,
+    RETURN_SPREAD,
+    EngineRoom,
+    HeldRequest,
+    Ruling,
+)
+from postvalve.core.admission.service_pace import ServicePace
+
+QUEUED_PLACES = 1
+"""Requests that wait at each engine while others stand in order: a slot that comes free is known
+elsewhere some tenths of a second later, and would stand idle so long."""
+HOPELESS_FACTOR = 2.0
+"""A request that would be late by so many times the time it has left hears so at once: estimates
+of what it has to wait miss by less."""
+
+
+def free_places(rooms: Sequence[EngineRoom]) -> int:
+    """Requests that engines take before anybody waits at a node."""
+    return sum(max(0, one.slots + QUEUED_PLACES - one.online) for one in rooms)
+
+
+def line_wait(ahead: int, rooms: Sequence[EngineRoom], pace: ServicePace) -> float:
+    """Seconds until a slot is free for a request that `ahead` others go before."""
+    slots = sum(one.slots for one in rooms)
+    before = ahead + 1 + sum(one.online - one.slots for one in rooms)
+    return max(0, before) * pace.queue_step(slots) if slots else 0.0
+
+
+def held_longest(req: HeldRequest, now: float) -> bool:
+    """Whether a request has waited for as long as any is held: an engine gets it, turn or not."""
+    return now - req.arrived_at >= req.target_latency * HOLD_SHARE
+
+
+def rule_in_order(
+    req: HeldRequest,
+    rooms: Sequence[EngineRoom],
+    pace: ServicePace,
+    now: float,
+    ahead: int,
+    *,
+    persistent: bool = False,
+) -> Ruling:
+    """Decide about a request at `now`.
+
+    Args:
+        req: The request.
+        rooms: Load of the engines that may take it.
+        pace: Of these engines.
+        now: Monotonic seconds.
+        ahead: Requests that go before it.
+        persistent: Whether the slots ran out long ago: who comes back then finds no more room.
+    """
+    if not rooms or free_places(rooms) > ahead or held_longest(req, now):
+        return Ruling.START
+    waited = now - req.arrived_at
+    early = waited <= req.target_latency * REFUSE_SHARE * 2
+    if persistent or not (pace.known and req.may_return and early):
+        return Ruling.HOLD
+    left = req.target_latency - waited
+    unread = min(one.unread for one in rooms)
+    first = line_wait(ahead, rooms, pace) + pace.first_event(unread + req.tokens)
+    if first + pace.margin <= left:
+        return Ruling.HOLD
+    hopeless = first - pace.margin > left * HOPELESS_FACTOR
+    return Ruling.REFUSE if hopeless or waited >= req.target_latency * REFUSE_SHARE else Ruling.HOLD
+
+
+def return_time(expected: float, time_left: float, drawn: float) -> float:
+    """Seconds told to a client that is turned away.
+
+    Args:
+        expected: Seconds until there is room for it, as far as can be told.
+        time_left: Seconds that its client still waits.
+        drawn: From 0 to 1: those that are turned away together come back one after the other.
+    """
+    latest = time_left * RETURN_SHARE
+    return min(latest, max(LEAST_RETURN, expected) + RETURN_SPREAD * drawn)
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -17,6 +17,7 @@
 from postvalve.core.admission.connection_share import resting_limit
 from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.membership.extensions import Extension, Extensions
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
@@ -52,6 +53,7 @@
 from postvalve.gateway.knowledge.topic_follower import TopicFollower
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.application import GatewayApplication
+from postvalve.gateway.serving.fair_shares import FairShares
 from postvalve.gateway.serving.http_calls import JobCalls
 from postvalve.gateway.serving.http_server import GatewayServer, plain_server
 from postvalve.gateway.serving.routed_run import RunServices
@@ -188,11 +190,18 @@
             self._route_named,
             self._quarantine,
         )
+        self._shares = FairShares(lambda: self.configuration.table)
         self._limits = TenantCredit(
-            peer_services, lambda: self.configuration.revision, settings.limit_bounds
+            peer_services,
+            lambda: self.configuration.revision,
+            settings.limit_bounds,
+            self._shares,
         )
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
         waiting_room.nodes = lambda: self.peers.count() + 1
+        waiting_room.on_served = self._shares.clock.note_served
+        self._shares.first_waiting = waiting_room.first_waiting
+        self._waiting_room = waiting_room
         self.application = GatewayApplication(
             RunServices(
                 clock,
@@ -235,6 +244,7 @@
         self._reports.store_failing = lambda: self._topics.failing
         self._reports.directory = self._directory.state
         self._reports.on_look = self._look
+        self._reports.extensions[Extension.SHARE_CLOCK] = self._shares.pack
         self._reports.on_quarantine_news = self._sharing.receive
         self._sharing.on_learned = self._note_usable
         self._topics.on_change = self._reports.changed
@@ -362,6 +372,7 @@
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
+            "line": self._shares.fields(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
@@ -417,13 +428,20 @@
 
     # What peers tell
 
+    def _hear_shares(self, teller: str, parts: Extensions) -> None:
+        news = self._shares.hear(parts.get(Extension.SHARE_CLOCK, b""))
+        if news is not None:
+            self._waiting_room.peer_places.hear(teller, news)
+
     def _peer_reported(self, report: LoadReport) -> None:
+        self._hear_shares(report.node_id, report.extensions)
         self._revisions.consider(report.revision, report.node_id, report.peer_address)
         if report.directory is not None:
             self._directory.hear(report.directory, report.node_id)
         self._runner.note_peers()
 
     def _zone_reported(self, digest: ZoneDigest) -> None:
+        self._hear_shares(digest.key, digest.extensions)
         self._revisions.consider(digest.revision, digest.reporter, digest.peer_address)
         self._runner.note_peers()
 
--- /dev/null
+++ b/postvalve/gateway/serving/fair_shares.py
@@ -0,0 +1,129 @@
+"""This node's part in the fair shares: it stamps for tenants, and tells what it knows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from postvalve.core.routing.route_table import RouteTable
+from postvalve.core.scheduling.fair_share import ShareClock, TagBook, Work, normal_weights
+from postvalve.core.scheduling.waiting_order import Place, ShareNews, unpack_news
+from postvalve.core.scheduling.weights import weights_of
+
+LEAST_TENANTS = 2
+"""Tenants of the configuration from which there is something to share."""
+ROWS_TOLD = 20
+"""Tenants whose tags `status` shows, those furthest beyond their shares first."""
+
+
+class FairShares:
+    """Tags of this node; off where the configuration names fewer than two tenants."""
+
+    def __init__(self, table: Callable[[], RouteTable | None]) -> None:
+        """Know nothing yet; `table` gives the routes in force."""
+        self._table = table
+        self._seen: RouteTable | None = None
+        self._weights: dict[str, float] = {}
+        self.clock = ShareClock()
+        self._lent = TagBook(self.clock)
+        """Of tenants that this node lends to, or stamps for because nobody else does."""
+        self._untold: dict[str, float] = {}
+        """Corrections by tenant that its lender has not heard, in slot seconds."""
+        self.first_waiting: Callable[[], dict[int, Place]] = dict
+        """Gives the first that waits here, by the hash of its service."""
+
+    @property
+    def enabled(self) -> bool:
+        """Whether tenants have shares."""
+        self._look()
+        return len(self._weights) >= LEAST_TENANTS
+
+    def _look(self) -> None:
+        table = self._table()
+        if table is self._seen:
+            return
+        self._seen = table
+        tenants = (table.configuration.tenants if table else None) or ()
+        self._weights = normal_weights(weights_of(tenants))
+        self._lent.keep(self._weights)
+        self._untold = {one: told for one, told in self._untold.items() if one in self._weights}
+
+    def work(self, tenant: str, cost: float) -> Work:
+        """What a tenant's next request tells its lender; corrections are told once."""
+        if not self.enabled:
+            return Work(0.0)
+        return Work(cost, self._untold.pop(tenant, 0.0))
+
+    def enter(self, tenant: str, work: Work, told: float) -> RequestShare | None:
+        """Count a request in; None where there are no shares.
+
+        Args:
+            tenant: Who sends it; requests without a tenant share one account.
+            work: What was told of it.
+            told: The start tag that its lender gave; 0 where nobody did.
+        """
+        if not self.enabled:
+            return None
+        return RequestShare(self, tenant, work.cost, told or self.stamp(tenant, work))
+
+    def stamp(self, tenant: str, work: Work) -> float:
+        """The start tag of a request."""
+        self._look()
+        return self._lent.stamp(tenant, self._weights.get(tenant, 1.0), work)
+
+    def note_end(self, tenant: str, correction: float) -> None:
+        """A request took so many slot seconds beyond what was told; fewer where negative."""
+        if tenant in self._weights or not tenant:
+            self._untold[tenant] = self._untold.get(tenant, 0.0) + correction
+
+    def forget(self) -> None:
+        """This node stood still, and others stamped meanwhile."""
+        self._lent.forget()
+
+    def pack(self) -> bytes:
+        """What reports tell; nothing where there are no shares."""
+        if not self.enabled:
+            return b""
+        return ShareNews(self.clock.now, self.first_waiting()).pack()
+
+    def hear(self, data: bytes) -> ShareNews | None:
+        """Take in what a peer tells."""
+        news = unpack_news(data)
+        if news is not None:
+            self.clock.merge(news.clock)
+        return news
+
+    def fields(self) -> dict[str, Any]:
+        """What this node stamps by, for operators."""
+        last = sorted(self._lent.finishes().items(), key=lambda one: -one[1])[:ROWS_TOLD]
+        now = self.clock.now
+        rows = [{"tenant": name, "ahead_s": round(at - now, 3)} for name, at in last]
+        return {"enabled": self.enabled, "clock_s": round(now, 3), "tags": rows}
+
+
+@dataclass(slots=True)
+class RequestShare:
+    """What one request costs its tenant."""
+
+    shares: FairShares
+    tenant: str
+    estimate: float
+    """Slot seconds that were told of it."""
+    tag: float
+    _took: float = 0.0
+    _since: float | None = field(default=None)
+
+    def enter(self, now: float) -> None:
+        """An engine gets it."""
+        self._since = now
+
+    def leave(self, now: float) -> None:
+        """That engine has ended with it."""
+        if self._since is not None:
+            self._took += now - self._since
+            self._since = None
+
+    def end(self) -> None:
+        """Correct the account: whoever was refused gets back what it was told to cost."""
+        self.shares.note_end(self.tenant, self._took - self.estimate)
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -19,6 +19,7 @@
 from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.serving.fair_shares import RequestShare
 from postvalve.gateway.serving.pace_observer import Attempts, PaceObserver
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.gateway.serving.waiting_room import WaitingRoom
@@ -126,6 +127,8 @@
                 request.headers,
             ),
         )
+        self._share: RequestShare | None = None
+        """What it costs its tenant, where tenants have shares."""
         self._placement: Placement | None = None
         self._answer: EngineAnswer | None = None
         self._client_gone = False
@@ -161,7 +164,7 @@
         request = self._request
         try:
             self._guard.check()
-            self._services.limits.admit(request.caller, request.terms.request_id)
+            tag = self._enter_shares()
             self._services.waiting_room.admit(
                 request.route,
                 request.service,
@@ -170,12 +173,26 @@
                 request.arrived_at,
                 request.deadline,
                 lambda: self._client_gone,
+                tag,
             )
             return self._open()
         except PostvalveError as error:
             self.finish(error.code)
             raise
 
+    def _enter_shares(self) -> float | None:
+        """Check the tenant's limit; returns the start tag where tenants have shares."""
+        limits, caller = self._services.limits, self._request.caller
+        cost = self._fleet.pace(self._request.service).held
+        work = limits.shares.work(caller.name, cost)
+        try:
+            told = limits.admit(caller, self._request.terms.request_id, work)
+        except PostvalveError:
+            limits.shares.note_end(caller.name, work.correction)
+            raise
+        self._share = limits.shares.enter(caller.name, work, told)
+        return self._share.tag if self._share else None
+
     def _open(self) -> EngineAnswer:
         while True:
             self._check_time()
@@ -222,6 +239,8 @@
         self._progress.tried.add(placement.engine.life)
         now = self._clock.monotonic()
         self._pace.note_placed(now)
+        if self._share is not None:
+            self._share.enter(now)
         headers = self._services.dialect.attempt_headers(
             request.headers,
             request.caller.name,
@@ -505,6 +524,8 @@
         if self._placement is not None:
             self._fleet.leave(self._placement)
             self._placement = None
+        if self._share is not None:
+            self._share.leave(self._clock.monotonic())
 
     def finish(self, outcome: str) -> None:
         """Give everything back; only the first call counts."""
@@ -513,4 +534,6 @@
         self._finished = True
         self._guard.end()
         self._release()
+        if self._share is not None:
+            self._share.end()
         self._services.metrics.requests.labels(outcome).inc()
--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -15,9 +16,11 @@
     LimitTerms,
     Loan,
 )
+from postvalve.core.scheduling.fair_share import Work
 from postvalve.events import Event
 from postvalve.exceptions import LimitUnknownError, PeerUnavailableError, RateLimitedError
 from postvalve.gateway.fleet.peer_services import PeerServices
+from postvalve.gateway.serving.fair_shares import FairShares
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
 from postvalve.settings.routes import RoutedTenant
@@ -41,9 +44,14 @@
     """This node's asks and answers."""
 
     def __init__(
-        self, services: PeerServices, revision: Callable[[], int], bounds: LimitBounds
+        self,
+        services: PeerServices,
+        revision: Callable[[], int],
+        bounds: LimitBounds,
+        shares: FairShares,
     ) -> None:
         """Count nothing yet; `revision` gives that of the configuration in force."""
+        self.shares = shares
         self._services = services
         self._clock = services.clock
         self._events = services.events
@@ -65,22 +73,26 @@
         if not self.leaving:
             live.append(self._node_id)
         announced = len(self._services.started_nodes())
-        self.limits.look(live, announced, self._clock.monotonic())
+        if self.limits.look(live, announced, self._clock.monotonic()):
+            self.shares.forget()
 
-    def admit(self, caller: Caller, request_id: str) -> None:
+    def admit(self, caller: Caller, request_id: str, work: Work) -> float:
         """Return when a request is within its tenant's limit.
 
+        Returns:
+            Its start tag; 0 where nobody told one.
+
         Raises:
             RateLimitedError: it is over.
             LimitUnknownError: nobody could tell.
         """
         tenant = caller.tenant
         if tenant is None or not tenant.rate:
-            return
+            return 0.0
         asked = self.limits.choices(tenant.name)
-        node_id, loan = self._borrow(asked, tenant)
+        node_id, loan = self._borrow(asked, tenant, work)
         if loan.lending is Lending.LENT:
-            return
+            return loan.tag
         if loan.lending is Lending.OVER:
             self._note_over(tenant, request_id, node_id, loan)
             raise RateLimitedError("the tenant is over its limit", retry_after=loan.wait)
@@ -94,20 +106,20 @@
         )
         raise LimitUnknownError("the tenant's count is not known", retry_after=UNKNOWN_RETRY_AFTER)
 
-    def _borrow(self, choices: list[str], tenant: RoutedTenant) -> tuple[str, Loan]:
+    def _borrow(self, choices: list[str], tenant: RoutedTenant, work: Work) -> tuple[str, Loan]:
         """The answer that counts, and whose it is.
 
         The second choice is asked while the first one is late. It lends a part only, so where that
         is used up, what the first one says late goes before it.
         """
         if not choices or choices[0] == self._node_id:
-            return self._node_id, self._ask(self._node_id, tenant)
-        first = gevent.spawn(self._ask, choices[0], tenant)
+            return self._node_id, self._ask(self._node_id, tenant, work)
+        first = gevent.spawn(self._ask, choices[0], tenant, work)
         first.join(self.first_patience)
         if first.ready() and first.get().lending is not Lending.NOT_MINE:
             return choices[0], first.get()
         for second in choices[1:]:
-            loan = self._ask(second, tenant)
+            loan = self._ask(second, tenant, work)
             if loan.lending is Lending.LENT or first.get().lending is Lending.NOT_MINE:
                 return second, loan
         return choices[0], first.get()
@@ -125,22 +137,35 @@
             retry_after=round(loan.wait, 3),
         )
 
-    def _ask(self, node_id: str, tenant: RoutedTenant) -> Loan:
+    def _ask(self, node_id: str, tenant: RoutedTenant, work: Work) -> Loan:
         """Ask one node; one that does not answer lends nothing."""
         terms = LimitTerms(tenant.rate, tenant.burst, max(0, self._revision()))
         now = self._clock.monotonic()
         if node_id == self._node_id:
-            return self.limits.lend(tenant.name, terms, now)
+            return self._lend(tenant.name, terms, work)
         peer = self._peers.get(node_id)
         if peer is None or self._silent_until.get(node_id, 0.0) > now:
             return Loan(Lending.NOT_MINE)
         ask = gateway.CreditAsk(
-            tenant=tenant.name, rate=terms.rate, burst=terms.burst, revision=terms.revision
+            tenant=tenant.name,
+            rate=terms.rate,
+            burst=terms.burst,
+            revision=terms.revision,
+            clock=self.shares.clock.now if self.shares.enabled else 0.0,
+            cost=work.cost,
+            correction=work.correction,
         )
         reply = self._call(node_id, peer.report.peer_address, ask)
         if not isinstance(reply, gateway.CreditReply) or reply.lending not in _LENDINGS:
             return Loan(Lending.NOT_MINE)
-        return Loan(Lending(reply.lending), reply.wait, reply.share)
+        return Loan(Lending(reply.lending), reply.wait, reply.share, reply.tag)
+
+    def _lend(self, tenant: str, terms: LimitTerms, work: Work) -> Loan:
+        """Lend this node's credit, with the place of the request among all tenants' ones."""
+        loan = self.limits.lend(tenant, terms, self._clock.monotonic())
+        if loan.lending is not Lending.LENT or not self.shares.enabled:
+            return loan
+        return replace(loan, tag=self.shares.stamp(tenant, work))
 
     def _call(self, node_id: str, address: str, ask: gateway.CreditAsk) -> object:
         reply, error = None, "no answer in time"
@@ -164,5 +189,8 @@
     def reply(self, ask: gateway.CreditAsk) -> gateway.CreditReply:
         """What a peer that asks gets."""
         terms = LimitTerms(ask.rate, ask.burst, ask.revision)
-        loan = self.limits.lend(ask.tenant, terms, self._clock.monotonic())
-        return gateway.CreditReply(lending=loan.lending.value, wait=loan.wait, share=loan.share)
+        self.shares.clock.merge(ask.clock)
+        loan = self._lend(ask.tenant, terms, Work(ask.cost, ask.correction))
+        return gateway.CreditReply(
+            lending=loan.lending.value, wait=loan.wait, share=loan.share, tag=loan.tag
+        )
--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import bisect
+import itertools
+import math
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import gevent
@@ -19,15 +22,27 @@
     rule,
 )
 from postvalve.core.randomness import RandomSource
+from postvalve.core.scheduling.turning_away import (
+    free_places,
+    held_longest,
+    line_wait,
+    return_time,
+    rule_in_order,
+)
+from postvalve.core.scheduling.waiting_order import Place, service_hash
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import RefusedError
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.serving.line import Line, NoLine
+from postvalve.gateway.serving.peer_places import PeerPlaces
 from postvalve.settings.routes import RouteSpec
 
 LOOK_INTERVAL = 0.015
 """Seconds between looks at those that wait."""
+_Firsts = Sequence[tuple[tuple[int, int], float]]
+"""Rank and tag of the first that waits at each peer, in order."""
 LEAST_RETURN_TIME = 1.0
 """Seconds that a client must have left to come back after a refusal."""
 
@@ -36,13 +51,32 @@
 class _Waiting:
     request_id: str
     service: str
-    rank: tuple[int, int]
-    """Its tenant's priority, then its route's; 0 is the most urgent."""
+    place: Place
+    """Where tenants have no shares, the time of its arrival stands for the tag."""
+    shared: bool
+    """Whether they have."""
+    number: int
+    """By which nodes name it to each other."""
     held: HeldRequest
     gone: Callable[[], bool]
     decided: AsyncResult = field(default_factory=AsyncResult)
 
 
+@dataclass(slots=True)
+class _Queue:
+    """Those that wait for one service, at one look."""
+
+    rooms: list[EngineRoom]
+    firsts: _Firsts
+    held: int = 0
+    """Of this node, that go before the next one."""
+
+
+def _before(firsts: _Firsts, place: Place) -> int:
+    """Peers where somebody waits that goes before a place."""
+    return bisect.bisect_left(firsts, (place.rank, place.tag))
+
+
 class WaitingRoom:
     """Holds, releases and refuses; see `core/admission/holding` for the rules."""
 
@@ -60,12 +94,17 @@
         self._random = generator
         self._metrics = metrics
         self._waiting: list[_Waiting] = []
+        self._numbers = itertools.count(1)
         self._episodes: dict[str, OverloadEpisodes] = {}
         self._longest: dict[str, float] = {}
         """The longest time that clients of a route gave, in seconds."""
         self._looker: gevent.Greenlet | None = None
         self.nodes: Callable[[], int] = lambda: 1
         """Number of nodes that share the engines."""
+        self.line: Line = NoLine()
+        self.on_served: Callable[[float, float | None], None] = lambda tag, first: None
+        """Takes the tag of a request that starts, and the first one that waits behind it."""
+        self.peer_places = PeerPlaces(clock)
 
     def admit(
         self,
@@ -76,6 +115,7 @@
         arrived_at: float,
         deadline: float,
         gone: Callable[[], bool],
+        tag: float | None = None,
     ) -> None:
         """Return when an engine should get the request, or when its client has gone.
 
@@ -87,6 +127,7 @@
             arrived_at: Monotonic seconds.
             deadline: Likewise.
             gone: Tells whether the client has left.
+            tag: Its start tag; None where tenants have no shares.
 
         Raises:
             RefusedError: there is no room in time, and the client can come back.
@@ -98,11 +139,13 @@
             terms.own_tokens,
             self._may_return(route, terms, deadline - arrived_at),
         )
-        if self._fleet.has_room(service):
+        place = Place(rank, arrived_at if tag is None else tag, deadline)
+        if self._fleet.has_room(service) and (tag is None or self._is_first(service, place)):
+            self._start(place, service, tag is not None)
             return
-        entry = _Waiting(terms.request_id, service, rank, held, gone)
-        rooms = self._fleet.rooms(service)
-        ruling = self._rule(entry, rooms)
+        number = next(self._numbers)
+        entry = _Waiting(terms.request_id, service, place, tag is not None, number, held, gone)
+        ruling, rooms = self._first_ruling(entry)
         if ruling is Ruling.HOLD:
             self._note(Event.ROUTED_REQUEST_HELD, entry, rooms)
             ruling = self._wait(entry)
@@ -111,6 +154,58 @@
                 self._note(Event.ROUTED_REQUEST_RELEASED, entry, rooms)
         if ruling is Ruling.REFUSE:
             raise self._refusal(entry, rooms)
+        self._start(place, service, entry.shared)
+
+    def _first_ruling(self, entry: _Waiting) -> tuple[Ruling, list[EngineRoom]]:
+        """About a request that has just come."""
+        rooms = self._fleet.rooms(entry.service)
+        if not entry.shared:
+            return self._rule(entry, rooms), rooms
+        ruling = self._rule_in_order(entry, rooms, self._ahead(entry))
+        if ruling is Ruling.START and not self._is_first(entry.service, entry.place):
+            ruling = Ruling.HOLD
+        return ruling, rooms
+
+    def _is_first(self, service: str, place: Place) -> bool:
+        """Whether nobody who waits, here or elsewhere as far as is known, goes before it."""
+        if self.line.stands(service):
+            return False
+        own = self.first_waiting().get(service_hash(service), place)
+        return place <= own and not _before(self.peer_places.firsts(service), place)
+
+    def _start(self, place: Place, service: str, shared: bool) -> None:
+        """A request with this place goes on."""
+        if not shared:
+            return
+        tags = (one.place.tag for one in self._open() if one.shared)
+        first = min(min(tags, default=math.inf), self.peer_places.first_tag())
+        self.on_served(place.tag, None if first == math.inf else first)
+
+    def _open(self) -> Iterator[_Waiting]:
+        """Those that nothing was decided about."""
+        return (one for one in self._waiting if not one.decided.ready())
+
+    def first_waiting(self) -> dict[int, Place]:
+        """The first that waits here, by the hash of its service."""
+        first: dict[int, Place] = {}
+        for entry in self._open():
+            if entry.shared:
+                key = service_hash(entry.service)
+                first[key] = min(entry.place, first.get(key, entry.place))
+        return first
+
+    def _ahead(self, entry: _Waiting) -> int:
+        """Requests of all nodes that go before one, as far as is known here."""
+        own = sum(one.service == entry.service and one.place < entry.place for one in self._open())
+        return self._ahead_of(entry, own, self.peer_places.firsts(entry.service))
+
+    def _ahead_of(self, entry: _Waiting, own: int, firsts: _Firsts) -> int:
+        """The same, where `own` of this node do, and `firsts` wait first at the others."""
+        told = self.line.ahead(entry.service, entry.number)
+        if told is not None:
+            return told
+        # Where somebody goes before it there are about as many who do as here.
+        return own + _before(firsts, entry.place) * max(1, own)
 
     def _may_return(self, route: RouteSpec, terms: RequestTerms, left: float) -> bool:
         """Whether a refused client would come back: it has, as far as its time tells, not yet."""
@@ -128,6 +223,15 @@
             episode.note_full(now)
         return rule(entry.held, rooms, pace, now, persistent=episode.persistent(now))
 
+    def _rule_in_order(self, entry: _Waiting, rooms: list[EngineRoom], ahead: int) -> Ruling:
+        now = self._clock.monotonic()
+        pace = self._fleet.pace(entry.service)
+        episode = self._episode(entry.service)
+        if rooms and not free_places(rooms):
+            episode.note_full(now)
+        persistent = episode.persistent(now)
+        return rule_in_order(entry.held, rooms, pace, now, ahead, persistent=persistent)
+
     def _episode(self, service: str) -> OverloadEpisodes:
         return self._episodes.setdefault(service, OverloadEpisodes())
 
@@ -148,22 +252,51 @@
         self._looker = None
 
     def _look(self) -> None:
-        """Decide about all that wait, the most urgent kinds and the oldest first."""
-        rooms_of: dict[str, list[EngineRoom]] = {}
-        for entry in sorted(self._waiting, key=lambda one: (one.rank, one.held.arrived_at)):
+        """Decide about all that wait, in their order."""
+        queues: dict[str, _Queue] = {}
+        waiting = sorted(self._waiting, key=lambda one: one.place)
+        self._show(waiting)
+        for entry in waiting:
             if entry.decided.ready():
                 continue
-            if entry.service not in rooms_of:
-                rooms_of[entry.service] = self._fleet.rooms(entry.service)
-            rooms = rooms_of[entry.service]
-            ruling = Ruling.START if entry.gone() else self._rule(entry, rooms)
-            if ruling is Ruling.START and not self._is_turn(entry, rooms):
-                continue
+            if entry.service not in queues:
+                rooms = self._fleet.rooms(entry.service)
+                queues[entry.service] = _Queue(rooms, self.peer_places.firsts(entry.service))
+            queue = queues[entry.service]
+            ruling = self._decide(entry, queue) if entry.shared else self._draw(entry, queue.rooms)
             if ruling is not Ruling.HOLD:
                 entry.decided.set(ruling)
-            if ruling is Ruling.START and rooms:
+            if ruling is Ruling.START and queue.rooms:
                 # It will be counted when its attempt starts; the next ones must know now.
-                min(rooms, key=lambda room: room.online / max(1, room.slots)).online += 1
+                min(queue.rooms, key=lambda room: room.online / max(1, room.slots)).online += 1
+            queue.held += ruling is Ruling.HOLD
+
+    def _show(self, waiting: list[_Waiting]) -> None:
+        """Tell the line who waits here."""
+        of: dict[str, list[tuple[int, Place]]] = {}
+        for entry in waiting:
+            if entry.shared and not entry.decided.ready():
+                of.setdefault(entry.service, []).append((entry.number, entry.place))
+        self.line.show(of)
+
+    def _draw(self, entry: _Waiting, rooms: list[EngineRoom]) -> Ruling:
+        """Decide where tenants have no shares."""
+        ruling = Ruling.START if entry.gone() else self._rule(entry, rooms)
+        if ruling is Ruling.START and not self._is_turn(entry, rooms):
+            return Ruling.HOLD
+        return ruling
+
+    def _decide(self, entry: _Waiting, queue: _Queue) -> Ruling:
+        """Decide where they have some."""
+        if entry.gone() or self.line.granted(entry.service, entry.number):
+            return Ruling.START
+        ahead = self._ahead_of(entry, queue.held, queue.firsts)
+        ruling = self._rule_in_order(entry, queue.rooms, ahead)
+        if ruling is not Ruling.START or held_longest(entry.held, self._clock.monotonic()):
+            return ruling
+        if self.line.stands(entry.service):
+            return Ruling.HOLD
+        return ruling if self._is_turn(entry, queue.rooms) else Ruling.HOLD
 
     def _is_turn(self, entry: _Waiting, rooms: list[EngineRoom]) -> bool:
         """Whether this node takes a free slot: all nodes see the same ones.
@@ -178,7 +311,12 @@
         now = self._clock.monotonic()
         left = entry.held.deadline - now
         drawn = self._random.uniform(0, 1)
-        seconds = self._episode(entry.service).retry_after(now, left, drawn)
+        episode = self._episode(entry.service)
+        if entry.shared:
+            wait = line_wait(self._ahead(entry), rooms, self._fleet.pace(entry.service))
+            seconds = return_time(max(wait, episode.seconds_left(now)), left, drawn)
+        else:
+            seconds = episode.retry_after(now, left, drawn)
         self._note(Event.ROUTED_REQUEST_TURNED_AWAY, entry, rooms, retry_after=round(seconds, 3))
         return RefusedError("no engine can serve this in time", retry_after=seconds)
 
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from postvalve.core.scheduling.fair_share import (
+    FIRST_TIME,
     MAX_COST,
     ShareClock,
     TagBook,
@@ -246,9 +247,9 @@
 
     def test_what_a_request_took_corrects_the_next_tag(self):
         self.book.stamp("t", 2.0, Work(1.0))
-        self.assertEqual(self.book.stamp("t", 2.0, Work(1.0, 3.0)), 2.0)
+        self.assertEqual(self.book.stamp("t", 2.0, Work(1.0, 3.0)), FIRST_TIME + 2.0)
         # What a refused request had cost comes back: the next one has its place.
-        self.assertEqual(self.book.stamp("t", 2.0, Work(1.0, -1.0)), 2.0)
+        self.assertEqual(self.book.stamp("t", 2.0, Work(1.0, -1.0)), FIRST_TIME + 2.0)
 
     def test_nobody_gets_before_the_clock_by_corrections(self):
         self.clock.merge(5.0)
@@ -256,10 +257,10 @@
 
     def test_what_is_told_in_error_is_bounded(self):
         self.book.stamp("t", 1.0, Work(math.inf, math.inf))
-        self.assertLessEqual(self.book.stamp("t", 1.0, Work(1.0)), 2 * MAX_COST)
+        self.assertLessEqual(self.book.stamp("t", 1.0, Work(1.0)), FIRST_TIME + 2 * MAX_COST)
         for told in (math.nan, math.inf, -1.0):
             self.clock.merge(told)
-        self.assertEqual(self.clock.now, 0.0)
+        self.assertEqual(self.clock.now, FIRST_TIME)
 
     def test_tenants_that_left_the_configuration_are_dropped(self):
         for name in ("a", "b"):
