Turned away is who has no fair chance of a slot in time, and nobody else

Cause: a request was refused 0.12 of its target after its arrival where the mean wait was too long, whoever came. Change: one that stands in order is turned away once more go before it than slots come free in its time, by 2.33 standard deviations, or when no slot could help it any more; those behind it never count. Also: the waiting room's order, newcomers and fallback, and a differential test of the way without shares. Checked: tests/test_turning_away (16 tests, OK).

--- a/postvalve/core/scheduling/turning_away.py
+++ b/postvalve/core/scheduling/turning_away.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from postvalve.core.admission.holding import (
     HOLD_SHARE,
     LEAST_RETURN,
-    REFUSE_SHARE,
     RETURN_SHARE,
     RETURN_SPREAD,
     EngineRoom,
@@ -25,9 +25,9 @@
 QUEUED_PLACES = 1
 """Requests that wait at each engine while others stand in order: a slot that comes free is known
 elsewhere some tenths of a second later, and would stand idle so long."""
-HOPELESS_FACTOR = 2.0
-"""A request that would be late by so many times the time it has left hears so at once: estimates
-of what it has to wait miss by less."""
+SURE_DEVIATIONS = 2.33
+"""Standard deviations by which more requests must go before one than slots come free in its time,
+until it is turned away: one in a hundred of them would have got a slot."""
 
 
 def free_places(rooms: Sequence[EngineRoom]) -> int:
@@ -68,17 +68,24 @@
     """
     if not rooms or free_places(rooms) > ahead or held_longest(req, now):
         return Ruling.START
-    waited = now - req.arrived_at
-    early = waited <= req.target_latency * REFUSE_SHARE * 2
-    if persistent or not (pace.known and req.may_return and early):
+    if persistent or not (pace.known and req.may_return):
         return Ruling.HOLD
-    left = req.target_latency - waited
     unread = min(one.unread for one in rooms)
-    first = line_wait(ahead, rooms, pace) + pace.first_event(unread + req.tokens)
-    if first + pace.margin <= left:
-        return Ruling.HOLD
-    hopeless = first - pace.margin > left * HOPELESS_FACTOR
-    return Ruling.REFUSE if hopeless or waited >= req.target_latency * REFUSE_SHARE else Ruling.HOLD
+    left = req.arrived_at + req.target_latency - now - pace.first_event(unread + req.tokens)
+    return Ruling.HOLD if _may_get_slot(left, rooms, pace, ahead) else Ruling.REFUSE
+
+
+def _may_get_slot(left: float, rooms: Sequence[EngineRoom], pace: ServicePace, ahead: int) -> bool:
+    """Whether a request has a fair chance of a slot within `left` seconds.
+
+    Slots come free by chance: so many in the mean, and about the root of it more or fewer.
+    """
+    if left < 0:
+        return False
+    step = pace.queue_step(sum(one.slots for one in rooms))
+    before = ahead + 1 + sum(one.online - one.slots for one in rooms)
+    mean = left / step if step > 0 else math.inf
+    return before <= 1 + mean + SURE_DEVIATIONS * math.sqrt(mean)
 
 
 def return_time(expected: float, time_left: float, drawn: float) -> float:
--- /dev/null
+++ b/tests/test_turning_away.py
@@ -0,0 +1,342 @@
+"""Requests wait in order, start and are turned away: the rule, replays, the waiting room."""
+
+import random
+import unittest
+from unittest import mock
+
+import gevent
+
+from postvalve.core.admission.holding import (
+    HOLD_SHARE,
+    LEAST_RETURN,
+    RETURN_SHARE,
+    EngineRoom,
+    HeldRequest,
+    Ruling,
+    rule,
+)
+from postvalve.core.scheduling.fair_share import ShareClock, TagBook, Work
+from postvalve.core.scheduling.turning_away import (
+    QUEUED_PLACES,
+    free_places,
+    held_longest,
+    return_time,
+    rule_in_order,
+)
+from postvalve.core.scheduling.waiting_order import (
+    Place,
+    ShareNews,
+    merge_news,
+    service_hash,
+    unpack_news,
+)
+from postvalve.exceptions import RefusedError
+from postvalve.gateway.interfaces import RequestTerms
+from postvalve.gateway.serving.peer_places import NEWS_AGE
+from postvalve.gateway.serving.waiting_room import WaitingRoom
+from tests.gateway_support import QuietLog
+from tests.test_fair_share import heaps, skewed
+from tests.test_holding import AIM, DEADLINE, learnt, request, room
+
+ENGINES, SLOTS, HELD = 5, 8, 0.8
+CAPACITY = ENGINES * SLOTS / HELD
+"""Requests a second."""
+STEP = 0.005
+PRESENT = 0.08
+"""Seconds from a start to its first event."""
+
+
+class RuleTest(unittest.TestCase):
+    def rule(self, rooms, ahead=0, now=0.0, persistent=False, **terms):
+        return rule_in_order(request(**terms), rooms, learnt(), now, ahead, persistent=persistent)
+
+    def test_the_first_in_order_get_as_many_slots_as_there_are(self):
+        rooms = [room(8 + QUEUED_PLACES), room(6)]
+        places = free_places(rooms)
+        self.assertIs(self.rule(rooms, ahead=places - 1), Ruling.START)
+        self.assertIs(self.rule(rooms, ahead=places), Ruling.HOLD)
+
+    def test_who_stands_too_far_behind_hears_it_at_once(self):
+        self.assertIs(self.rule([room(9)], ahead=50, may_return=True), Ruling.REFUSE)
+        self.assertIs(self.rule([room(9)], ahead=50), Ruling.HOLD)
+
+    def test_the_first_is_held_where_it_can_be_in_time(self):
+        for now in (0.0, 0.05):
+            self.assertIs(self.rule([room(9)], now=now, may_return=True), Ruling.HOLD)
+
+    def test_nobody_is_held_longer_than_without_shares(self):
+        for now in [number / 100 for number in range(100)]:
+            for persistent in (False, True):
+                ruling = self.rule([room(30)], 500, now, persistent)
+                self.assertIs(ruling is Ruling.START, now >= AIM * HOLD_SHARE, now)
+
+    def test_the_time_told_follows_the_line_and_fits_the_client(self):
+        self.assertEqual(return_time(0.0, 60.0, 0.0), LEAST_RETURN)
+        self.assertEqual(return_time(2.0, 60.0, 0.0), 2.0)
+        self.assertEqual(return_time(20.0, 10.0, 1.0), 10.0 * RETURN_SHARE)
+
+
+class Replay:
+    """A pool of engines, one order, and what would have become of those turned away."""
+
+    def __init__(self, rates, burst, seed):
+        draw = random.Random(seed)
+        self.arrivals = []
+        for tenant, rate in enumerate(rates):
+            now = 0.0
+            while now < 10.0:
+                now += draw.expovariate(rate * 2)
+                if draw.random() * 2 < burst(now):
+                    self.arrivals.append((now, tenant))
+        self.arrivals.sort(reverse=True)
+        self.clock = ShareClock()
+        self.book = TagBook(self.clock)
+        self.pace = learnt(PRESENT, HELD)
+        self.ends, self.waiting, self.ghosts = [], [], []
+        self.refused = self.wrongly = self.in_time = self.passed = 0
+        """`passed`: turned away though one behind it in order was in time by a later slot."""
+
+    def run(self):
+        now = 0.0
+        while self.arrivals or self.waiting:
+            now += STEP
+            self.ends = [end for end in self.ends if end > now]
+            while self.arrivals and self.arrivals[-1][0] <= now:
+                at, tenant = self.arrivals.pop()
+                tag = self.book.stamp(str(tenant), 1.0, Work(HELD))
+                self.waiting.append((tag, at, tenant))
+            self._look(now)
+
+    def _look(self, now):
+        self.waiting.sort()
+        held = 0
+        for one in list(self.waiting):
+            tag, at, tenant = one
+            terms = HeldRequest(at, AIM, at + DEADLINE, 450, True)
+            count = len(self.ends)
+            rooms = [EngineRoom(ENGINES * SLOTS, count, 0, 0)]
+            ruling = rule_in_order(terms, rooms, self.pace, now, held)
+            held += ruling is Ruling.HOLD
+            if ruling is Ruling.HOLD:
+                continue
+            self.waiting.remove(one)
+            if ruling is Ruling.REFUSE:
+                self.refused += 1
+                self.ghosts.append(one)
+                self.book.stamp(str(tenant), 1.0, Work(0.0, -HELD))
+                continue
+            self._start(one, now)
+
+    def _start(self, one, now):
+        """A slot goes to `one`; the first of those turned away may have had it."""
+        tag, at, _ = one
+        self.clock.note_served(tag, min((other[0] for other in self.waiting), default=None))
+        queued = max(0, len(self.ends) - ENGINES * SLOTS + 1)
+        begins = now if not queued else sorted(self.ends)[queued - 1]
+        self.ends.append(begins + HELD)
+        timely = begins + PRESENT <= at + AIM
+        self.in_time += timely
+        self.ghosts = [ghost for ghost in self.ghosts if begins + PRESENT <= ghost[1] + AIM]
+        before = [ghost for ghost in self.ghosts if ghost < one]
+        if before:
+            self.wrongly += 1
+            self.ghosts.remove(min(before))
+
+
+class ReplayTest(unittest.TestCase):
+    WRONGLY = 0.02
+    """Of those turned away, that a slot would have come for in time."""
+    LOADS = {
+        "heaps": ([CAPACITY * 0.09] * 10, heaps),
+        "one at ten times its usual": ([CAPACITY * 0.06] * 9 + [CAPACITY * 0.6], lambda now: 1.0),
+        "75 tenants in heaps": (skewed(75, CAPACITY * 0.9), heaps),
+    }
+
+    def test_hardly_anybody_is_turned_away_who_could_have_been_served(self):
+        for name, (rates, burst) in self.LOADS.items():
+            replays = [Replay(rates, burst, seed) for seed in range(4)]
+            for one in replays:
+                one.run()
+            refused = sum(one.refused for one in replays)
+            wrongly = sum(one.wrongly for one in replays)
+            with self.subTest(name, refused=refused, wrongly=wrongly):
+                self.assertGreater(refused, 0)
+                self.assertLessEqual(wrongly, self.WRONGLY * refused)
+
+
+class NewsTest(unittest.TestCase):
+    def test_it_comes_as_it_was_sent_and_zones_tell_the_first(self):
+        key = service_hash("s")
+        one = ShareNews(5.0, {key: Place((0, 1), 7.0)})
+        other = ShareNews(9.0, {key: Place((0, 1), 6.0), 3: Place((1, 1), 2.0)})
+        self.assertEqual(unpack_news(one.pack()), one)
+        merged = unpack_news(merge_news([one.pack(), b"", b"xx", other.pack()]))
+        self.assertEqual(merged, ShareNews(9.0, other.first))
+        self.assertEqual(merge_news([b"", b""]), b"")
+
+    def test_what_is_no_news_is_passed_over(self):
+        good = ShareNews(5.0, {1: Place((0, 0), 1.0)}).pack()
+        for data in (b"", good[:-1], ShareNews(float("nan"), {}).pack()):
+            self.assertIsNone(unpack_news(data))
+
+
+class RoomCase(unittest.TestCase):
+    """A waiting room with engines that a test fills and frees, and a clock that it moves."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.online = 9
+        self.started, self.refused = [], []
+        self.clock = mock.Mock(monotonic=lambda: self.now)
+        self.fleet = mock.Mock(
+            rooms=lambda service: [room(self.online)],
+            has_room=lambda service: self.online < 8,
+            pace=lambda service: self.pace,
+        )
+        self.pace = learnt()
+        self.room = WaitingRoom(self.clock, QuietLog(), self.fleet, random.Random(1), mock.Mock())
+        # Looks are taken by hand.
+        self.room._looker = mock.Mock()
+
+    def send(self, name, tag=None, rank=(0, 0), allowed=None, age=0.0):
+        terms = RequestTerms(name, allowed, None, "", 0, 450, 0)
+        route = mock.Mock(target_latency=AIM)
+        route.name = "r"
+        at = self.now - age
+
+        def admit():
+            try:
+                self.room.admit(route, "s", terms, rank, at, at + DEADLINE, lambda: False, tag)
+            except RefusedError:
+                self.refused.append(name)
+            else:
+                self.started.append(name)
+                self.online += 1
+
+        gevent.spawn(admit)
+        gevent.sleep(0)
+
+    def look(self, now=None):
+        self.now = self.now if now is None else now
+        self.room._look()
+        for _ in range(3):
+            gevent.sleep(0)
+
+    def news(self, tag, peer="p"):
+        self.room.peer_places.hear(peer, ShareNews(1.0, {service_hash("s"): Place((0, 0), tag)}))
+
+
+class OrderTest(RoomCase):
+    def test_priority_goes_before_share_and_share_before_time_left(self):
+        self.send("late", 5.0)
+        self.send("share", 3.0, age=0.0)
+        self.send("older", 3.0, age=0.05)
+        self.send("urgent", 9.0, rank=(-1, 0))
+        for _ in range(4):
+            self.online = 8
+            self.look()
+        self.assertEqual(self.started, ["urgent", "older", "share", "late"])
+
+    def test_one_in_front_is_passed_no_longer_than_any_request_is_held(self):
+        self.send("least", 50.0, rank=(9, 0))
+        for number in range(40):
+            self.now = number * 0.01
+            self.online = 8
+            self.send(f"u{number}", 1.0, rank=(0, 0))
+            self.look()
+            if "least" in self.started:
+                break
+        self.assertLessEqual(self.now, AIM * HOLD_SHARE + 0.011)
+
+    def test_a_newcomer_does_not_pass_who_waits_here_or_elsewhere(self):
+        self.send("waits", 3.0)
+        self.online = 7
+        self.send("behind", 8.0)
+        self.assertEqual(self.started, [])
+        self.online = 7
+        self.send("before", 1.0)
+        self.assertEqual(self.started, ["before"])
+
+    def test_who_waits_at_a_peer_goes_first_until_that_is_old(self):
+        self.news(3.0)
+        self.online = 7
+        self.send("behind", 8.0)
+        self.assertEqual(self.started, [])
+        self.now = NEWS_AGE + 0.01
+        self.send("newer", 9.0)
+        self.assertEqual(self.started, [])  # one that waits here goes before it
+        self.look()
+        self.assertEqual(self.started[0], "behind")
+
+    def test_those_that_start_move_the_clock_no_further_than_the_first_that_waits(self):
+        served = []
+        self.room.on_served = lambda tag, first: served.append((tag, first))
+        self.news(4.0)
+        self.send("a", 3.0)
+        self.send("b", 6.0)
+        self.online = 8
+        self.look()
+        self.assertEqual(served, [(3.0, 4.0)])
+
+    def test_the_last_in_order_is_turned_away(self):
+        for number in range(12):
+            self.send(f"r{number}", float(number), allowed=DEADLINE)
+        self.look()
+        kept = [f"r{number}" for number in range(12 - len(self.refused))]
+        self.assertGreater(len(self.refused), 0)
+        self.assertGreater(len(kept), 0)
+        self.assertFalse(set(kept) & set(self.refused))
+
+
+class WithoutSharesTest(RoomCase):
+    """Without tags the way is by priority, age, rule and draw: a plain copy of it decides alike."""
+
+    def plain(self, held, rooms, draws):
+        """What becomes of waiting requests `(rank, arrived at, may return)` at one look."""
+        started, refused = [], []
+        for name, (_, at, back) in sorted(held.items(), key=lambda one: one[1][:2]):
+            terms = HeldRequest(at, AIM, at + DEADLINE, 450, back)
+            ruling = rule(terms, rooms, self.pace, self.now)
+            free = sum(max(0, one.slots - one.online) for one in rooms)
+            if ruling is Ruling.START and not (
+                not free or free >= 5 or draws.uniform(0, 1) * 5 < free
+            ):
+                continue
+            if ruling is Ruling.START:
+                started.append(name)
+                rooms[0].online += 1
+            if ruling is Ruling.REFUSE:
+                refused.append(name)
+        return started, refused
+
+    def test_decisions_are_those_of_priority_age_and_draw(self):
+        for seed in range(30):
+            self.setUp()
+            self.room.nodes = lambda: 5
+            draw = random.Random(seed)
+            held = {}
+            for number in range(12):
+                self.now += draw.uniform(0, 0.01)
+                self.online = 30
+                rank = (draw.randrange(2), draw.randrange(2))
+                back = draw.random() < 0.5
+                self.send(f"r{number}", None, rank, DEADLINE if back else None)
+                held[f"r{number}"] = (rank, self.now, back)
+            self.assertEqual((self.started, self.refused), ([], []))
+            self.now = draw.uniform(0.12, 0.3)
+            self.online = draw.choice((6, 7, 8, 9, 30))
+            draws = random.Random(1)
+            expected = self.plain(held, [room(self.online)], draws)
+            self.look()
+            self.assertEqual(sorted(self.started), sorted(expected[0]))
+            self.assertEqual(sorted(self.refused), sorted(expected[1]))
+
+
+class HeldTest(unittest.TestCase):
+    def test_the_longest_time_is_the_one_without_shares(self):
+        self.assertFalse(held_longest(request(), AIM * HOLD_SHARE - 0.001))
+        self.assertTrue(held_longest(request(), AIM * HOLD_SHARE))
+
+
+if __name__ == "__main__":
+    unittest.main()
