--- a/postvalve/gateway/serving/fair_shares.py
+++ b/postvalve/gateway/serving/fair_shares.py
@@ -13,6 +13,9 @@
 
 LEAST_TENANTS = 2
 """Tenants of the configuration from which there is something to share."""
+UNKNOWN_COST = 1.0
+"""Slot seconds of a request while nobody knows what one takes: without any cost all would get the
+same tag. What it took corrects the account."""
 ROWS_TOLD = 20
 """Tenants whose tags `status` shows, those furthest beyond their shares first."""
 
@@ -50,10 +53,15 @@
         self._untold = {one: told for one, told in self._untold.items() if one in self._weights}
 
     def work(self, tenant: str, cost: float) -> Work:
-        """What a tenant's next request tells its lender; corrections are told once."""
+        """What a tenant's next request tells its lender; corrections are told once.
+
+        Args:
+            tenant: Who sends it.
+            cost: Slot seconds that it may take; 0 while nobody knows.
+        """
         if not self.enabled:
             return Work(0.0)
-        return Work(cost, self._untold.pop(tenant, 0.0))
+        return Work(cost or UNKNOWN_COST, self._untold.pop(tenant, 0.0))
 
     def enter(self, tenant: str, work: Work, told: float) -> RequestShare | None:
         """Count a request in; None where there are no shares.
