--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -330,6 +330,13 @@
         self, event: Event, entry: _Waiting, rooms: list[EngineRoom], **fields: float
     ) -> None:
         pace = self._fleet.pace(entry.service)
+        if entry.shared:
+            told = self.line.ahead(entry.service, entry.number) is not None
+            fields |= {
+                "tag": round(entry.place.tag, 3),
+                "ahead": self._ahead(entry),
+                "in_line": told,
+            }
         self._metrics.held.labels(event.name).inc()
         self._events.emit(
             event,
--- a/tests/soak/tenants.py
+++ b/tests/soak/tenants.py
@@ -1,8 +1,10 @@
-"""Tenants of the soak: one that sends far beyond its limit, one far below, and an unknown key."""
+"""Tenants of the soak: one that sends far beyond its limit, one far below, two that compete inside
+theirs, and an unknown key."""
 
 import contextlib
 import itertools
 import random
+from collections import Counter
 
 import gevent
 
@@ -15,11 +17,23 @@
 LARGE_RATE = 1_000.0
 OTHER_PAUSE = 0.5
 """Seconds between requests of the two others."""
+COMPETING_RATE = 20.0
+"""Requests a second that each of two tenants may send."""
+BUSY_RATE = 8.0
+"""Requests a second that one of them sends; the other one four times fewer."""
+LEAST_SERVED = 0.25
+"""Of the share that all tenants get served of what they may send, that each gets."""
+LEAST_ASKED = 20
+"""Requests from which a tenant's share says something."""
 WINDOW, OVER, SLACK = 5.0, 1.1, 20.0
 """Seconds, factor and requests within which a limit must hold: what nodes are set to."""
 TENANTS = [
     {"name": "limited", "apiKeys": ["limited-key"], "ratePerS": RATE, "burst": BURST},
     {"name": "large", "apiKeys": ["large-key"], "ratePerS": LARGE_RATE, "burst": LARGE_RATE},
+    *(
+        {"name": name, "apiKeys": [f"{name}-key"], "ratePerS": COMPETING_RATE, "burst": 20.0}
+        for name in ("busy", "quiet")
+    ),
 ]
 PATIENCE_MS = 2_000
 
@@ -51,7 +65,8 @@
 
     def start(self):
         gevent.spawn(self._send, "limited", lambda: self._random.expovariate(FLOOD_RATE))
-        for tenant in ("large", "unknown"):
+        gevent.spawn(self._send, "busy", lambda: self._random.expovariate(BUSY_RATE))
+        for tenant in ("large", "quiet", "unknown"):
             gevent.spawn(self._send, tenant, lambda: OTHER_PAUSE)
 
     def _send(self, tenant, pause):
@@ -73,6 +88,7 @@
         for run in sorted(runs, key=lambda one: one.arrived_at):
             if run.request_id.startswith("t-"):
                 first.setdefault(run.request_id, run.arrived_at)
+        self._check_shares()
         self._check_limit([at for name, at in first.items() if name.startswith("t-limited-")])
         for request_id, status in self.statuses.items():
             if request_id.startswith("t-unknown-"):
@@ -85,6 +101,21 @@
                 told = f"{request_id} was told 429 and ran"
                 self._promises.check('"not run" is true', request_id not in first, told)
 
+    def _check_shares(self):
+        asked, served = Counter(), Counter()
+        for request_id, status in self.statuses.items():
+            tenant = request_id.split("-")[1]
+            if tenant != "unknown" and status != 429:
+                asked[tenant] += 1
+                served[tenant] += status == 200
+        total = sum(served.values()) / max(1, sum(asked.values()))
+        for tenant, count in asked.items():
+            if count >= LEAST_ASKED:
+                share = served[tenant] / count
+                told = f"{tenant}: {share:.2f} of {count}, all: {total:.2f}"
+                holds = share >= LEAST_SERVED * total
+                self._promises.check("nobody is served a quarter as often as all", holds, told)
+
     def _check_limit(self, times):
         allowed = (RATE * WINDOW + BURST) * OVER + SLACK
         most = most_in_window(times)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -91,6 +91,15 @@
         wanted = ['"not run" is true', "no tenant is refused below its limit"]
         self.assertEqual(sorted(self.broken()), wanted)
 
+    def test_a_tenant_that_is_hardly_served(self):
+        busy = {f"t-busy-{number}": 200 for number in range(80)}
+        quiet = {f"t-quiet-{number}": 200 if number < 6 else 503 for number in range(20)}
+        self.tenants(busy | quiet, [])
+        self.assertEqual(self.broken(), [])
+        quiet |= {f"t-quiet-{number}": 503 for number in range(3, 20)}
+        self.tenants(busy | quiet, [])
+        self.assertEqual(self.broken(), ["nobody is served a quarter as often as all"])
+
     def test_a_wrong_number_of_items(self):
         self.read(total=3)
         self.assertEqual(self.broken(), ["the number of items"])
