In an overload that lasts requests stand in order too; lines pass over engines that look free

A keeper counted the slots of engines that had just failed as free. Change: refusals by the place in order at any time; grants by sound engines only, and of other zones' by free slots only (each of them was granted by its own zone's keeper and by a part of each other's). The replay: clients may come back; a slot that a request gets because it was held for as long as any counts for nobody else, since it goes to an engine then whoever waits.

--- a/postvalve/core/scheduling/turning_away.py
+++ b/postvalve/core/scheduling/turning_away.py
@@ -3,7 +3,8 @@
 Beside `core/admission/holding`, where tenants have shares. The load it answers: tenants that
 together want more than the engines can serve in time. By age everybody is late by a little. In
 order, those in front are in time, and whoever stands too far behind hears so while its client can
-still come back. Nobody is turned away for those that stand behind it.
+still come back, also in an overload that lasts: those that would be late anyhow leave the slots to
+those that need not be. Nobody is turned away for those that stand behind it.
 """
 
 from __future__ import annotations
@@ -53,8 +54,6 @@
     pace: ServicePace,
     now: float,
     ahead: int,
-    *,
-    persistent: bool = False,
 ) -> Ruling:
     """Decide about a request at `now`.
 
@@ -64,11 +63,10 @@
         pace: Of these engines.
         now: Monotonic seconds.
         ahead: Requests that go before it.
-        persistent: Whether the slots ran out long ago: who comes back then finds no more room.
     """
     if not rooms or free_places(rooms) > ahead or held_longest(req, now):
         return Ruling.START
-    if persistent or not (pace.known and req.may_return):
+    if not (pace.known and req.may_return):
         return Ruling.HOLD
     unread = min(one.unread for one in rooms)
     left = req.arrived_at + req.target_latency - now - pace.first_event(unread + req.tokens)
--- a/postvalve/gateway/serving/line.py
+++ b/postvalve/gateway/serving/line.py
@@ -296,15 +296,19 @@
         return self._names.get(service)
 
     def _free(self, service: str) -> int:
-        """Places at the zone's engines, and this zone's part of those at the others."""
+        """Places at the zone's engines, and this zone's part of the free slots at the others.
+
+        Engines that failed a moment ago run nothing and look free: they count where all did.
+        """
+        entries = self._fleet.engines(service)
+        sound = [one for one in entries if self._fleet.state_of(one) != "suspect"] or entries
         near = far = 0
-        for entry in self._fleet.engines(service):
-            online = self._fleet.use.total(entry.life).online
-            places = max(0, entry.slots + QUEUED_PLACES - online)
+        for entry in sound:
+            left = entry.slots - self._fleet.use.total(entry.life).online
             if entry.zone == self._identity.zone:
-                near += places
+                near += max(0, left + QUEUED_PLACES)
             else:
-                far += places
+                far += max(0, left)
         zones = {one.report.zone for one in self._peers.all()} | {self._identity.zone}
         return near + far // max(1, len(zones))
 
--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -225,12 +225,9 @@
 
     def _rule_in_order(self, entry: _Waiting, rooms: list[EngineRoom], ahead: int) -> Ruling:
         now = self._clock.monotonic()
-        pace = self._fleet.pace(entry.service)
-        episode = self._episode(entry.service)
         if rooms and not free_places(rooms):
-            episode.note_full(now)
-        persistent = episode.persistent(now)
-        return rule_in_order(entry.held, rooms, pace, now, ahead, persistent=persistent)
+            self._episode(entry.service).note_full(now)
+        return rule_in_order(entry.held, rooms, self._fleet.pace(entry.service), now, ahead)
 
     def _episode(self, service: str) -> OverloadEpisodes:
         return self._episodes.setdefault(service, OverloadEpisodes())
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -170,6 +170,7 @@
         use = SimpleNamespace(total=lambda life: SimpleNamespace(online=network.online))
         entry = SimpleNamespace(life="e", slots=network.slots, zone="z", service="s")
         fleet = mock.Mock(use=use, engines=lambda s: [entry], listed_engines=lambda: [entry])
+        fleet.state_of = lambda entry: network.states.get(entry.life, "ready")
         transport = SimpleNamespace(send=lambda address, data: network.send(name, address, data))
         identity = gateway.NodeStarted(name, 1, name, "z")
         self.line = ZoneLine(
@@ -217,6 +218,7 @@
     def __init__(self, count=4, slots=4):
         self.now, self.slots, self.online = 100.0, slots, slots + QUEUED_PLACES
         self.order, self.queue, self.sent = [], [], 0
+        self.states = {}
         self.frozen, self.lost = set(), lambda source, target: False
         self.nodes = {f"n{number}": Node(self, f"n{number}") for number in range(count)}
         self.hear_all()
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -1,5 +1,6 @@
 """Requests wait in order, start and are turned away: the rule, replays, the waiting room."""
 
+import itertools
 import random
 import unittest
 from unittest import mock
@@ -12,7 +13,9 @@
     RETURN_SHARE,
     EngineRoom,
     HeldRequest,
+    OverloadEpisodes,
     Ruling,
+    finds_room,
     rule,
 )
 from postvalve.core.scheduling.fair_share import ShareClock, TagBook, Work
@@ -20,6 +23,7 @@
     QUEUED_PLACES,
     free_places,
     held_longest,
+    line_wait,
     return_time,
     rule_in_order,
 )
@@ -47,8 +51,8 @@
 
 
 class RuleTest(unittest.TestCase):
-    def rule(self, rooms, ahead=0, now=0.0, persistent=False, **terms):
-        return rule_in_order(request(**terms), rooms, learnt(), now, ahead, persistent=persistent)
+    def rule(self, rooms, ahead=0, now=0.0, **terms):
+        return rule_in_order(request(**terms), rooms, learnt(), now, ahead)
 
     def test_the_first_in_order_get_as_many_slots_as_there_are(self):
         rooms = [room(8 + QUEUED_PLACES), room(6)]
@@ -66,9 +70,8 @@
 
     def test_nobody_is_held_longer_than_without_shares(self):
         for now in [number / 100 for number in range(100)]:
-            for persistent in (False, True):
-                ruling = self.rule([room(30)], 500, now, persistent)
-                self.assertIs(ruling is Ruling.START, now >= AIM * HOLD_SHARE, now)
+            ruling = self.rule([room(30)], 500, now)
+            self.assertIs(ruling is Ruling.START, now >= AIM * HOLD_SHARE, now)
 
     def test_the_time_told_follows_the_line_and_fits_the_client(self):
         self.assertEqual(return_time(0.0, 60.0, 0.0), LEAST_RETURN)
@@ -79,66 +82,91 @@
 class Replay:
     """A pool of engines, one order, and what would have become of those turned away."""
 
-    def __init__(self, rates, burst, seed):
-        draw = random.Random(seed)
+    def __init__(self, rates, burst, seed, *, by_age=False, returns=False):
+        """Set up; `by_age` plays the way without shares, `returns` lets clients come back once."""
+        self.random = draw = random.Random(seed)
         self.arrivals = []
         for tenant, rate in enumerate(rates):
             now = 0.0
             while now < 10.0:
                 now += draw.expovariate(rate * 2)
                 if draw.random() * 2 < burst(now):
-                    self.arrivals.append((now, tenant))
-        self.arrivals.sort(reverse=True)
+                    self.arrivals.append((now, tenant, now))
+        self.asked = len(self.arrivals)
+        self.by_age, self.returns = by_age, returns
         self.clock = ShareClock()
         self.book = TagBook(self.clock)
         self.pace = learnt(PRESENT, HELD)
+        self.episode = OverloadEpisodes()
         self.ends, self.waiting, self.ghosts = [], [], []
-        self.refused = self.wrongly = self.in_time = self.passed = 0
-        """`passed`: turned away though one behind it in order was in time by a later slot."""
+        self.refused = self.wrongly = 0
+        self.in_time = [0] * len(rates)
 
     def run(self):
         now = 0.0
         while self.arrivals or self.waiting:
             now += STEP
             self.ends = [end for end in self.ends if end > now]
+            self.arrivals.sort(reverse=True)
             while self.arrivals and self.arrivals[-1][0] <= now:
-                at, tenant = self.arrivals.pop()
+                at, tenant, first = self.arrivals.pop()
                 tag = self.book.stamp(str(tenant), 1.0, Work(HELD))
-                self.waiting.append((tag, at, tenant))
+                self.waiting.append((at if self.by_age else tag, at, tenant, first))
             self._look(now)
 
     def _look(self, now):
         self.waiting.sort()
         held = 0
         for one in list(self.waiting):
-            tag, at, tenant = one
-            terms = HeldRequest(at, AIM, at + DEADLINE, 450, True)
-            count = len(self.ends)
-            rooms = [EngineRoom(ENGINES * SLOTS, count, 0, 0)]
-            ruling = rule_in_order(terms, rooms, self.pace, now, held)
+            rooms = [EngineRoom(ENGINES * SLOTS, len(self.ends), 0, 0)]
+            ruling = self._rule(one, rooms, now, held)
             held += ruling is Ruling.HOLD
             if ruling is Ruling.HOLD:
                 continue
             self.waiting.remove(one)
             if ruling is Ruling.REFUSE:
-                self.refused += 1
-                self.ghosts.append(one)
-                self.book.stamp(str(tenant), 1.0, Work(0.0, -HELD))
-                continue
-            self._start(one, now)
+                self._refuse(one, rooms, now, held)
+            else:
+                self._start(one, now)
+
+    def _rule(self, one, rooms, now, held):
+        _, at, _, first = one
+        terms = HeldRequest(at, AIM, first + DEADLINE, 450, at == first)
+        if not finds_room(terms, rooms, self.pace, now):
+            self.episode.note_full(now)
+        if self.by_age:
+            persistent = self.episode.persistent(now)
+            return rule(terms, rooms, self.pace, now, persistent=persistent)
+        return rule_in_order(terms, rooms, self.pace, now, held)
+
+    def _refuse(self, one, rooms, now, held):
+        _, at, tenant, first = one
+        self.refused += 1
+        self.ghosts.append(one)
+        self.book.stamp(str(tenant), 1.0, Work(0.0, -HELD))
+        if self.returns:
+            wait = line_wait(held, rooms, self.pace)
+            left = first + DEADLINE - now
+            seconds = return_time(
+                max(wait, self.episode.seconds_left(now)), left, self.random.random()
+            )
+            self.arrivals.append((now + seconds, tenant, first))
 
     def _start(self, one, now):
-        """A slot goes to `one`; the first of those turned away may have had it."""
-        tag, at, _ = one
+        """A slot goes to `one`; the first of those turned away may have had it.
+
+        Not where `one` was held for as long as any: it goes to an engine then whoever waits.
+        """
+        tag, at, tenant, _ = one
+        in_turn = now - at < AIM * HOLD_SHARE
         self.clock.note_served(tag, min((other[0] for other in self.waiting), default=None))
         queued = max(0, len(self.ends) - ENGINES * SLOTS + 1)
         begins = now if not queued else sorted(self.ends)[queued - 1]
         self.ends.append(begins + HELD)
-        timely = begins + PRESENT <= at + AIM
-        self.in_time += timely
+        self.in_time[tenant] += begins + PRESENT <= at + AIM
         self.ghosts = [ghost for ghost in self.ghosts if begins + PRESENT <= ghost[1] + AIM]
         before = [ghost for ghost in self.ghosts if ghost < one]
-        if before:
+        if before and in_turn:
             self.wrongly += 1
             self.ghosts.remove(min(before))
 
@@ -153,16 +181,36 @@
     }
 
     def test_hardly_anybody_is_turned_away_who_could_have_been_served(self):
-        for name, (rates, burst) in self.LOADS.items():
-            replays = [Replay(rates, burst, seed) for seed in range(4)]
+        for (name, (rates, burst)), returns in itertools.product(self.LOADS.items(), (False, True)):
+            replays = [Replay(rates, burst, seed, returns=returns) for seed in range(4)]
             for one in replays:
                 one.run()
             refused = sum(one.refused for one in replays)
             wrongly = sum(one.wrongly for one in replays)
-            with self.subTest(name, refused=refused, wrongly=wrongly):
+            with self.subTest(name, returns=returns, refused=refused, wrongly=wrongly):
                 self.assertGreater(refused, 0)
                 self.assertLessEqual(wrongly, self.WRONGLY * refused)
 
+    def test_an_overload_that_lasts_is_answered_in_order_too(self):
+        """Clients come back once; by age engines would serve first come, first served then."""
+        lasting = {
+            "one at 16 times its usual": (
+                [CAPACITY * 0.06] * 9 + [CAPACITY * 0.96],
+                lambda now: 1.0,
+            ),
+            "75 tenants at 1.3 of the room": (skewed(75, CAPACITY * 1.3), lambda now: 1.0),
+        }
+        for name, (rates, burst) in (self.LOADS | lasting).items():
+            hot = rates.index(max(rates))
+            others = {}
+            for by_age in (True, False):
+                replays = [Replay(rates, burst, n, by_age=by_age, returns=True) for n in range(3)]
+                for one in replays:
+                    one.run()
+                others[by_age] = sum(sum(one.in_time) - one.in_time[hot] for one in replays)
+            with self.subTest(name, others=others):
+                self.assertGreater(others[False], others[True])
+
 
 class NewsTest(unittest.TestCase):
     def test_it_comes_as_it_was_sent_and_zones_tell_the_first(self):
