A new keeper's grants count; what goes before a request counts all zones

Cause: a node told a new keeper the number of the last grant that it took in of the former one. Where that is larger, the new one takes its own grants for used with the next state, and grants them again. And a keeper tells how many of its zone go before a request, which was set against the slots of all zones. Change: numbers are told by keeper, and begin at milliseconds; what goes before is taken for as much in each zone.

--- a/postvalve/gateway/serving/line.py
+++ b/postvalve/gateway/serving/line.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from postvalve.clock import milliseconds
 from postvalve.core.membership.extensions import Feature
 from postvalve.core.scheduling.line import (
     KEEPER_PATIENCE,
@@ -30,6 +31,8 @@
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
 
+FIRST_GRANTS = 0x7FFFFFFF
+"""Numbers that a keeper's grants may begin with: the rest of 32 bits is left for those after."""
 FEATURES_AGE = 0.1
 """Seconds for which it is remembered what all nodes can do: asked for at each look at the room."""
 
@@ -84,6 +87,8 @@
     unanswered_since: float | None = None
     silent: bool = False
     """Whether the keeper did not answer in time."""
+    keeper: str | None = None
+    """Whom it was told."""
     taken: int = 0
     """Number of the last grant that was taken in."""
     taken_told: int = 0
@@ -106,6 +111,8 @@
         self._numbers = 0
         self._features_at = float("-inf")
         self._all_can = False
+        self._zones = 1
+        """Zones with nodes, that share the engines."""
         self._told: dict[int, _Told] = {}
         self._keepers: dict[int, LineKeeper] = {}
         self._names: dict[int, str] = {}
@@ -125,6 +132,9 @@
         if now - self._features_at >= FEATURES_AGE:
             self._features_at = now
             self._all_can = bool(self._peers.features() & Feature.LINE)
+            self._zones = len(
+                {one.report.zone for one in self._peers.all()} | {self._identity.zone}
+            )
         return self._all_can
 
     def stands(self, service: str) -> bool:
@@ -135,7 +145,10 @@
     def ahead(self, service: str, number: int) -> int | None:
         """See `Line`."""
         told = self._told.get(service_hash(service))
-        return None if told is None or told.silent else told.ahead.get(number)
+        if told is None or told.silent or number not in told.ahead:
+            return None
+        # The keeper knows its own zone; the others take slots of all engines at the same pace.
+        return told.ahead[number] * self._zones
 
     def granted(self, service: str, number: int) -> bool:
         """See `Line`."""
@@ -173,6 +186,10 @@
     ) -> None:
         self._numbers += 1
         identity = self._identity
+        keeper = keeper_of(identity.zone, key, self._nodes())
+        if keeper != told.keeper:
+            # Each keeper numbers its grants itself: none of this one's was taken in yet.
+            told.keeper, told.taken, told.taken_told = keeper, 0, 0
         state = State(
             key,
             identity.node_id,
@@ -185,7 +202,6 @@
         told.granted &= {number for number, _ in entries}
         if not entries:
             self._rest(told)
-        keeper = keeper_of(identity.zone, key, self._nodes())
         if keeper == identity.node_id:
             self._take_state(state)
             return
@@ -259,8 +275,8 @@
             return
         keeper = self._keepers.get(state.service)
         if keeper is None:
-            # Numbers go on beyond those of a former life, by the clock of this machine.
-            first = int(self._clock.wall() * 10) & 0x7FFFFFFF
+            # Numbers go on beyond those of a former life: no keeper grants so many a second.
+            first = milliseconds(self._clock.wall()) & FIRST_GRANTS
             keeper = self._keepers[state.service] = LineKeeper(state.service, first)
         if keeper.hear(state, now):
             self._grant(state.service, keeper, {state.node_id} if state.waiting else set())
@@ -309,8 +325,7 @@
                 near += max(0, left + QUEUED_PLACES)
             else:
                 far += max(0, left)
-        zones = {one.report.zone for one in self._peers.all()} | {self._identity.zone}
-        return near + far // max(1, len(zones))
+        return near + far // self._zones
 
     def _send(self, node_id: str, grant: Grant) -> None:
         if node_id == self._identity.node_id:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -356,6 +356,42 @@
         self.network.play(STATE_TIME + 0.1)
         self.assertEqual(self.network.order, [(self.second.name, 1)])
 
+    def test_a_new_keeper_that_numbers_its_grants_lower_counts_them(self):
+        """What a node took in of a former keeper must not stand for the new one's grants."""
+        former = self.network.keeper
+        self.first.ask(1, 1.0)
+        self.network.play(0.1)
+        self.network.online -= 1
+        self.network.play(0.1)
+        self.first.line._told[SERVICE].taken += 1_000_000
+        del self.network.nodes[former]
+        for one in self.network.nodes.values():
+            one.peers.drop(former)
+        keeper = self.network.keeper
+        asking = next(one for name, one in self.network.nodes.items() if name != keeper)
+        asking.line._told.setdefault(SERVICE, self.first.line._told[SERVICE])
+        asking.ask(2, 1.0)
+        self.network.play(0.1)
+        self.network.lost = lambda source, target: source == keeper
+        self.network.online -= 1
+        self.network.play(0.03)
+        member = self.network.nodes[keeper].line._keepers[SERVICE]._members[asking.name]
+        given = list(member.given)
+        self.assertEqual(len(given), 1)
+        self.network.play(0.15)
+        self.assertEqual(member.given, given)
+
+    def test_engines_that_failed_a_moment_ago_count_only_where_all_did(self):
+        line = self.first.line
+        entry = SimpleNamespace(life="f", slots=4, zone="z", service="s")
+        dark = SimpleNamespace(life="d", slots=4, zone="z", service="s")
+        line._fleet.engines = lambda service: [entry, dark]
+        self.network.online = 2
+        self.network.states = {"d": "suspect"}
+        self.assertEqual(line._free("s"), 2 + QUEUED_PLACES)
+        self.network.states = {"d": "suspect", "f": "suspect"}
+        self.assertEqual(line._free("s"), 2 * (2 + QUEUED_PLACES))
+
     def test_a_grant_for_nobody_is_handed_back(self):
         self.first.ask(1, 1.0)
         self.second.ask(1, 2.0)
