--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -22,6 +22,7 @@
 from postvalve.core.membership.peers import STORE_SILENT_AFTER, Peer
 from postvalve.core.membership.report_pace import FAR_RATE
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneMember, members_version
+from postvalve.core.scheduling.waiting_order import merge_news
 
 DIGEST_INTERVAL = 0.25
 """Seconds between two digests of a zone at the least."""
@@ -137,6 +138,9 @@
     told = [one.extensions.get(Extension.ITEM_PACE, b"") for one in reports]
     if pace := merge_paces(told):
         parts[Extension.ITEM_PACE] = pace
+    shares = merge_news(one.extensions.get(Extension.SHARE_CLOCK, b"") for one in reports)
+    if shares:
+        parts[Extension.SHARE_CLOCK] = shares
     return parts
 
 
