Test, failing: a zone that is cut off can't tell whether small tenants have credit

Cause: a tenant's first and second choice stand anywhere, so most tenants have neither in a zone that is cut off; until its nodes have taken the others for gone (4 s) each of their requests is told 503.

`look` takes the zone's own nodes, and does nothing with them yet.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -156,7 +156,13 @@
         """Of the fleet, that this node hears."""
         return min(1.0, self.heard / max(1, self.known))
 
-    def look(self, live: Iterable[str], announced: int, now: float) -> None:
+    def look(
+        self,
+        live: Iterable[str],
+        announced: int,
+        now: float,
+        neighbours: Iterable[str] | None = None,
+    ) -> None:
         """Take in who is alive; called some times a second and before each decision.
 
         Args:
@@ -164,6 +170,7 @@
                 unless it leaves.
             announced: Nodes that the store knows of; counts while this node has just started.
             now: Monotonic seconds.
+            neighbours: Those of them in this node's zone; None where all are.
         """
         if now - self._looked_at > STALL:
             self._forget(now)
--- /dev/null
+++ b/tests/zoned_limit_model.py
@@ -0,0 +1,48 @@
+"""Nodes in zones that limit tenants together: zones hear of each other seldom, and are cut off."""
+
+from tests.limit_model import REPORT_EVERY, STEP, LimitModel, ModelNode
+
+FAR_REPORT_EVERY = 1.0
+"""Seconds between the digests of another zone, at the most."""
+FAR_SILENT_AFTER = 2.5
+"""Seconds without one after which its nodes count as gone for limits."""
+
+
+class ZonedNode(ModelNode):
+    def __init__(self, name, now, bounds, zones):
+        self.zones = zones
+        """Zone by node."""
+        super().__init__(name, now, bounds)
+
+    def look(self, announced, now):
+        live = [one for one, at in self.heard.items() if now - at <= FAR_SILENT_AFTER]
+        near = [one for one in live if self.zones[one] == self.zones[self.name]]
+        self.limits.look([*live, self.name], announced, now, [*near, self.name])
+
+
+class ZonedLimitModel(LimitModel):
+    """So many zones of so many nodes each."""
+
+    def __init__(self, seed, zones, nodes, terms, **named):
+        super().__init__(seed, zones * nodes, terms, **named)
+        self.zones = {name: number % zones for number, name in enumerate(self.nodes)}
+        for name in self.nodes:
+            self.nodes[name] = ZonedNode(name, self.now, self.bounds, self.zones)
+
+    def report(self):
+        far = round(self.now / STEP) % round(FAR_REPORT_EVERY / STEP) < REPORT_EVERY / STEP
+        working = [one for one in self.nodes.values() if one.works]
+        for first in working:
+            for second in working:
+                heard = far or self.zones[first.name] == self.zones[second.name]
+                if first is not second and heard and self.reach(first.name, second.name):
+                    second.heard[first.name] = self.now
+        for node in working:
+            node.look(self.announced, self.now)
+
+    def cut_zone(self, zone, seconds):
+        """Part one zone from all others."""
+        chosen = [name for name, own in self.zones.items() if own == zone]
+        for name in chosen:
+            self.side[name] = 1
+        self.after(seconds, lambda: self.side.update(dict.fromkeys(chosen, 0)))
