A zone that is cut off has lenders of its own at once, and its clients hear when to come back

There a tenant's first and second choice both stand in other zones for most tenants, other zones count as gone after 4 s, and the client, told 0.1 s, spends its one retry at a neighbour that knows no more.

Ruled out: patience of the asks (all lenders were out of reach, not late); tokens lent ahead to nodes or zones out of the bucket (safe, but for large tenants no more than second choices give, and a message for each tenant and zone a few seconds); a share at each node (20 requests for 65 nodes).

Change: the second choice stands in the zone of who asks, so each zone has one; all of them together lend what any window leaves beside the first choice ((1 - OWN_PART) of the excess, 0.4 of the slack), by the zone's share of the nodes known, as a bucket that is mostly full when it is asked. A node counts as a lender for 2.5 s of silence, also in zones told of by digests. A second choice used up is no limit reached (503, not 429). Where the first choice is silent and neighbours are heard, the client is told when another node will lend; one that has too little time for that, or whose node is alone, comes back at once. A node that has just started and lends by 1/65 tells a refused caller when it will know the others, not 5 s.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -7,7 +7,9 @@
   and after together never give more than one bucket does over the same time.
 - A node lends by the share of the fleet that it hears, so that the sides of a cut together stay
   within the whole, and one that has just started or hears nobody lends next to nothing.
-- Until it is known that the first choice is gone, the second one lends a twelfth.
+- Until it is known that the first choice is gone, a second one lends a little: one in each zone,
+  for who asks there, by the zone's share of the fleet. So a zone that is cut off has one at once,
+  and all of them together lend no more than one would.
 
 What these may give more than one bucket for a moment fits into what a limit may be exceeded by.
 
@@ -26,16 +28,16 @@
 from postvalve.core.admission.token_bucket import TokenBucket
 from postvalve.core.membership.ownership import rank_owners
 
-DETECTION_TIME = 3.0
-"""Seconds until all nodes know that one of them is gone, and for which a second choice may lend
-beside a first one that is not."""
 OWN_PART = 0.5
 """Of what the rate may be exceeded by, for the first choice; the rest is for the second one."""
 SLACK_PART = 0.6
 """Of the requests by which any limit may be exceeded, for the first choice: with 20 of them a
 tenant of one request a second sends a dozen at once now and then."""
-DEPUTY_SLACK_PART = 0.2
-"""The same for the second choice. What is left is for a moment with two first ones."""
+DEPUTY_SLACK_PART = 0.4
+"""The same for all second choices together, in any window."""
+FILLED_PART = 0.75
+"""Of what second choices may lend in a window, that their full buckets hold; the rest is what comes
+in while the window lasts. They are asked seldom, and then by many at once."""
 VIEW_TIME = 10.0
 """Seconds of views that are remembered, to tell since when a tenant's bucket is this node's."""
 KNOWN_TIME = 30.0
@@ -47,6 +49,10 @@
 are half a second to a second apart."""
 MAX_RETURN = 5.0
 """Seconds at the most that a refused caller is told to stay away."""
+SETTLE_TIME = 1.5
+"""Seconds after its start until a node hears all others: those of other zones are told of a second
+after their zone's nodes have started, at the earliest. Till then it lends next to nothing, and who
+is refused need not stay away for as long as that would take to grow."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,15 +81,10 @@
         spare = terms.rate * self.window * self.over * OWN_PART
         return terms.burst * (1 + self.over) + spare + self.slack * SLACK_PART
 
-    @property
-    def deputy_share(self) -> float:
-        """Of the rate, that a second choice lends by."""
-        return self.window * self.over * (1 - OWN_PART) / DETECTION_TIME
-
-    @property
-    def deputy_capacity(self) -> float:
-        """Requests that a full bucket of a second choice holds."""
-        return self.slack * DEPUTY_SLACK_PART
+    def deputies_credit(self, terms: LimitTerms) -> float:
+        """Requests that all second choices of a tenant may lend in any window, together."""
+        over = terms.rate * self.window * self.over * (1 - OWN_PART)
+        return over + self.slack * DEPUTY_SLACK_PART
 
 
 class Lending(enum.Enum):
@@ -120,13 +121,17 @@
 class _View:
     since: float
     live: frozenset[str]
+    near: frozenset[str]
+    """Those of the node's own zone, itself among them."""
     choices: dict[str, list[str]] = field(default_factory=dict)
     """First and second choice by tenant."""
 
     def choices_of(self, tenant: str) -> list[str]:
         found = self.choices.get(tenant)
         if found is None:
-            found = self.choices[tenant] = rank_owners(tenant, self.live)[:2]
+            first = rank_owners(tenant, self.live)[:1]
+            second = rank_owners(tenant, self.near.difference(first))[:1]
+            found = self.choices[tenant] = first + second
         return found
 
 
@@ -138,7 +143,9 @@
         self._bounds = bounds
         self._started_at = now
         self._looked_at = now
-        self._views: deque[_View] = deque([_View(now, frozenset((node_id,)))])
+        self._views: deque[_View] = deque(
+            [_View(now, frozenset((node_id,)), frozenset((node_id,)))]
+        )
         self._sizes: deque[tuple[float, int]] = deque()
         """When the fleet was seen to have so many nodes, the largest first."""
         self._own: dict[str, _Account] = {}
@@ -156,6 +163,11 @@
         """Of the fleet, that this node hears."""
         return min(1.0, self.heard / max(1, self.known))
 
+    @property
+    def zone_share(self) -> float:
+        """Of the fleet, that this node hears in its own zone."""
+        return min(1.0, len(self._views[-1].near) / max(1, self.known))
+
     def look(
         self,
         live: Iterable[str],
@@ -175,9 +187,10 @@
         if now - self._looked_at > STALL:
             self._forget(now)
         self._looked_at = now
-        nodes = frozenset(live)
-        if nodes != self._views[-1].live:
-            self._views.append(_View(now, nodes))
+        nodes, view = frozenset(live), self._views[-1]
+        near = nodes if neighbours is None else frozenset(neighbours)
+        if nodes != view.live or near != view.near:
+            self._views.append(_View(now, nodes, near))
             self._drop_foreign()
         while len(self._views) > 1 and self._views[1].since < now - VIEW_TIME:
             self._views.popleft()
@@ -196,7 +209,7 @@
         """This node stood still: others have lent meanwhile."""
         self._own.clear()
         self._deputy.clear()
-        self._views = deque([_View(now, self._views[-1].live)])
+        self._views = deque([_View(now, self._views[-1].live, self._views[-1].near)])
 
     def _drop_foreign(self) -> None:
         view = self._views[-1]
@@ -213,44 +226,46 @@
         choices = self.choices(tenant)
         if self._node_id not in choices:
             return Loan(Lending.NOT_MINE)
-        if choices[0] == self._node_id:
-            return self._take(self._own, tenant, terms, self.share, now)
-        share = self.share * self._bounds.deputy_share
-        return self._take(self._deputy, tenant, terms, share, now)
-
-    def _take(
-        self,
-        accounts: dict[str, _Account],
-        tenant: str,
-        terms: LimitTerms,
-        share: float,
-        now: float,
-    ) -> Loan:
-        deputy = accounts is self._deputy
+        deputy = choices[0] != self._node_id
+        accounts = self._deputy if deputy else self._own
         account = accounts.get(tenant)
         if account is None:
-            since = self._mine_since(tenant, deputy)
-            bucket = TokenBucket(terms.rate * share, 0.0, 0.0, since)
+            bucket = TokenBucket(0.0, 0.0, 0.0, self._mine_since(tenant, deputy))
             account = accounts[tenant] = _Account(terms, bucket)
         if terms.revision >= account.terms.revision:
             account.terms = terms
-        capacity = self._bounds.capacity(account.terms)
-        if deputy:
-            capacity = min(capacity, self._bounds.deputy_capacity)
-        bucket = account.bucket
-        bucket.rate = max(account.terms.rate * share, 1e-6)
-        # A share below one request would refuse everything.
-        bucket.burst = max(1.0, capacity * self.share)
-        wait = bucket.take(now)
+        share = self._fill_by_zone(account) if deputy else self._fill(account)
+        wait = account.bucket.take(now)
         if not wait:
             return Loan(Lending.LENT, share=share)
         return Loan(Lending.OVER, self._return_time(account, now, wait), share)
 
-    @staticmethod
-    def _return_time(account: _Account, now: float, wait: float) -> float:
+    def _fill(self, account: _Account) -> float:
+        """Set what a first choice lends by; returns its share."""
+        share, bucket = self.share, account.bucket
+        bucket.rate = max(account.terms.rate * share, 1e-6)
+        # A share below one request would refuse everything.
+        bucket.burst = max(1.0, self._bounds.capacity(account.terms) * share)
+        return share
+
+    def _fill_by_zone(self, account: _Account) -> float:
+        """Set what a second choice lends by; returns its zone's share."""
+        share, bucket = self.zone_share, account.bucket
+        credit = self._bounds.deputies_credit(account.terms) * share
+        bucket.rate = max(credit * (1 - FILLED_PART) / self._bounds.window, 1e-6)
+        # Only one zone can hold most of the fleet, and lend one request of a smaller share.
+        least = 1.0 if share > 0.5 else 0.0
+        bucket.burst = max(least, credit * FILLED_PART)
+        return share
+
+    def _return_time(self, account: _Account, now: float, wait: float) -> float:
         """Seconds until a refused caller may come back, one behind the other."""
-        gap = 1.0 / account.bucket.rate
-        account.next_return = min(max(account.next_return + gap, now + wait), now + MAX_RETURN)
+        gap, earliest = 1.0 / account.bucket.rate, now + wait
+        settled_at = self._started_at + SETTLE_TIME
+        if now < settled_at:
+            gap = 1.0 / max(account.terms.rate, 1e-6)
+            earliest = min(earliest, settled_at + gap)
+        account.next_return = min(max(account.next_return + gap, earliest), now + MAX_RETURN)
         return account.next_return - now
 
     def _mine_since(self, tenant: str, deputy: bool) -> float:
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -161,7 +161,7 @@
         request = self._request
         try:
             self._guard.check()
-            self._services.limits.admit(request.caller, request.terms.request_id)
+            self._services.limits.admit(request.caller, request.terms.request_id, request.deadline)
             self._services.waiting_room.admit(
                 request.route,
                 request.service,
--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
     LimitTerms,
     Loan,
 )
+from postvalve.core.membership.store_path import HEARD_WITHIN
 from postvalve.events import Event
 from postvalve.exceptions import LimitUnknownError, PeerUnavailableError, RateLimitedError
 from postvalve.gateway.fleet.peer_services import PeerServices
@@ -31,8 +33,19 @@
 SILENT_TIME = 0.5
 """Seconds for which a node that did not answer is not asked again: all requests of its tenants
 would wait for it."""
+LENDER_SILENT_AFTER = 2.5
+"""Seconds without a word of a node after which others lend in its place. Other zones are taken for
+gone later, but a zone that is cut off would have no lenders until then. It is longer than it takes
+until another node tells of a zone whose reporter is lost."""
+LOOK_TIME = 0.5
+"""Seconds between two looks at who is alive, about."""
 UNKNOWN_RETRY_AFTER = 0.1
-"""Seconds told to a caller whose tenant's count nobody told; other nodes can tell."""
+"""Seconds told to a caller whose tenant's count nobody told where other nodes can tell."""
+RETURN_SHARE = 0.6
+"""Of a client's time, after which it is not told to come back: it must be served in the rest."""
+RETURN_SPREAD = 0.5
+"""Seconds over which those come back that are told when other nodes will lend: these begin with
+nothing."""
 
 _LENDINGS = frozenset(one.value for one in Lending)
 
@@ -61,14 +74,19 @@
 
     def look(self) -> None:
         """Take in who is alive."""
-        live = [one.node_id for one in self._peers.all() if not one.report.leaving]
-        if not self.leaving:
-            live.append(self._node_id)
-        announced = len(self._services.started_nodes())
-        self.limits.look(live, announced, self._clock.monotonic())
-
-    def admit(self, caller: Caller, request_id: str) -> None:
-        """Return when a request is within its tenant's limit.
+        now, zone = self._clock.monotonic(), self._services.identity.zone
+        heard = [
+            one
+            for one in self._peers.all()
+            if not one.report.leaving and now - one.heard_at <= LENDER_SILENT_AFTER
+        ]
+        own = [] if self.leaving else [self._node_id]
+        live = [one.node_id for one in heard] + own
+        near = [one.node_id for one in heard if one.report.zone == zone] + own
+        self.limits.look(live, len(self._services.started_nodes()), now, near)
+
+    def admit(self, caller: Caller, request_id: str, deadline: float = math.inf) -> None:
+        """Return when a request is within its tenant's limit; its time ends at `deadline`.
 
         Raises:
             RateLimitedError: it is over.
@@ -84,6 +102,7 @@
         if loan.lending is Lending.OVER:
             self._note_over(tenant, request_id, node_id, loan)
             raise RateLimitedError("the tenant is over its limit", retry_after=loan.wait)
+        known_in = round(self._known_in(asked, deadline), 3)
         self._events.emit(
             Event.LIMIT_UNKNOWN,
             request=request_id,
@@ -91,26 +110,49 @@
             asked=asked,
             heard=self.limits.heard,
             known=self.limits.known,
+            known_in=known_in,
         )
-        raise LimitUnknownError("the tenant's count is not known", retry_after=UNKNOWN_RETRY_AFTER)
+        raise LimitUnknownError("the tenant's count is not known", retry_after=known_in)
+
+    def _known_in(self, asked: list[str], deadline: float) -> float:
+        """Seconds until somebody can tell a tenant's count, where the client has them.
+
+        Nodes that this one hears don't reach a silent lender either, and take another one for it
+        at the same time as this one.
+        """
+        first = self._peers.get(asked[0]) if asked else None
+        if first is None or not self._hears_neighbours():
+            return UNKNOWN_RETRY_AFTER
+        now = self._clock.monotonic()
+        left = first.heard_at + LENDER_SILENT_AFTER + LOOK_TIME - now
+        left += self._services.generator.uniform(0.0, RETURN_SPREAD)
+        return left if 0 < left <= (deadline - now) * RETURN_SHARE else UNKNOWN_RETRY_AFTER
 
     def _borrow(self, choices: list[str], tenant: RoutedTenant) -> tuple[str, Loan]:
         """The answer that counts, and whose it is.
 
-        The second choice is asked while the first one is late. It lends a part only, so where that
-        is used up, what the first one says late goes before it.
+        The second choice is asked while the first one is late, or lends for a part of the fleet. It
+        lends little, which being used up says nothing of the tenant's limit.
         """
         if not choices or choices[0] == self._node_id:
-            return self._node_id, self._ask(self._node_id, tenant)
-        first = gevent.spawn(self._ask, choices[0], tenant)
-        first.join(self.first_patience)
-        if first.ready() and first.get().lending is not Lending.NOT_MINE:
-            return choices[0], first.get()
+            first, patience = self._node_id, None
+        else:
+            first, patience = choices[0], self.first_patience
+        asked = gevent.spawn(self._ask, first, tenant)
+        asked.join(patience)
+        loan = asked.value or Loan(Lending.NOT_MINE)
+        if loan.lending is Lending.LENT or (loan.lending is Lending.OVER and loan.share >= 1.0):
+            return first, loan
         for second in choices[1:]:
-            loan = self._ask(second, tenant)
-            if loan.lending is Lending.LENT or first.get().lending is Lending.NOT_MINE:
-                return second, loan
-        return choices[0], first.get()
+            little = self._ask(second, tenant)
+            if little.lending is Lending.LENT:
+                return second, little
+        return first, asked.get()
+
+    def _hears_neighbours(self) -> bool:
+        """Whether this node is not alone cut off, as far as it knows."""
+        now, zone = self._clock.monotonic(), self._services.identity.zone
+        return any(now - one.heard_at <= HEARD_WITHIN for one in self._peers.neighbours(zone))
 
     def _note_over(self, tenant: RoutedTenant, request_id: str, lender: str, loan: Loan) -> None:
         self._events.emit(
--- a/tests/test_tenant_credit.py
+++ b/tests/test_tenant_credit.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from postvalve.core.admission.fleet_limits import Lending, Loan
 from postvalve.events import Event
 from tests.gateway_support import STREAM_PATH, GatewayFleet
 from tests.waiting import PATIENCE, wait_until
@@ -133,3 +134,41 @@
         self.assertEqual((answer.status, self.runs()), (503, 0))
         self.assertEqual(answer.document["error"]["code"], "limit_unknown")
         self.assertTrue(self.fleet.events(alone, Event.LIMIT_UNKNOWN))
+
+
+class SilentLenderTest(CreditCase):
+    """A lender is silent and not yet taken for gone; clients of its tenants have one more try."""
+
+    def refuse(self):
+        """What a node tells that hears its peers, none of which answers it."""
+        self.node = next(name for name in self.fleet.nodes if name not in self.choices())
+        self.credit = self.fleet.nodes[self.node]._limits
+        self.credit._call = lambda node_id, address, ask: None
+        return self.send(self.node)
+
+    def test_a_client_comes_back_when_another_lends(self):
+        answer = self.refuse()
+        self.assertEqual(answer.status, 503)
+        # No other node can tell before: a client that comes back at once is refused once more.
+        self.assertGreater(float(answer.headers["retry-after"]), 1.0)
+        told = self.fleet.events(self.node, Event.LIMIT_UNKNOWN)[-1]
+        self.assertEqual(told["known_in"], float(answer.headers["retry-after"]))
+
+    def test_one_with_too_little_time_for_that_comes_back_at_once(self):
+        self.refuse()
+        headers = [("Api-Key", "ann-key"), ("Deadline-Ms", "1500")]
+        answer = self.fleet.request(self.node, STREAM_PATH + "x", headers=headers, body=b"b")
+        self.assertLess(float(answer.headers["retry-after"]), 0.2)
+
+    def test_one_that_hears_nobody_sends_it_to_others_at_once(self):
+        self.refuse()
+        self.credit._hears_neighbours = lambda: False
+        self.assertLess(float(self.send(self.node).headers["retry-after"]), 0.2)
+
+    def test_what_a_second_choice_has_not_left_is_no_limit_reached(self):
+        self.refuse()
+        over = Loan(Lending.OVER, 3.0, 0.25)
+        self.credit._ask = lambda node_id, tenant: (
+            over if node_id == self.choices()[1] else Loan(Lending.NOT_MINE)
+        )
+        self.assertEqual(self.send(self.node).status, 503)
