A connection that does not come up as others do is given up for another engine

Ruled out: a shorter fixed time (engines far away, machines that turn slow); a second connection opened beside the first one (two connections for one request where new ones are dear).

Change: each node remembers what its last 64 connections took; the first two engines of a request get 8 times the longest of these, 0.1 s at the least, and only once 8 are known. Nothing was sent, so the request has not run, and later engines get the whole 0.6 s. Batch items wait as before.

The stub in test_leaving_engines passes on whatever arguments come, and checks what it did.

--- a/postvalve/gateway/engines/engine_connections.py
+++ b/postvalve/gateway/engines/engine_connections.py
@@ -17,6 +17,7 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.connection_share import MAX_RESTING
+from postvalve.core.routing.connect_patience import ConnectPatience
 from postvalve.exceptions import AttemptError, EngineCutError, Verdict
 from postvalve.gateway.interfaces import Headers
 from postvalve.sockets import send_at_once
@@ -221,6 +222,7 @@
         self.clock = clock
         self._engines: dict[str, _Engine] = defaultdict(_Engine)
         self._resting_limit = MAX_RESTING
+        self._patience = ConnectPatience()
         self.opened = 0
         """Connections opened since the start."""
 
@@ -232,6 +234,7 @@
         *,
         wanted: Callable[[], bool],
         fresh: bool = False,
+        hurried: bool = False,
     ) -> EngineAnswer:
         """Send a request; returns its answer, of which nothing was read yet.
 
@@ -243,12 +246,14 @@
                 have left while one was opened.
             fresh: Whether it takes a connection of its own: many that rest may have fallen
                 silent at the same time.
+            hurried: Whether another engine may have the request where a connection does not come
+                up as soon as they do.
 
         Raises:
             AttemptError: NOT_RUN when nothing was sent, else MAY_HAVE_RUN.
         """
         resting = None if fresh else self._take(address)
-        connection = resting or self._open(address, deadline)
+        connection = resting or self._open(address, deadline, hurried)
         if not wanted():
             connection.close()
             raise AttemptError("the engine takes no work any more", Verdict.NOT_RUN)
@@ -272,9 +277,11 @@
             one.connection.close()
         return None
 
-    def _open(self, address: str, deadline: float) -> Any:
+    def _open(self, address: str, deadline: float, hurried: bool) -> Any:
         host, _, port = address.rpartition(":")
-        patience = min(CONNECT_TIMEOUT, deadline - self.clock.monotonic())
+        started_at = self.clock.monotonic()
+        longest = self._patience.seconds(CONNECT_TIMEOUT) if hurried else CONNECT_TIMEOUT
+        patience = min(longest, deadline - started_at)
         if patience <= 0:
             raise AttemptError("the deadline passed", Verdict.NOT_RUN)
         connection = gevent_socket.socket(sockets.AF_INET, sockets.SOCK_STREAM)
@@ -286,6 +293,7 @@
         except OSError as error:
             connection.close()
             raise AttemptError(f"connecting failed: {error!r}", Verdict.NOT_RUN) from error
+        self._patience.note(self.clock.monotonic() - started_at)
         self.opened += 1
         return connection
 
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -30,6 +30,9 @@
 """Seconds without a byte between events until an engine counts as failed."""
 MAX_TRIES = 4
 """Engines that one request may be sent to, those that refused it not counted."""
+HURRIED_TRIES = 2
+"""Engines of these whose connection is given up early where it does not come up. The others get all
+their time: where none comes up, it is rather this node that is slow."""
 REFUSED_PAUSE = 0.04
 """Seconds until an engine is asked again when all have refused, doubled for each round."""
 MAX_REFUSED_PAUSE = 0.32
@@ -238,6 +241,7 @@
             request.deadline,
             wanted=lambda: self._fleet.takes_work(engine.life),
             fresh=self._progress.unanswered,
+            hurried=self._progress.tries <= HURRIED_TRIES,
         )
         self._answer = answer
         answer.read_head(self._patience(HEAD_SILENCE))
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -65,14 +65,14 @@
         opened, former = ConnectionPool._open, list(fleet.engines)
         left = []
 
-        def slow_open(pool, address, deadline):
+        def slow_open(pool, *arguments):
             if not left:
                 left.append(True)
                 other = StandInEngine("e9")
                 fleet.engines.append(other)
                 fleet.list_engine(other)
                 leave(fleet, former, ["n0"])
-            return opened(pool, address, deadline)
+            return opened(pool, *arguments)
 
         with mock.patch.object(ConnectionPool, "_open", slow_open):
             self.assertEqual(fleet.request("n0", STREAM_PATH).status, 200)
