A node lends nothing for nodes that it has not heard lately; one that starts waits for credit

Cause 1: two sides of a cut find it out up to a report's interval apart (1 s between zones), and in that second the new lender of one side and the former one of the other lend for the same nodes. Change: the part of a node that was silent for 1.5 s is not lent any more, while others lend in its place after 2.5 s.

Change: in the first 1.5 s of its life a node asks again when the lender says that there is credit, within 0.3 of the client's time; then it answers as ever. Ruled out: to begin with credit (what was lent before the loss is not known).

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -146,6 +146,7 @@
         self._views: deque[_View] = deque(
             [_View(now, frozenset((node_id,)), frozenset((node_id,)))]
         )
+        self._certain = frozenset((node_id,))
         self._sizes: deque[tuple[float, int]] = deque()
         """When the fleet was seen to have so many nodes, the largest first."""
         self._own: dict[str, _Account] = {}
@@ -158,15 +159,20 @@
         """Nodes that are alive, this one among them, as far as it knows."""
         return len(self._views[-1].live)
 
+    def starts(self, now: float) -> bool:
+        """Whether this node has just started, and may not hear all others yet."""
+        return now < self._started_at + SETTLE_TIME
+
     @property
     def share(self) -> float:
-        """Of the fleet, that this node hears."""
-        return min(1.0, self.heard / max(1, self.known))
+        """Of the fleet, that this node has heard a moment ago."""
+        return min(1.0, len(self._certain) / max(1, self.known))
 
     @property
     def zone_share(self) -> float:
-        """Of the fleet, that this node hears in its own zone."""
-        return min(1.0, len(self._views[-1].near) / max(1, self.known))
+        """Of the fleet, that this node has heard a moment ago in its own zone."""
+        near = self._views[-1].near & self._certain
+        return min(1.0, len(near) / max(1, self.known))
 
     def look(
         self,
@@ -174,6 +180,7 @@
         announced: int,
         now: float,
         neighbours: Iterable[str] | None = None,
+        certain: Iterable[str] | None = None,
     ) -> None:
         """Take in who is alive; called some times a second and before each decision.
 
@@ -183,6 +190,9 @@
             announced: Nodes that the store knows of; counts while this node has just started.
             now: Monotonic seconds.
             neighbours: Those of them in this node's zone; None where all are.
+            certain: Those that were heard so lately that nobody lends in their place yet; None
+                where all were. Of two sides of a cut, one finds it out by a report's interval
+                before the other: its lender begins when the other one's part has ended.
         """
         if now - self._looked_at > STALL:
             self._forget(now)
@@ -194,6 +204,7 @@
             self._drop_foreign()
         while len(self._views) > 1 and self._views[1].since < now - VIEW_TIME:
             self._views.popleft()
+        self._certain = nodes if certain is None else nodes.intersection(certain)
         self._note_size(len(nodes), announced, now)
 
     def _note_size(self, heard: int, announced: int, now: float) -> None:
@@ -262,7 +273,7 @@
         """Seconds until a refused caller may come back, one behind the other."""
         gap, earliest = 1.0 / account.bucket.rate, now + wait
         settled_at = self._started_at + SETTLE_TIME
-        if now < settled_at:
+        if self.starts(now):
             gap = 1.0 / max(account.terms.rate, 1e-6)
             earliest = min(earliest, settled_at + gap)
         account.next_return = min(max(account.next_return + gap, earliest), now + MAX_RETURN)
--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -17,6 +17,7 @@
     Loan,
 )
 from postvalve.core.membership.store_path import HEARD_WITHIN
+from postvalve.core.membership.zone_reporting import MAX_DIGEST_INTERVAL
 from postvalve.events import Event
 from postvalve.exceptions import LimitUnknownError, PeerUnavailableError, RateLimitedError
 from postvalve.gateway.fleet.peer_services import PeerServices
@@ -37,13 +38,20 @@
 """Seconds without a word of a node after which others lend in its place. Other zones are taken for
 gone later, but a zone that is cut off would have no lenders until then. It is longer than it takes
 until another node tells of a zone whose reporter is lost."""
+DOUBTED_AFTER = LENDER_SILENT_AFTER - MAX_DIGEST_INTERVAL
+"""Seconds without a word of a node after which this one lends nothing for its part: those that it
+does not hear may have heard it last a report earlier, and lend for themselves so much sooner."""
 LOOK_TIME = 0.5
 """Seconds between two looks at who is alive, about."""
 UNKNOWN_RETRY_AFTER = 0.1
 """Seconds told to a caller whose tenant's count nobody told where other nodes can tell."""
-RETURN_SHARE = 0.6
+START_PAUSE = 0.1
+"""Seconds after which a node that starts asks again who told nothing."""
+START_SHARE = 0.3
+"""Of a client's time, that it waits there each time at the most."""
+RETURN_SHARE = 0.7
 """Of a client's time, after which it is not told to come back: it must be served in the rest."""
-RETURN_SPREAD = 0.5
+RETURN_SPREAD = 1.0
 """Seconds over which those come back that are told when other nodes will lend: these begin with
 nothing."""
 
@@ -83,7 +91,8 @@
         own = [] if self.leaving else [self._node_id]
         live = [one.node_id for one in heard] + own
         near = [one.node_id for one in heard if one.report.zone == zone] + own
-        self.limits.look(live, len(self._services.started_nodes()), now, near)
+        certain = [one.node_id for one in heard if now - one.heard_at <= DOUBTED_AFTER] + own
+        self.limits.look(live, len(self._services.started_nodes()), now, near, certain)
 
     def admit(self, caller: Caller, request_id: str, deadline: float = math.inf) -> None:
         """Return when a request is within its tenant's limit; its time ends at `deadline`.
@@ -95,8 +104,7 @@
         tenant = caller.tenant
         if tenant is None or not tenant.rate:
             return
-        asked = self.limits.choices(tenant.name)
-        node_id, loan = self._borrow(asked, tenant)
+        asked, node_id, loan = self._borrow_patiently(tenant, deadline)
         if loan.lending is Lending.LENT:
             return
         if loan.lending is Lending.OVER:
@@ -114,6 +122,25 @@
         )
         raise LimitUnknownError("the tenant's count is not known", retry_after=known_in)
 
+    def _borrow_patiently(
+        self, tenant: RoutedTenant, deadline: float
+    ) -> tuple[list[str], str, Loan]:
+        """Whom it asked, whose answer counts, and that: a node that starts asks again.
+
+        When all nodes start together their buckets begin empty, and what was under way before comes
+        back at once, its client's last try mostly.
+        """
+        while True:
+            asked = self.limits.choices(tenant.name)
+            node_id, loan = self._borrow(asked, tenant)
+            now = self._clock.monotonic()
+            wait = max(loan.wait, START_PAUSE)
+            if loan.lending is Lending.LENT or not self.limits.starts(now + wait):
+                return asked, node_id, loan
+            if wait > (deadline - now) * START_SHARE:
+                return asked, node_id, loan
+            gevent.sleep(wait)
+
     def _known_in(self, asked: list[str], deadline: float) -> float:
         """Seconds until somebody can tell a tenant's count, where the client has them.
 
@@ -125,8 +152,10 @@
             return UNKNOWN_RETRY_AFTER
         now = self._clock.monotonic()
         left = first.heard_at + LENDER_SILENT_AFTER + LOOK_TIME - now
-        left += self._services.generator.uniform(0.0, RETURN_SPREAD)
-        return left if 0 < left <= (deadline - now) * RETURN_SHARE else UNKNOWN_RETRY_AFTER
+        most = (deadline - now) * RETURN_SHARE
+        if not 0 < left <= most:
+            return UNKNOWN_RETRY_AFTER
+        return min(most, left + self._services.generator.uniform(0.0, RETURN_SPREAD))
 
     def _borrow(self, choices: list[str], tenant: RoutedTenant) -> tuple[str, Loan]:
         """The answer that counts, and whose it is.
--- a/tests/zoned_limit_model.py
+++ b/tests/zoned_limit_model.py
@@ -1,6 +1,6 @@
 """Nodes in zones that limit tenants together: zones hear of each other seldom, and are cut off."""
 
-from postvalve.gateway.serving.tenant_credit import LENDER_SILENT_AFTER
+from postvalve.gateway.serving.tenant_credit import DOUBTED_AFTER, LENDER_SILENT_AFTER
 from tests.limit_model import REPORT_EVERY, STEP, LimitModel, ModelNode
 
 FAR_REPORT_EVERY = 1.0
@@ -16,7 +16,9 @@
     def look(self, announced, now):
         live = [one for one, at in self.heard.items() if now - at <= LENDER_SILENT_AFTER]
         near = [one for one in live if self.zones[one] == self.zones[self.name]]
-        self.limits.look([*live, self.name], announced, now, [*near, self.name])
+        certain = [one for one in live if now - self.heard[one] <= DOUBTED_AFTER]
+        own = [self.name]
+        self.limits.look(live + own, announced, now, near + own, certain + own)
 
 
 class ZonedLimitModel(LimitModel):
