Requests that no node could serve rank their sender as served worst (fails)

A request of nobody's route, a body or head over the limit and a job that is no job end as refused_else, which counts as owed: a tenant that sends nothing but these stands first among those served worst and has in_time_share 0, though the glossary calls owed what was not the caller's own doing.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -132,8 +132,9 @@
         self.assertEqual([row.tenant for row in book.rows(0.0)], ["often", "once"])
 
     def test_what_is_the_callers_own_doing_is_not_owed(self):
-        counts = Counts(asked=4, ends={End.OVER_LIMIT: 2, End.LEFT: 1, End.IN_TIME: 1})
-        self.assertEqual((counts.owed, counts.in_time_share, counts.refused), (1, 1.0, 2))
+        ends = {End.OVER_LIMIT: 2, End.LEFT: 1, End.INVALID: 3, End.IN_TIME: 1}
+        counts = Counts(asked=7, ends=ends)
+        self.assertEqual((counts.owed, counts.in_time_share, counts.refused), (1, 1.0, 5))
 
     def test_items(self):
         book = Accounts()
