Requests that no node could serve are not owed

An end of their own, invalid: told apart from refusals of the node's doing, and passed over in the order of who is served worst.

--- a/postvalve/core/scheduling/accounts.py
+++ b/postvalve/core/scheduling/accounts.py
@@ -59,6 +59,8 @@
     STORE_AWAY = "store_away"
     TIME_OVER = "time_over"
     """Its time was over before it could have run."""
+    INVALID = "invalid"
+    """No node could serve it as it was sent: no route leads there, too large, no job."""
     REFUSED_ELSE = "refused_else"
 
 
@@ -78,9 +80,10 @@
     End.NODE_LEAVING,
     End.STORE_AWAY,
     End.TIME_OVER,
+    End.INVALID,
     End.REFUSED_ELSE,
 )
-NOT_OWED = (End.LEFT, End.OVER_LIMIT, End.KEY_UNKNOWN)
+NOT_OWED = (End.LEFT, End.OVER_LIMIT, End.KEY_UNKNOWN, End.INVALID)
 """Ends that are the caller's own doing, passed over in the order of who is served worst."""
 
 
