A proper request with a long target is refused for its headers (fails)

maxHeaderBytes bounds headers; the count takes in the request's line, and two bytes for each line's end though one may have come. A target of 500 bytes and a header of 300 are refused with 431 under a limit of 600.

--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from postvalve.gateway.serving.http_calls import HttpCall
 from tests.gateway_support import STREAM_PATH, GatewayFleet
 
 LIMITS = {"maxHeaderBytes": 600, "maxBodyBytes": 1_000}
@@ -27,6 +28,18 @@
         (engine,) = self.fleet.engines
         self.assertEqual(engine.runs, [])
 
+    def test_a_long_target_within_is_no_large_header(self):
+        answer = self.fleet.request("n0", STREAM_PATH + "x" * 500, headers=[("X-One", "h" * 300)])
+        self.assertEqual(answer.status, 200)
+
+
+class HeaderBytesTest(unittest.TestCase):
+    def test_never_more_than_came_however_lines_are_written(self):
+        """Blanks may be left out and lines end with a newline only."""
+        headers = [("Host", "h"), ("X-One", ""), ("X-Two", "\xe9")]
+        call = HttpCall("GET", "/" + "x" * 500, "h", headers, b"")
+        self.assertEqual(call.header_bytes, len("Host:h\nX-One:\nX-Two:\xe9\n".encode("latin-1")))
+
 
 if __name__ == "__main__":
     unittest.main()
