Headers over the operators' limit are counted without the request's line

Ruled out: counting all of the head by its least possible bytes; clients may read maxHeaderBytes as the headers' bytes, and one that stays inside must not get 431 (it is retried by nobody, and counts as DENIED).

--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -62,7 +62,7 @@
 
 
 class HeadTooLargeError(RequestTooLargeError):
-    """A request's line and headers are over the operators' limit."""
+    """A request's headers are over the operators' limit."""
 
     http_status = 431
 
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -181,8 +181,8 @@
             body,
             address=environ.get("REMOTE_ADDR", ""),
         )
-        if table and call.head_bytes > table.configuration.limits.header_bytes:
-            raise HeadTooLargeError("the request's head is too large")
+        if table and call.header_bytes > table.configuration.limits.header_bytes:
+            raise HeadTooLargeError("the request's headers are too large")
         return call
 
     def _usable_table(self, call: HttpCall) -> RouteTable:
--- a/postvalve/gateway/serving/http_calls.py
+++ b/postvalve/gateway/serving/http_calls.py
@@ -37,12 +37,13 @@
         return self.target.partition("?")[2]
 
     @property
-    def head_bytes(self) -> int:
-        """Bytes of its line and headers, never more than came: blanks at values count for nothing,
-        and a client at the limit must not be refused.
+    def header_bytes(self) -> int:
+        """Bytes of its headers, never more than came: a client at the limit must not be refused.
+
+        Blanks at values count for nothing, nor does the request's line, which has a limit of the
+        server's own; a line's end may be one byte.
         """
-        line = len(self.method) + len(self.target) + len("  HTTP/1.1\r\n")
-        return line + sum(len(name) + len(value) + len(":\r\n") for name, value in self.headers)
+        return sum(len(name) + len(value) + len(":\n") for name, value in self.headers)
 
     def header(self, name: str) -> str | None:
         """One header, by its name in any case."""
--- a/postvalve/settings/routes.py
+++ b/postvalve/settings/routes.py
@@ -79,7 +79,7 @@
 class EdgeLimits(StrictModel):
     """What clients may send and how long they may take."""
 
-    header_bytes: int = Field(16_384, gt=0, description="bytes of a request's head")
+    header_bytes: int = Field(16_384, gt=0, description="bytes of a request's headers")
     body_bytes: int = Field(4 * 1024 * 1024, gt=0, description="bytes of a request's body")
     header_timeout: float = Field(3.0, gt=0, description="seconds until a head is whole")
     idle_timeout: float = Field(15.0, gt=0, description="seconds a connection may rest")
