Items that an engine refuses count as held there (fails)

item_seconds says that it counts as online_seconds does, without what an engine refused; a fleet whose only engine refuses all items after 0.1 s told 0.624 s of it. The stand-in engine thinks before a refusal as well: it passed over thinks, so a refusal took no time in the online test beside it.

--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -123,6 +123,8 @@
             return True
         behaviour = self.plan.pop(0) if self.plan else self.usual
         if behaviour.refuse:
+            if behaviour.thinks:
+                gevent.sleep(behaviour.thinks)
             connection.sendall(b"HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
             return True
         if behaviour.silent:
--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -327,6 +327,14 @@
         self.assertEqual((row["asked"], row["in_time"] + row["late"]), (1, 1))
         self.assertGreater(row["item_seconds"], 0)
 
+    def test_an_engine_that_refuses_items_was_not_held(self):
+        self.engine.usual = Behaviour(refuse=True, thinks=0.1)
+        headers = [("Api-Key", "ann-key")]
+        self.fleet.request("n0", BATCH_PATH + "x", headers=headers, body=job_body("j"))
+        failed = Event.ROUTED_ITEM_FAILED
+        wait_until(lambda: len(self.fleet.events("n0", failed)) >= 6)
+        self.assertEqual(self.rows()["ann"]["item_seconds"], 0.0)
+
     def test_calls_about_jobs_are_no_requests(self):
         headers = [("Api-Key", "ann-key")]
         self.fleet.request("n0", "/api/lots/j?watchAfter=0", method="GET", headers=headers)
