Items that an engine refuses hold it no more than online requests do

Ruled out: leaving refused runs out of run_seconds as well; the estimate of an item's time is as before. tests.test_caller_accounts.NodeTest: 1 of 7 failed before, passes; tests.test_gateway_jobs passes.

--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -246,9 +246,11 @@
     # Running
 
     def _run(self, item: RunningItem, placement: Placement) -> None:
+        held = True
         try:
             self._attempt(item, placement)
         except PostvalveError as error:
+            held = error.verdict is not Verdict.NOT_RUN
             self._note_failure(item, placement, error)
         finally:
             if item.answer is not None:
@@ -260,7 +262,8 @@
             item.placement = None
             now = self._clock.monotonic()
             item.run_seconds += now - item.started_at
-            self.accounts.note_item_run(self._tenant_of(item), now - item.started_at, now)
+            if held:
+                self.accounts.note_item_run(self._tenant_of(item), now - item.started_at, now)
             self._fleet.leave(placement)
             self._wakeup.set()
 
