Slices of the tenants' sum stay while nobody reads the accounts (fails)

Folding adds slices and drops none: 200 of them after 1,000 s of newcomers. A node's line each 10 s reads the accounts and drops them, so no node grew; the bound must not hang on that reader.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -136,6 +136,13 @@
         counts = Counts(asked=7, ends=ends)
         self.assertEqual((counts.owed, counts.in_time_share, counts.refused), (1, 1.0, 5))
 
+    def test_what_is_held_is_bounded_though_nobody_looks(self):
+        """Slices of the sum of the others, too, are kept no longer than the window."""
+        book = Accounts()
+        for number in range(200):
+            crowd(book, MOST_OWN, number * SLICE, f"n{number}-")
+        self.assertLessEqual(len(book._others._slices), accounts.SLICES + 1)
+
     def test_items(self):
         book = Accounts()
         book.note_item_run("a", 2.5, 0.0)
