--- a/postvalve/core/scheduling/accounts.py
+++ b/postvalve/core/scheduling/accounts.py
@@ -233,6 +233,8 @@
         for number, counts in other._slices:
             slices.setdefault(number, Counts()).add(counts)
         self._slices = deque(sorted(slices.items()))
+        if self._slices:
+            self._expire(self._slices[-1][0])
 
 
 class Accounts:
