Lines about tenants: tests that see them written, and left out

The test of a fleet without tenants ended before the first line was due (10 s) and passed whatever was written; no test saw that a node writes lines at all.

--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -35,6 +35,7 @@
     Verdict,
 )
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.serving import caller_accounts
 from postvalve.gateway.serving.caller_accounts import (
     TELL_INTERVAL,
     TOLD,
@@ -342,12 +343,25 @@
         wait_until(lambda: "ann" in self.rows())
         self.assertEqual(sum(row["asked"] for row in self.rows().values()), 1)
 
+    @mock.patch.object(caller_accounts, "TELL_INTERVAL", 0.0)
+    def test_a_node_writes_lines_by_itself(self):
+        self.send("ann")
+        wait_until(lambda: self.fleet.events("n0", Event.TENANTS_SERVED))
+        (line, *_) = self.fleet.events("n0", Event.TENANTS_SERVED)
+        self.assertEqual([one["tenant"] for one in line["largest"]], ["ann"])
+
+    @mock.patch.object(caller_accounts, "TELL_INTERVAL", 0.0)
     def test_no_line_names_a_tenant_of_a_fleet_without_any(self):
         self.fleet.configure()
         wait_until(lambda: self.fleet.nodes["n0"].configuration.revision == 4)
         self.send("ann")
         wait_until(lambda: "" in self.rows())
         self.assertEqual(self.rows()[""]["asked"], 1)
+        looked = mock.patch.object(
+            CallerAccounts, "tell", autospec=True, side_effect=CallerAccounts.tell
+        )
+        with looked as tell:
+            wait_until(lambda: tell.call_count == 2)
         self.assertEqual(self.fleet.events("n0", Event.TENANTS_SERVED), [])
 
 
