Status of several nodes ends at one odd answer, and counts a node twice (fails)

One node that does not know the operator's key, or an address at which no node answers (HTML, another document), ends the command for all; a node that is named twice is added twice, so that its sums are wrong.

--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -387,8 +387,11 @@
         return self.serve(document)
 
     def serve(self, document):
+        return self.serve_text("200 OK", json.dumps(document).encode())
+
+    def serve_text(self, status, text):
         address = f"127.0.0.1:{free_port()}"
-        server = plain_server(address, lambda path: ("200 OK", json.dumps(document).encode()))
+        server = plain_server(address, lambda path: (status, text))
         server.start()
         self.addCleanup(server.stop)
         return f"http://{address}"
@@ -426,6 +429,19 @@
         self.assertIn("bob", text)
         self.assertNotEqual(self.status(silent, silent)[0], 0)
 
+    def test_odd_answers_are_told_and_the_others_are_shown(self):
+        for status, text in (("401 -", b""), ("200 OK", b"<html>"), ("200 OK", b"[]")):
+            odd = self.serve_text(status, text)
+            code, shown, errors = self.status(odd, self.node(1, 4))
+            self.assertEqual(code, 0)
+            self.assertIn(odd, errors)
+            self.assertIn("bob", shown)
+
+    def test_a_node_that_is_named_twice_counts_once(self):
+        node = self.node(1, 4)
+        _, text, _ = self.status(node, self.node(2, 1), node, arguments=("--output", "json"))
+        self.assertEqual(json.loads(text)["tenants"][0]["total"]["no_room"], 5)
+
     def test_who_waits_at_which_node(self):
         row = {"request": "r9", "service": "s", "tenant": "ann", "rank": [0, 0], "waited": 0.1}
         _, text, _ = self.status(self.node(1, 1, [{**row, "behind": "r8"}]), self.node(2, 1))
