Status of several nodes shows the others, whatever one answers

A wrong key and an answer that is no node's status are told like silence, with the node's address; a node counts once, by its id, however often it is named.

--- a/postvalve/cli/status.py
+++ b/postvalve/cli/status.py
@@ -22,7 +22,7 @@
     waiting_rows,
 )
 from postvalve.core.scheduling.accounts import WINDOW
-from postvalve.exceptions import AuthenticationError, PlatformError
+from postvalve.exceptions import AuthenticationError, PlatformError, PostvalveError
 
 NODE_COLUMNS = ("node", "zone", "state", "revision", "engine", "online", "batch", "slots")
 ASKED_COLUMNS = ("node", "zone", "state", "revision", "peers", "engines")
@@ -89,11 +89,13 @@
 def _show_several(arguments: argparse.Namespace) -> int:
     """Print what nodes tell together; those that do not answer are named."""
     answers = Pool(ASKED_AT_ONCE).map(lambda node: _ask(node, arguments.key), arguments.node)
-    documents = [one for one in answers if isinstance(one, dict)]
+    # A node may be named twice, or by several of its addresses.
+    by_node = {one["node_id"]: one for one in answers if isinstance(one, dict)}
+    documents = list(by_node.values())
     silent = [
         {"node": node, "error": one.message}
         for node, one in zip(arguments.node, answers, strict=True)
-        if isinstance(one, PlatformError)
+        if isinstance(one, PostvalveError)
     ]
     for error in silent:
         print(f"not counted: {error['error']}", file=sys.stderr)
@@ -111,10 +113,10 @@
     return ExitCode.OK if documents else ExitCode.UNAVAILABLE
 
 
-def _ask(node: str, key: str) -> dict[str, Any] | PlatformError:
+def _ask(node: str, key: str) -> dict[str, Any] | PostvalveError:
     try:
         return fetch_status(node, key)
-    except PlatformError as error:
+    except (AuthenticationError, PlatformError) as error:
         return error
 
 
@@ -168,7 +170,7 @@
 
     Raises:
         AuthenticationError: the key is no operator's.
-        PlatformError: the node did not answer.
+        PlatformError: the node did not answer, or not as a node does.
     """
     url = URL(node_url)
     client = HTTPClient(
@@ -183,7 +185,13 @@
     finally:
         client.close()
     if status == AuthenticationError.http_status:
-        raise AuthenticationError("the operator key is not valid")
+        raise AuthenticationError(f"node {node_url}: the operator key is not valid")
     if status != 200:
         raise PlatformError(f"node {node_url} answered {status}")
-    return json.loads(content)
+    try:
+        document = json.loads(content)
+    except ValueError as error:
+        raise PlatformError(f"node {node_url} answered with no JSON") from error
+    if not isinstance(document, dict) or "node_id" not in document:
+        raise PlatformError(f"node {node_url} answered with no status")
+    return document
