--- a/tests/test_caller_accounts.py
+++ b/tests/test_caller_accounts.py
@@ -343,6 +343,13 @@
         wait_until(lambda: "ann" in self.rows())
         self.assertEqual(sum(row["asked"] for row in self.rows().values()), 1)
 
+    def test_metrics_of_a_node(self):
+        self.send("nobody")
+        wait_until(lambda: self.rows())
+        _, text = self.fleet.nodes["n0"]._tell("/metrics")
+        line = b'postvalve_tenant_requests_total{end="key_unknown",tenant=""} 1.0'
+        self.assertIn(line, text.splitlines())
+
     @mock.patch.object(caller_accounts, "TELL_INTERVAL", 0.0)
     def test_a_node_writes_lines_by_itself(self):
         self.send("ann")
