--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -74,9 +74,11 @@
 
     def run(self, item: RunningItem, placement: Placement) -> None:
         """Run an item that was counted in at an engine, and count it out."""
+        held = True
         try:
             self._attempt(item, placement)
         except PostvalveError as error:
+            held = error.verdict is not Verdict.NOT_RUN
             self._note_failure(item, placement, error)
         finally:
             if item.answer is not None:
@@ -88,7 +90,8 @@
             item.placement = None
             seconds = self._clock.monotonic() - item.started_at
             item.run_seconds += seconds
-            self._ends.note_run(item, seconds)
+            if held:
+                self._ends.note_run(item, seconds)
             self._fleet.leave(placement)
             self._wake()
 
