--- a/tests/test_competing_tenants.py
+++ b/tests/test_competing_tenants.py
@@ -36,8 +36,8 @@
         self.nodes = list(self.fleet.nodes.values())
         wait_until(lambda: all(len(one.peers.all()) == 2 for one in self.nodes))
         self.fleet.engines[0].usual = Behaviour(events=1, thinks=HELD)
-        # Lenders begin with empty buckets, and a keeper listens first.
-        gevent.sleep(4.0)
+        # Lenders begin with empty buckets, a keeper listens first, and a line needs all nodes.
+        wait_until(lambda: all(one.peers.features() & Feature.LINE for one in self.nodes))
         self.sent = 0
 
     def send(self, node, tenant):
--- a/tests/test_jobs_of_zones.py
+++ b/tests/test_jobs_of_zones.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from postvalve.gateway.jobs import item_runner
+from postvalve.gateway.jobs import item_ends
 from tests.gateway_support import BATCH_PATH, GatewayFleet
 from tests.stand_in_engine import Behaviour
 from tests.test_gateway_jobs import job_body
@@ -54,7 +54,7 @@
 
     def test_items_that_nobody_could_run_are_listed_as_given_up_at_every_zone(self):
         self.engine.usual = Behaviour(refuse=True)
-        with mock.patch.object(item_runner, "GIVE_UP_MARGIN_MS", 0):
+        with mock.patch.object(item_ends, "GIVE_UP_MARGIN_MS", 0):
             self.assertEqual(self.submit(ZONES[0], FIRST).status, 202)
             for zone in ZONES:
                 wait_until(lambda zone=zone: len(self.page(zone, 0)["results"]) == 4)
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from postvalve.core.membership.extensions import Extension, Feature, pack_features
+from postvalve.core.membership.feature_gate import SETTLE_TIME
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.scheduling.line import (
@@ -223,6 +224,14 @@
         self.nodes = {f"n{number}": Node(self, f"n{number}") for number in range(count)}
         self.hear_all()
         self.now += LISTEN_TIME + FEATURES_AGE
+        self.settle()
+
+    def settle(self):
+        """What all that are heard can do goes on."""
+        for seconds in (0.0, SETTLE_TIME):
+            self.now += seconds
+            for one in self.nodes.values():
+                one.peers.gate.look(one.peers.common_features(), self.now)
 
     def hear_all(self):
         for one in self.nodes.values():
@@ -437,6 +446,7 @@
         self.assertEqual((self.stand(self.first), self.network.sent), ([False], 0))
         self.third.can = Feature.LINE
         self.network.hear_all()
+        self.network.settle()
         self.network.play(0.2)
         self.assertEqual(self.stand(self.first), [True])
 
--- a/tests/test_tenant_credit.py
+++ b/tests/test_tenant_credit.py
@@ -168,7 +168,7 @@
     def test_what_a_second_choice_has_not_left_is_no_limit_reached(self):
         self.refuse()
         over = Loan(Lending.OVER, 3.0, 0.25)
-        self.credit._ask = lambda node_id, tenant: (
+        self.credit._ask = lambda node_id, tenant, work: (
             over if node_id == self.choices()[1] else Loan(Lending.NOT_MINE)
         )
         self.assertEqual(self.send(self.node).status, 503)
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -254,7 +254,7 @@
 
         def admit():
             try:
-                self.room.admit(route, "s", terms, rank, at, at + DEADLINE, lambda: False, tag)
+                self.room.admit(route, "s", terms, rank, at, at + DEADLINE, lambda: False, tag=tag)
             except RefusedError:
                 self.refused.append(name)
             else:
