--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from postvalve.core.admission.online_means import OnlineMeans, is_rising
+from postvalve.core.admission.online_means import OnlineMeans
 from postvalve.core.membership.engine_life import EngineLife
 
 _ENTRY = struct.Struct("!IHHHH")
@@ -184,12 +184,6 @@
         beside_heap = slots - math.ceil(slots * RESERVED_FRACTION) - mean - total.batch
         return min(slots - math.ceil(slots * fraction) - total.total, beside_heap)
 
-    def is_rising(self, lives: Iterable[EngineLife]) -> bool:
-        """Whether a heap of online work begins at these engines together."""
-        keys = [engine_hash(life) for life in lives]
-        online = sum(self._total(key).online for key in keys)
-        return is_rising(online, sum(self.means.at(key) for key in keys))
-
     def excess(self, life: EngineLife, slots: int) -> int:
         """Batch items that should give way: the engine's queue has grown too long."""
         total = self.total(life)
--- a/postvalve/core/admission/online_means.py
+++ b/postvalve/core/admission/online_means.py
@@ -7,27 +7,12 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 WINDOW = 0.25
 """Seconds of one mean: several requests come to an engine in a heap, and a lull is soon noticed."""
 KEPT_WINDOWS = 40
 """Windows after which engines without online work are forgotten: those that left are among them."""
-RISE_DEVIATIONS = 2.0
-"""Standard deviations by which requests that come by chance are seldom more than a moment ago."""
-
-
-def is_rising(online: int, mean: float) -> bool:
-    """Whether a heap of online work begins at some engines.
-
-    Items that it cuts find room at an engine that it has not reached yet, and are cut there again.
-
-    Args:
-        online: Requests at these engines now.
-        mean: The same in the mean of the last moment.
-    """
-    return online - mean > RISE_DEVIATIONS * math.sqrt(max(1.0, mean))
 
 
 @dataclass(slots=True)
--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -360,10 +360,8 @@
         return _Candidate(entry, option, _room_of(entry, count))
 
     def batch_room(self, service: str, *, pressing: bool) -> int:
-        """Batch items that the service's engines have room for now; none where a heap begins."""
+        """Batch items that the service's engines have room for now."""
         entries = self._batch_engines(service, pressing)
-        if self.use.is_rising(entry.life for entry in entries):
-            return 0
         return sum(max(0, self._room(entry, pressing)) for entry in entries)
 
     def relaxed_slots(self, service: str) -> int:
