Soaks of the test run have ports that no other test is given

Cause: test_upgrade failed once of 2 runs beside other test runs of this machine (its output was not kept). With a process beside it that takes and leaves ports of the tests' range it fails again ('no process ends by itself', 'the fleet does not start'); a replaced machine leaves its ports for seconds. 21 runs without that process, at load 30 to 45, held. Change: a range of its own for each process of a soak in the test run. Beside the same process: 1 run, held. That the first failure was this is likely, not shown.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -8,6 +8,8 @@
 
 FIRST_PORT, LAST_PORT = 10_000, 14_000
 """Ports for tests: below those among which Linux chooses (32,768 and up)."""
+OWN_RANGE, OWN_RANGES = 500, 36
+"""Ports of a process that needs its own, above those of all others, and how many have such."""
 _PORTS = itertools.count(random.Random(os.getpid()).randrange(LAST_PORT - FIRST_PORT))
 """Processes of one test run begin at places of their own."""
 _own_ports = None
@@ -31,3 +33,18 @@
     """Give `free_port` ports that no other process takes: soaks beside each other need it."""
     global _own_ports
     _own_ports = (first, last)
+
+
+@contextlib.contextmanager
+def own_ports():
+    """Let `free_port` give none that tests of other processes may take.
+
+    What ends and starts again at its port leaves it for a moment, in which another test that runs
+    beside it could be given it.
+    """
+    first = LAST_PORT + os.getpid() % OWN_RANGES * OWN_RANGE
+    take_ports(first, first + OWN_RANGE)
+    try:
+        yield
+    finally:
+        take_ports(FIRST_PORT, LAST_PORT)
