Tests of slow clients, slow bodies and engines that read slowly, failing

Cause: a write that waits for its client keeps the answer's engine waiting as soon as the sockets between are full; a body or a head that trickles is waited for 60 s a byte; a chunked body is read whole before its limit is looked at; an engine that reads steadily, but for more than 2 s, fails.

--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -138,7 +138,7 @@
         record = KeyedRecord(engine.engine_id, json.dumps(engine.entry(state)).encode())
         self.topics.append(DIRECTORY_TOPIC, 0, [record])
 
-    def configure(self, tenants=None, **changes):
+    def configure(self, tenants=None, limits=None, **changes):
         """Publish a configuration; changes go into every route."""
         self._version += 2
         batch = {"kind": "batch", "runAimMs": 20000, "keepS": 60, "maxQueuedTokens": 0}
@@ -151,6 +151,8 @@
             route |= {"host": HOST, "service": SERVICE, "timeoutMs": 5000, "maxAttempts": 3}
             route |= changes
         document = {"version": self._version, "routes": routes, "services": [{"name": SERVICE}]}
+        if limits is not None:
+            document["limits"] = limits
         if tenants is not None:
             document["tenants"] = tenants
         record = KeyedRecord(CONFIGURATION_KEY, json.dumps(document).encode())
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -31,6 +31,9 @@
         self.thinks = 0.0
         """Seconds before the head."""
         self.events = 3
+        self.padding = 0
+        """Bytes that are added to each event."""
+        self.content_type = "text/event-stream"
         self.piecewise = False
         self.__dict__.update(changes)
 
@@ -57,6 +60,10 @@
         self.fatal_bodies = set()
         """Bodies of the requests under which it ends as soon as it runs them."""
         self.ended = False
+        self.read_pause = 0.0
+        """Seconds before each read of a body's next 64 KB."""
+        self.reads = True
+        """Whether it reads what comes on its connections."""
         self.on_end = lambda engine: None
         self._open = set()
         self._server = StreamServer(("127.0.0.1", self.port), self._serve)
@@ -96,6 +103,8 @@
         self.connections += 1
         self._open.add(connection)
         with contextlib.suppress(OSError):
+            while not self.reads and not self.ended:
+                gevent.sleep(0.05)
             while not self.ended and self._serve_one(connection):
                 pass
         self._open.discard(connection)
@@ -115,6 +124,7 @@
             name, _, value = line.partition(": ")
             headers[name.lower()] = value
         while len(body) < int(headers.get("content-length", 0)):
+            gevent.sleep(self.read_pause)
             body += connection.recv(65536)
         self.heads.append((lines[0], headers))
         request_id = headers["request-id"]
@@ -153,7 +163,7 @@
             )
             return True
         connection.sendall(
-            f"HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\n"
+            f"HTTP/1.1 200 OK\r\n{common}Content-Type: {behaviour.content_type}\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
         first = int(headers.get("last-event-id", 0)) + 1
@@ -161,7 +171,8 @@
             if behaviour.cut_after is not None and sent >= behaviour.cut_after:
                 connection.sendall(b"9\r\nid: 9")
                 return False
-            event = f"id: {number}\ndata: {request_id} part {number}\n\n".encode()
+            padding = "x" * behaviour.padding
+            event = f"id: {number}\ndata: {request_id} part {number}{padding}\n\n".encode()
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             for piece in (chunk[:9], chunk[9:]) if behaviour.piecewise else (chunk,):
                 connection.sendall(piece)
