Answers are read on ahead of clients that lag, within one budget for the node

Cause: a write that waited for its client kept the engine's answer, its slot and its connection waiting; what a node holds for slow clients was counted nowhere; trickled bodies and heads were waited for 60 s a byte; an engine had 2 s for a whole request however large. Ruled out: a greenlet and a queue for each stream (processor time for each event of clients that keep up); reading ahead without a bound on a stream (one client uses the budget up); tenants by weight (rates are for engines' time). Change: decisions in core/serving (budget, store, slowest pace), shells in gateway/serving: from the first write that its connection doesn't take at once, a greenlet reads the answer into a store; a full store keeps its engine waiting for 2 s in all; beyond the budget (a sixteenth of the machine's memory) the client that holds most for longest, of the tenant that holds most, is cut. Bodies that come slowly count in it, and are told 408 below 4 KB a second; so are heads beyond the configured time. Requests to engines follow the same rule (125 KB a second).

--- a/postvalve/gateway/engines/engine_connections.py
+++ b/postvalve/gateway/engines/engine_connections.py
@@ -17,12 +17,20 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.connection_share import MAX_RESTING
+from postvalve.core.serving.transfer_pace import TransferPace
 from postvalve.exceptions import AttemptError, EngineCutError, Verdict
 from postvalve.gateway.interfaces import Headers
 from postvalve.sockets import send_at_once
 
 CONNECT_TIMEOUT = 0.6
 """Seconds to open a connection to an engine."""
+SEND_PATIENCE = 2.0
+"""Seconds that an engine may fall behind in reading a request."""
+MIN_SEND_RATE = 125_000
+"""Bytes a second that an engine must read at over that: a hundredth of the links of an engine's
+machine, which it shares."""
+MIN_SEND_WAIT = 0.05
+"""Seconds that a send waits at least, however late it is."""
 SEND_TIMEOUT_MS = 1_500
 """Milliseconds that sent bytes may stay unacknowledged."""
 READ_BLOCK = 32 * 1024
@@ -254,14 +262,27 @@
             raise AttemptError("the engine takes no work any more", Verdict.NOT_RUN)
         answer = EngineAnswer(self, address, connection, deadline)
         try:
-            connection.settimeout(max(0.05, min(2.0, deadline - self.clock.monotonic())))
-            connection.sendall(request)
+            self._send(connection, request, deadline)
         except OSError as error:
             connection.close()
             kind = AttemptError if isinstance(error, TimeoutError) else EngineCutError
             raise kind(f"sending failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
         return answer
 
+    def _send(self, connection: Any, request: bytes, deadline: float) -> None:
+        """Send a request to an engine that reads it in time; mostly its socket takes it at once."""
+        now = self.clock.monotonic()
+        pace = TransferPace(MIN_SEND_RATE, SEND_PATIENCE, now)
+        rest = memoryview(request)
+        while rest:
+            connection.settimeout(max(MIN_SEND_WAIT, min(pace.left(now), deadline - now)))
+            sent = connection.send(rest)
+            rest = rest[sent:]
+            now = self.clock.monotonic()
+            pace.went(sent, now)
+            if rest and (pace.left(now) <= 0 or now >= deadline):
+                raise TimeoutError("the engine reads too slowly")
+
     def _take(self, address: str) -> Any | None:
         resting = self._engines[address].resting
         now = self.clock.monotonic()
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -21,6 +21,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
+from postvalve.core.serving.read_ahead import MemoryBudget
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.directory_reader import DirectoryParser, DirectoryReader
@@ -54,6 +55,7 @@
 from postvalve.gateway.serving.application import GatewayApplication
 from postvalve.gateway.serving.http_calls import JobCalls
 from postvalve.gateway.serving.http_server import GatewayServer, plain_server
+from postvalve.gateway.serving.read_ahead import SlowClients
 from postvalve.gateway.serving.routed_run import RunServices
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.gateway.serving.waiting_room import WaitingRoom
@@ -193,6 +195,8 @@
         )
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
         waiting_room.nodes = lambda: self.peers.count() + 1
+        budget = MemoryBudget(settings.slow_client_bytes)
+        self.slow_clients = SlowClients(budget, clock, events, self._metrics)
         self.application = GatewayApplication(
             RunServices(
                 clock,
@@ -209,6 +213,7 @@
             lambda: self.configuration.table,
             self._usable,
             generator,
+            self.slow_clients,
         )
         self._server = GatewayServer(settings.listen, self.application)
         self._ready_server = plain_server(settings.ready_listen, self._readiness)
@@ -362,6 +367,7 @@
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
+            "readers": self.slow_clients.rows(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
@@ -375,6 +381,8 @@
         self._metrics.revision_age.set(knowledge.revision_age)
         self._metrics.connections.set(self._pool.opened)
         self._metrics.quarantined.set(len(self._quarantine))
+        self._metrics.held_bytes.set(self.slow_clients.budget.held)
+        self._metrics.lagging.set(len(self.slow_clients))
         self._metrics.dropped_log_lines.set(self._events.dropped)
         return "200 OK", self._metrics.exposition()
 
@@ -396,6 +404,7 @@
     def _configuration_changed(self, table: RouteTable) -> None:
         idle = table.configuration.limits.idle_timeout * IDLE_FACTOR
         self._server.set_idle_timeout(max(60.0, idle))
+        self._server.set_head_timeout(table.configuration.limits.header_timeout)
         self._note_usable()
         self._reports.changed()
 
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -11,6 +11,7 @@
 from postvalve.core.admission.fleet_limits import LimitBounds
 from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.serving.read_ahead import slow_client_bytes
 from postvalve.exceptions import PlatformError, Verdict
 
 Headers = Sequence[tuple[str, str]]
@@ -241,4 +242,6 @@
     """What happens to requests with a key at a node that hears of no configuration."""
     limit_bounds: LimitBounds = LimitBounds()
     """What tenants' limits may be exceeded by."""
+    slow_client_bytes: int = slow_client_bytes(None)
+    """Held for clients that read or write slowly."""
     log_level: str = "info"
--- a/postvalve/gateway/metrics.py
+++ b/postvalve/gateway/metrics.py
@@ -55,6 +55,20 @@
             "Requests under which engines ended lately, as this node knows",
             registry=self.registry,
         )
+        self.slow_clients = Counter(
+            "postvalve_slow_clients",
+            "Clients that lagged or were given up, and bodies that came too slowly",
+            ["event"],
+            registry=self.registry,
+        )
+        self.held_bytes = Gauge(
+            "postvalve_slow_client_bytes", "Held for slow clients", registry=self.registry
+        )
+        self.lagging = Gauge(
+            "postvalve_lagging_clients",
+            "For which the rest of an answer, or the begin of a body, is held",
+            registry=self.registry,
+        )
         self.dropped_log_lines = Gauge(
             "postvalve_log_lines_dropped", "Since the start", registry=self.registry
         )
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -15,20 +15,26 @@
 from postvalve.exceptions import (
     AuthenticationError,
     DrainingError,
-    InvalidRequestError,
     NotFoundError,
     NotReadyError,
     PostvalveError,
-    RequestTooLargeError,
     Verdict,
 )
 from postvalve.gateway.engines.engine_connections import EngineAnswer
 from postvalve.gateway.knowledge.freshness import Knowledge
 from postvalve.gateway.serving.client_watch import ClientWatch
 from postvalve.gateway.serving.http_calls import HttpCall, HttpReply, JobCalls, error_reply
-from postvalve.gateway.serving.http_server import CONNECTION_KEY, HEADERS_KEY, TARGET_KEY, CutAnswer
+from postvalve.gateway.serving.http_server import (
+    CONNECTION_KEY,
+    HEADERS_KEY,
+    LAG_KEY,
+    TARGET_KEY,
+    CutAnswer,
+)
+from postvalve.gateway.serving.read_ahead import ReadAhead, SlowClients
+from postvalve.gateway.serving.request_body import BodyReader, SlowBodyError
 from postvalve.gateway.serving.routed_run import RoutedRequest, RoutedRun, RunServices
-from postvalve.settings.routes import RouteSpec
+from postvalve.settings.routes import EdgeLimits, RouteSpec
 
 START_PATIENCE = 2.5
 """Seconds that a request waits at a node that has just started, for its configuration and engines.
@@ -68,8 +74,10 @@
         table: Callable[[], RouteTable | None],
         started: GeventEvent,
         generator: RandomSource,
+        slow_clients: SlowClients,
     ) -> None:
         self._services = services
+        self._slow = slow_clients
         self._clock: Clock = services.clock
         self._events: EventLog = services.events
         self._jobs = jobs
@@ -116,7 +124,7 @@
                 return
             request = self._routed_request(call, route, caller, arrived_at)
             request_id = request.terms.request_id
-            yield from self._relay(request, environ[CONNECTION_KEY], start_response)
+            yield from self._relay(request, environ, start_response)
         except PostvalveError as error:
             self._note_failure(request_id, error, arrived_at)
             yield from self._send(start_response, self._error_reply(error))
@@ -131,6 +139,8 @@
     def _error_reply(self, error: PostvalveError) -> HttpReply:
         seconds = error.retry_after
         retry = self._services.dialect.retry_headers(seconds) if seconds is not None else []
+        if isinstance(error, SlowBodyError):
+            retry = [*retry, ("Connection", "close")]
         return error_reply(error, retry)
 
     def _note_failure(self, request_id: str, error: PostvalveError, arrived_at: float) -> None:
@@ -148,22 +158,21 @@
         )
 
     def _read_call(self, environ: dict[str, Any]) -> HttpCall:
-        table = self._table()
-        limit = table.configuration.limits.body_bytes if table else 0
-        try:
-            if table and int(environ.get("CONTENT_LENGTH") or 0) > limit:
-                raise RequestTooLargeError(f"body over {limit} bytes")
-            body = environ["wsgi.input"].read()
-        except (OSError, ValueError) as error:
-            raise InvalidRequestError("the request's body was cut") from error
-        if table and len(body) > limit:
-            raise RequestTooLargeError(f"body over {limit} bytes")
+        table, headers = self._table(), environ[HEADERS_KEY]
+        limits = table.configuration.limits if table else EdgeLimits()
+        body = BodyReader(
+            environ,
+            limits.body_bytes if table else None,
+            limits.header_timeout,
+            self._slow,
+            lambda: self._services.dialect.read_terms(headers).request_id,
+        )
         return HttpCall(
             environ["REQUEST_METHOD"],
             environ[TARGET_KEY],
             environ.get("HTTP_HOST", ""),
-            environ[HEADERS_KEY],
-            body,
+            headers,
+            body.read(),
             address=environ.get("REMOTE_ADDR", ""),
         )
 
@@ -230,21 +239,30 @@
         )
 
     def _relay(
-        self, request: RoutedRequest, connection: Any, start_response: StartResponse
+        self, request: RoutedRequest, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterator[bytes]:
-        run = RoutedRun(self._services, request)
+        run, connection = RoutedRun(self._services, request), environ[CONNECTION_KEY]
         self._runs.add(run)
-        watch = ClientWatch(connection, run.client_gone)
+        ahead = ReadAhead(
+            self._slow, run.events(), request.caller.name, request.terms.request_id, connection
+        )
+        environ[LAG_KEY] = ahead.client_lags
+
+        def client_gone() -> None:
+            run.client_gone()
+            ahead.client_gone()
+
+        watch = ClientWatch(connection, client_gone)
         try:
             answer = run.start()
             # A later attempt has another head; the client sees that of the first.
             status, headers = f"{answer.status} {answer.reason}", self._answer_headers(answer)
             if not _is_stream(answer):
-                body = run.body()
+                body = ahead.body(run.body())
                 start_response(status, headers)
                 yield body
                 return
-            events = run.events()
+            events = ahead.events()
             # The head waits for the first event, so that a failure until then has a status.
             first = next(events, b"")
             start_response(status, headers)
@@ -252,6 +270,7 @@
             yield from self._rest_of_stream(events)
         finally:
             watch.stop()
+            ahead.close()
             run.finish("abandoned")
             self._runs.discard(run)
 
--- /dev/null
+++ b/postvalve/gateway/serving/request_body.py
@@ -0,0 +1,146 @@
+"""Reads a request's body: what is there at once, the rest within a stated pace."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+
+from postvalve.core.serving.transfer_pace import TransferPace
+from postvalve.events import Event
+from postvalve.exceptions import InvalidRequestError, RefusedError, RequestTooLargeError
+from postvalve.gateway.serving.http_server import CONNECTION_KEY
+from postvalve.gateway.serving.read_ahead import SlowClients
+
+MIN_BODY_RATE = 4 * 1024
+"""Bytes a second that a body must come at: a third of what the slowest mobile links carry."""
+READ_BLOCK = MIN_BODY_RATE
+"""Bytes read at once of a body that comes slowly: a second of the slowest pace."""
+
+Receive = Callable[[], bytes]
+"""Gives the next bytes of a body; nothing at its end."""
+
+
+class SlowBodyError(RefusedError):
+    """The body came too slowly, or there was no room for what had come of it; nothing ran."""
+
+    code = "body_too_slow"
+    error_type = "timeout_error"
+    http_status = 408
+
+
+@dataclass(slots=True)
+class BodyReader:
+    """Reads the body of one request."""
+
+    environ: dict[str, Any]
+    largest: int | None
+    """Bytes; None where no limit is known yet."""
+    patience: float
+    """Seconds that it may fall behind the slowest pace."""
+    slow: SlowClients
+    request_id: Callable[[], str]
+
+    def read(self) -> bytes:
+        """The whole body.
+
+        Raises:
+            RequestTooLargeError: as soon as that is known.
+            SlowBodyError: it won't be read any further; its connection can't go on.
+            InvalidRequestError: it was cut.
+        """
+        source = self.environ["wsgi.input"]
+        try:
+            length = int(self.environ.get("CONTENT_LENGTH") or 0)
+            self._check(length)
+            if source.chunked_input or source.socket is not None:
+                return self._read_rest(source, [], lambda: source.read(READ_BLOCK))
+            parts = list(self._ready_parts(source, length))
+            if source.position >= length:
+                return b"".join(parts)
+            return self._read_rest(source, parts, lambda: self._receive(source, length))
+        except (OSError, ValueError) as error:
+            raise InvalidRequestError("the request's body was cut") from error
+
+    def _check(self, size: int) -> None:
+        if self.largest is not None and size > self.largest:
+            raise RequestTooLargeError(f"body over {self.largest} bytes")
+
+    def _ready_parts(self, source: Any, length: int) -> Iterator[bytes]:
+        """What has come already, mostly all; the reader's own buffer is empty after less."""
+        connection = self.environ[CONNECTION_KEY]
+        usual = connection.gettimeout()
+        connection.settimeout(0.0)
+        try:
+            while source.position < length:
+                part = source.rfile.read1(length - source.position)
+                if not part:
+                    return
+                source.position += len(part)
+                yield part
+        finally:
+            connection.settimeout(usual)
+
+    def _receive(self, source: Any, length: int) -> bytes:
+        """What comes next on the connection itself; nothing after the body's end."""
+        if source.position >= length:
+            return b""
+        wanted = min(READ_BLOCK, length - source.position)
+        part: bytes = self.environ[CONNECTION_KEY].recv(wanted)
+        if not part:
+            raise OSError("the connection ended")
+        source.position += len(part)
+        return part
+
+    def _read_rest(self, source: Any, parts: list[bytes], receive: Receive) -> bytes:
+        """Read on within the pace; what has come counts as held for a slow client."""
+        clock, connection = self.slow.clock, self.environ[CONNECTION_KEY]
+
+        def stop_reading() -> None:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RD)
+
+        holding = self.slow.enter("", self.request_id(), stop_reading)
+        pace = TransferPace(MIN_BODY_RATE, self.patience, clock.monotonic())
+        size = sum(map(len, parts))
+        try:
+            self.slow.take(holding, size)
+            while holding.cause is None:
+                part = self._next(receive, pace)
+                if part is None:
+                    raise self._given_up(source, size, "its pace")
+                if not part:
+                    return b"".join(parts)
+                parts.append(part)
+                size += len(part)
+                self._check(size)
+                pace.went(len(part), clock.monotonic())
+                self.slow.take(holding, len(part))
+        except OSError:
+            # Reading ends like this, too, where others needed the room.
+            if holding.cause is None:
+                raise
+        finally:
+            self.slow.leave(holding)
+        raise self._given_up(source, size, "no room for it")
+
+    def _next(self, receive: Receive, pace: TransferPace) -> bytes | None:
+        """What comes within the pace."""
+        left = max(0.0, pace.left(self.slow.clock.monotonic()))
+        with gevent.Timeout(left, exception=False):
+            return receive()
+        return None
+
+    def _given_up(self, source: Any, size: int, cause: str) -> SlowBodyError:
+        # The rest isn't waited for.
+        source.content_length = source.position
+        source.chunked_input = False
+        self.slow.metrics.slow_clients.labels("body").inc()
+        self.slow.events.emit(
+            Event.BODY_TOO_SLOW, request=self.request_id(), size=size, cause=cause
+        )
+        return SlowBodyError(f"the body came too slowly: {cause}")
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 
 import gevent
@@ -395,7 +395,7 @@
             return AttemptError(error.message, Verdict.MAY_HAVE_RUN)
         return RefusedError(error.message, retry_after=OVERLOAD_RETRY_AFTER)
 
-    def events(self) -> Iterator[bytes]:
+    def events(self) -> Generator[bytes]:
         """Yield whole events; a cut stream goes on elsewhere where that is allowed.
 
         Raises:
--- a/postvalve/platform/settings.py
+++ b/postvalve/platform/settings.py
@@ -11,6 +11,7 @@
 
 from postvalve.core.admission.callers import KeyPolicy
 from postvalve.core.admission.fleet_limits import LimitBounds
+from postvalve.core.serving.read_ahead import slow_client_bytes
 from postvalve.exceptions import SettingsError
 from postvalve.gateway.interfaces import GatewaySettings
 from postvalve.settings.validation import InvalidSettingsGroup, check_document
@@ -42,6 +43,10 @@
     quotaSlack: float = Field(20.0, ge=0)  # noqa: N815
 
 
+class _Limits(_Model):
+    memoryMb: float | None = Field(None, gt=0)  # noqa: N815
+
+
 class _Store(_Model):
     address: str
     parts: int = Field(8, ge=1)
@@ -58,6 +63,7 @@
     listen: _Listen
     portRange: tuple[int, int]  # noqa: N815
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     platform: _Store
 
     def gateway_settings(self) -> GatewaySettings:
@@ -75,6 +81,7 @@
             body_partitions=self.platform.parts,
             record_bytes=self.platform.record_bytes,
             call_bytes=self.platform.call_bytes,
+            slow_client_bytes=slow_client_bytes(self.limits.memoryMb),
             limit_bounds=LimitBounds(
                 self.bounds.quotaWindowS, self.bounds.quotaOver, self.bounds.quotaSlack
             ),
--- a/postvalve/wsgi_handler.py
+++ b/postvalve/wsgi_handler.py
@@ -23,7 +23,7 @@
         send_at_once(connection)
         super().__init__(connection, address, server, rfile)
 
-    def _sendall(self, data: bytes) -> None:
+    def _sendall(self, data: bytes | memoryview) -> None:
         # The kernel mostly takes a token at once; then no timer needs to be started. A client
         # that doesn't read is still ended: `send` waits as long as the socket's timeout.
         rest = memoryview(data)
--- /dev/null
+++ b/tests/test_read_ahead.py
@@ -0,0 +1,202 @@
+"""What is held for slow clients: each byte once and in order, within the budget, fairly."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from postvalve.core.serving.read_ahead import (
+    HOLD_BACK,
+    CutCause,
+    EventStore,
+    Holding,
+    MemoryBudget,
+    slow_client_bytes,
+)
+from postvalve.core.serving.transfer_pace import TransferPace
+from postvalve.exceptions import PostvalveError
+
+LIMIT = 400
+STREAMS = 4
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("come", "come", "come", "take", "take", "cut", "end", "fail")),
+        st.integers(0, STREAMS - 1),
+        st.integers(1, LIMIT + 50),
+        st.sampled_from((0.0, 0.1, 1.0)),
+    ),
+    max_size=80,
+)
+
+
+class Stream:
+    """One stream, and what should come of it."""
+
+    def __init__(self, budget, number):
+        self.holding = Holding(f"t{number % 2}")
+        self.store = EventStore(budget, self.holding)
+        self.given = []
+        self.taken = []
+
+    def come(self, size, now):
+        """An event comes from the engine, as the shell takes it; returns who was given up."""
+        event = bytes([len(self.given) % 251]) * size
+        if self.store.ended or self.store.patience(size, now) > 0:
+            return []
+        given_up = self.store.put(event, now)
+        if self.holding.cause is None:
+            self.given.append(event)
+        return given_up
+
+    def take(self, now):
+        event = self.store.first()
+        if event:
+            self.taken.append(event)
+            self.store.drop_first(now)
+
+
+class StoreTest(unittest.TestCase):
+    @given(STEPS)
+    def test_bytes_come_out_once_in_order_and_within_the_budget(self, steps):
+        budget = MemoryBudget(LIMIT)
+        streams = [Stream(budget, number) for number in range(STREAMS)]
+        now = 0.0
+        for action, number, size, pause in steps:
+            now += pause
+            stream = streams[number]
+            if action == "come":
+                before = [one.holding.size for one in streams]
+                given_up = stream.come(size, now)
+                for one, held in zip(streams, before, strict=True):
+                    if one.holding in given_up and one is not stream:
+                        self.assertGreater(held, 0, "it kept up")
+            elif action == "take":
+                stream.take(now)
+            elif action == "cut":
+                stream.store.close()
+                streams[number] = Stream(budget, number)
+            else:
+                stream.store.end(PostvalveError("cut") if action == "fail" else None)
+            self._check(budget, streams)
+        for stream in streams:
+            while stream.store.first():
+                stream.take(now)
+            if stream.holding.cause is None:
+                self.assertEqual(stream.taken, stream.given)
+        self.assertEqual(budget.held, 0)
+        self.assertEqual(budget.holdings(), [])
+
+    def _check(self, budget, streams):
+        self.assertLessEqual(budget.held, LIMIT)
+        self.assertEqual(budget.held, sum(one.holding.size for one in streams))
+        for one in streams:
+            self.assertEqual(one.taken, one.given[: len(one.taken)])
+            if one.holding.cause is None:
+                kept = one.given[len(one.taken) :]
+                self.assertEqual(one.holding.size, sum(map(len, kept)))
+            else:
+                self.assertEqual(one.holding.size, 0)
+                self.assertEqual(one.store.first(), b"")
+
+    def test_a_store_that_stays_full_is_given_up(self):
+        budget = MemoryBudget(LIMIT)
+        holding = Holding("t")
+        store = EventStore(budget, holding)
+        store.put(b"x" * budget.stream_limit, 0.0)
+        self.assertEqual(store.patience(10, 0.0), HOLD_BACK)
+        self.assertAlmostEqual(store.patience(10, 0.5), HOLD_BACK - 0.5)
+        self.assertEqual(store.patience(10, HOLD_BACK), 0.0)
+        self.assertIs(holding.cause, CutCause.STORE_FULL)
+        self.assertEqual(budget.held, 0)
+
+    def test_waits_for_room_count_together(self):
+        budget = MemoryBudget(LIMIT)
+        store = EventStore(budget, Holding("t"))
+        full = b"x" * budget.stream_limit
+        store.put(full, 0.0)
+        store.patience(10, 0.0)
+        store.drop_first(1.5)
+        self.assertEqual(store.patience(10, 1.5), 0.0)
+        store.put(full, 10.0)
+        self.assertAlmostEqual(store.patience(10, 10.0), HOLD_BACK - 1.5)
+
+    def test_an_event_larger_than_a_store_passes_alone(self):
+        budget = MemoryBudget(LIMIT)
+        store = EventStore(budget, Holding("t"))
+        size = budget.stream_limit + 1
+        self.assertEqual(store.patience(size, 0.0), 0.0)
+        self.assertEqual(store.put(b"x" * size, 0.0), [])
+
+
+class BudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.budget = MemoryBudget(LIMIT)
+
+    def hold(self, tenant, size, now):
+        holding = Holding(tenant)
+        self.assertEqual(self.budget.take(holding, size, now), [])
+        return holding
+
+    def test_who_holds_most_for_longest_is_cut_first(self):
+        old_and_small, old = self.hold("a", 50, 0.0), self.hold("a", 150, 0.0)
+        new = self.hold("a", 160, 9.0)
+        self.assertEqual(self.budget.take(new, 50, 10.0), [old])
+        self.assertIs(old.cause, CutCause.MEMORY_SHORT)
+        self.assertEqual((old_and_small.cause, new.cause), (None, None))
+
+    def test_the_tenant_that_holds_most_pays(self):
+        one = self.hold("a", 100, 0.0)
+        several = [self.hold("b", 70, 5.0) for _ in range(4)]
+        self.assertEqual(self.budget.take(one, 50, 6.0), several[:1])
+
+    def test_who_asks_for_more_than_its_share_does_not_push_others_out(self):
+        other = self.hold("a", 150, 0.0)
+        asking = self.hold("b", 200, 5.0)
+        self.assertEqual(self.budget.take(asking, 100, 6.0), [asking])
+        self.assertIsNone(other.cause)
+
+    def test_who_has_caught_up_is_as_new(self):
+        first, second = self.hold("a", 150, 0.0), self.hold("a", 100, 90.0)
+        self.budget.give(first, 150, 100.0)
+        self.budget.take(first, 200, 100.0)
+        self.assertEqual(self.budget.take(first, 150, 100.5), [second])
+
+    def test_more_than_the_budget_costs_nobody_else(self):
+        other, asking = self.hold("a", 100, 0.0), Holding("b")
+        self.assertEqual(self.budget.take(asking, LIMIT + 1, 1.0), [asking])
+        self.assertIsNone(other.cause)
+
+    def test_a_share_of_the_machine(self):
+        self.assertEqual(slow_client_bytes(160), 10_000_000)
+        self.assertEqual(slow_client_bytes(None), 16_000_000)
+
+
+RATE = 4_096
+
+
+class TransferPaceTest(unittest.TestCase):
+    def test_a_body_may_fall_behind_for_a_while(self):
+        pace = TransferPace(RATE, 3.0, 10.0)
+        self.assertEqual(pace.left(10.0), 3.0)
+        self.assertEqual(pace.left(13.0), 0.0)
+
+    def test_what_came_early_is_no_credit(self):
+        pace = TransferPace(RATE, 3.0, 0.0)
+        pace.went(4_000_000, 0.0)
+        self.assertEqual(pace.left(0.0), 3.0)
+
+    def test_the_slowest_pace_goes_on_forever(self):
+        pace = TransferPace(RATE, 3.0, 0.0)
+        for second in range(1, 100):
+            pace.went(RATE, float(second))
+            self.assertGreater(pace.left(float(second)), 0.0)
+
+    def test_bytes_one_by_one_are_too_slow(self):
+        pace = TransferPace(RATE, 3.0, 0.0)
+        pace.went(1, 2.9)
+        self.assertLess(pace.left(5.8), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
