Slow clients in make bench and in the soak

Cause: nothing measured what slow clients cost others, and no soak had any. Change: rows "readers" of make bench (56 quick streams with and without eight at a hundredth of the speed); clients of the soak that send large bodies in pieces and stall before they read (drawn by the seed, beside the draws that there were); a promise about them, which fails where it must.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -40,15 +40,21 @@
     return subprocess.run(command).returncode
 
 
+def bench_readers() -> int:
+    """Measure what clients that read slowly cost the others."""
+    return subprocess.run([sys.executable, "-m", "tests.bench_readers"]).returncode
+
+
 def main() -> int:
     """Run all measurements."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     fleet = Fleet(SHAPES["bench"], engine_flags=ENGINE_FLAGS)
     try:
         fleet.start()
-        return bench_relay(fleet) or bench_slopes(fleet)
+        failed = bench_relay(fleet) or bench_slopes(fleet)
     finally:
         fleet.stop()
+    return failed or bench_readers()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/bench_readers.py
@@ -0,0 +1,226 @@
+"""Measures what clients that read slowly cost the others at one node.
+
+A store, an engine and a node run as processes, as in the soak. Most clients read at once; some, in
+every other round, read at a hundredth of the speed at which their answers come.
+"""
+
+import argparse
+import contextlib
+import os
+import socket as sockets
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from statistics import median
+from types import SimpleNamespace
+
+import gevent
+import psutil
+from gevent import socket
+
+from tests.answers import read_answer
+from tests.gateway_support import HOST, STREAM_PATH
+from tests.soak.fleet import Fleet
+from tests.soak.processes import ZONES, Engine, Node
+from tests.soak.promises import Promises
+from tests.stand_in_engine import Behaviour, StandInEngine
+
+QUICK, SLOW = 56, 8
+"""Streams of a round."""
+REQUESTS = 3
+"""Of each quick stream, one after the other."""
+EVENTS, EVENT_BYTES, EVENT_PAUSE = 100, 4_000, 0.02
+"""Of an answer: events, bytes and seconds of each."""
+STAGGER = 0.003
+"""Seconds between the starts of quick streams: the first events of all at once would wait for each
+other, whoever is slow."""
+SLOW_SHARE = 1 / 100
+ROUNDS = 3
+"""Of each kind, in turn."""
+SMALL_BUFFER, SEGMENT = 4_096, 1_400
+"""Bytes that a slow client's socket holds, and of its segments: loopback's own take a whole answer
+at once, which networks don't."""
+AIM = 1.1
+"""Times that the quick clients may take of what they take alone."""
+
+
+@dataclass(slots=True)
+class Round:
+    """What the quick clients of one round saw; seconds."""
+
+    first: list[float] = field(default_factory=list)
+    gaps: list[float] = field(default_factory=list)
+    failures: int = 0
+    held: int = 0
+    """Bytes held for slow clients at its end."""
+    placed: int = 0
+    """Places at the engine that the node still counted when the quick clients had ended."""
+
+
+class SteadyEngine(Engine):
+    """An engine that is as fast for many streams as for one."""
+
+    module = "tests.bench_readers"
+    slots = 2 * (QUICK + SLOW)
+
+    def __init__(self, folder):
+        super().__init__(0, folder)
+        # Straight to it: bytes that this process carries would slow its clients.
+        self.link.stop()
+        self.link = SimpleNamespace(port=self.port, stop=lambda: None)
+
+
+def run_engine(engine_id, port):
+    """Serve until the process is ended."""
+    engine = StandInEngine(engine_id, port)
+    engine.usual = Behaviour(events=EVENTS, padding=EVENT_BYTES, pause=EVENT_PAUSE)
+    gevent.wait()
+
+
+def open_stream(port, request_id, buffer=0):
+    """Send a request; returns the connection."""
+    connection = socket.socket()
+    if buffer:
+        connection.setsockopt(sockets.SOL_SOCKET, sockets.SO_RCVBUF, buffer)
+        connection.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_MAXSEG, SEGMENT)
+    connection.connect(("127.0.0.1", port))
+    head = f"POST {STREAM_PATH} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+    connection.sendall(f"{head}Connection: close\r\nContent-Length: 0\r\n\r\n".encode())
+    return connection
+
+
+def read_quickly(port, request_id, seen):
+    """Read one answer as it comes."""
+    events, previous = 0, time.monotonic()
+    with contextlib.closing(open_stream(port, request_id)) as connection:
+        connection.settimeout(30.0)
+        data = b""
+        while part := connection.recv(65_536):
+            data = data[-1:] + part
+            new = data.count(b"\n\n")
+            now = time.monotonic()
+            if new:
+                (seen.gaps if events else seen.first).append(now - previous)
+                previous, events = now, events + new
+    seen.failures += events != EVENTS
+
+
+def read_slowly(port, request_id):
+    """Read at a part of the speed, until the round ends."""
+    with contextlib.closing(open_stream(port, request_id, SMALL_BUFFER)) as connection:
+        while connection.recv(int(EVENT_BYTES * SLOW_SHARE)):
+            gevent.sleep(EVENT_PAUSE)
+
+
+class SteadyFleet(Fleet):
+    """A store, one node, and the steady engine."""
+
+    def start(self):
+        """Start them; returns when the node takes clients."""
+        self.store.start()
+        self._until(lambda: self.fault())
+        engine = SteadyEngine(self.folder)
+        self.engines = [engine]
+        self.list(engine)
+        self.publish()
+        node = Node("n0", ZONES[0], self.folder, self.store_port)
+        self.nodes = [node]
+        node.process.start()
+        self._until(lambda: self.is_ready(node))
+
+
+class Bench:
+    """The processes, and what the rounds saw."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._node = fleet.nodes[0]
+        self._numbers = iter(range(1_000_000))
+
+    def play(self, slow):
+        """One round."""
+        seen = Round()
+        slow_ones = [
+            gevent.spawn(read_slowly, self._node.front, f"s-{next(self._numbers)}")
+            for _ in range(slow)
+        ]
+        # Until the slow ones lag; the others start alike in all rounds.
+        gevent.sleep(1.0)
+        quick = [gevent.spawn(self._quick, number, seen) for number in range(QUICK)]
+        gevent.joinall(quick)
+        status = self._status()
+        seen.held = sum(row["bytes"] for row in status.get("readers", ()))
+        seen.placed = sum(row["online"] for row in status["engines"])
+        gevent.killall(slow_ones)
+        return seen
+
+    def _quick(self, number, seen):
+        gevent.sleep(number * STAGGER)
+        for _ in range(REQUESTS):
+            try:
+                read_quickly(self._node.front, f"q-{next(self._numbers)}", seen)
+            except OSError:
+                seen.failures += 1
+
+    def _status(self):
+        connection = socket.create_connection(("127.0.0.1", self._node.metrics))
+        with contextlib.closing(connection):
+            connection.sendall(b"GET /status HTTP/1.0\r\n\r\n")
+            return read_answer(connection).document
+
+    def memory(self):
+        """Bytes of the node."""
+        return int(psutil.Process(self._node.process.pid).memory_info().rss)
+
+
+def p95(values):
+    """Milliseconds."""
+    return sorted(values)[int(0.95 * (len(values) - 1))] * 1000
+
+
+def measure(fleet):
+    """Rounds with and without slow clients in turn; medians of each kind."""
+    bench = Bench(fleet)
+    bench.play(0)
+    before, rounds = bench.memory(), []
+    for _ in range(ROUNDS):
+        rounds.append((bench.play(0), bench.play(SLOW)))
+    row = {"failures": sum(one.failures for pair in rounds for one in pair)}
+    for name in ("first", "gaps"):
+        alone = median(p95(getattr(one, name)) for one, _ in rounds)
+        beside = median(p95(getattr(one, name)) for _, one in rounds)
+        row |= {f"{name}_p95_alone_ms": alone, f"{name}_p95_beside_slow_ms": beside}
+        row[f"{name}_ratio"] = beside / alone
+    row["held_bytes"] = max(one.held for _, one in rounds)
+    row["places_still_held"] = max(one.placed for _, one in rounds)
+    row["node_grew_bytes"] = bench.memory() - before
+    row["machine_load"] = os.getloadavg()[0]
+    return {name: round(value, 3) for name, value in row.items()}
+
+
+def main():
+    """Run it, and print a row."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("engine", nargs="*", help="be the engine of this id, at this port")
+    engine = parser.parse_args().engine
+    if engine:
+        run_engine(engine[0], int(engine[1]))
+        return 0
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = SteadyFleet(Path(folder), Promises())
+        try:
+            fleet.start()
+            row = measure(fleet)
+        finally:
+            fleet.stop()
+    for name, value in row.items():
+        print(f"readers {name} {value}")
+    met = max(row["first_ratio"], row["gaps_ratio"]) <= AIM
+    print(f"readers aim {AIM}: {'met' if met else 'not met'}")
+    return 0 if not row["failures"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -71,7 +71,7 @@
             gevent.sleep(0.05)
         gevent.joinall(strikes, timeout=30.0)
         gevent.sleep(CALM_AFTER)
-        self.clients.stopped = self.clients.tenants.stopped = True
+        self.clients.stopped = self.clients.tenants.stopped = self.clients.stalling.stopped = True
         self._await_jobs()
 
     def _await_jobs(self):
@@ -94,11 +94,13 @@
     def report(self):
         """What was sent, what befell it, and what was checked."""
         requests, jobs = self.clients.requests, self.clients.jobs
+        stalling = Counter(f"{req.status}" for req in self.clients.stalling.requests)
         statuses = Counter(f"{req.status}" + ("" if req.whole else " cut") for req in requests)
         accepted = sum(1 for job in jobs if job.accepted_at)
         lines = [
             f"seed {self.seed}, {self.seconds:.0f} s",
             f"requests {len(requests)}: {dict(sorted(statuses.items()))}",
+            f"of clients that stall {dict(sorted(stalling.items()))}",
             f"of tenants {dict(sorted(Counter(self.clients.tenants.statuses.values()).items()))}",
             f"jobs {len(jobs)}: {accepted} accepted,"
             f" {sum(1 for job in jobs if job.cancelled_at)} cancelled,"
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -14,6 +14,7 @@
 from tests.gateway_support import BATCH_PATH, HOST, ONCE_PATH, STREAM_PATH
 from tests.soak.engine import FATAL, ITEM, ONLINE
 from tests.soak.promises import CONFIGURED, NOT_RUN, Job, Online, Run
+from tests.soak.stalling import StallingClients
 from tests.soak.tenants import TenantClients
 from tests.test_gateway_jobs import job_body, whole_text
 
@@ -89,10 +90,12 @@
         self.jobs = []
         self.stopped = False
         self._ready = set()
+        self._turns = itertools.count()
         self.fatal_nodes = {}
         """Where requests under which engines end were sent, by their ids."""
         fleet.send_fatal = self.send_fatal
         self.tenants = TenantClients(promises, seed, self._ask, self._node)
+        self.stalling = StallingClients(promises, seed, self._stall_node)
 
     def start(self):
         """Start everybody."""
@@ -101,6 +104,7 @@
         for node in self._fleet.nodes[:KEEPING_NODES]:
             gevent.spawn(self._keep_connection, node)
         self.tenants.start()
+        self.stalling.start()
 
     def _ask(self, node, path, method="POST", headers=(), body=b"", request_id=""):
         """Send one request and read what comes; an answer that is not whole has no status."""
@@ -113,6 +117,11 @@
             with gevent.Timeout(PATIENCE_MS / 1000 + 4.0, OSError("no answer")):
                 return read_answer(conn)
 
+    def _stall_node(self):
+        # The draws of others stay as they are.
+        ready = [one for one in self._fleet.nodes if one.name in self._ready]
+        return (ready or self._fleet.nodes)[next(self._turns) % len(ready or self._fleet.nodes)]
+
     def _node(self):
         ready = [one for one in self._fleet.nodes if one.name in self._ready]
         return self._random.choice(ready or self._fleet.nodes)
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -15,6 +15,9 @@
 ONLINE = Behaviour(events=6, pause=0.03, thinks=0.15)
 """Half of the time goes by before the head, so that faults strike requests without an event too."""
 ITEM = Behaviour(events=40, pause=0.05)
+LARGE_MARK = "l-"
+"""Begins the ids of requests with large answers."""
+LARGE = Behaviour(events=40, pause=0.01, padding=8_000)
 SLOTS = 4
 FATAL = b"fatal"
 """Begins the bodies under which an engine ends."""
@@ -50,11 +53,18 @@
                 gevent.sleep(ENDS_AFTER)
                 os._exit(1)
             try:
-                return super()._answer(connection, ITEM if item else ONLINE, request_id, headers)
+                return super()._answer(connection, behaviour_for(request_id), request_id, headers)
             finally:
                 self._items -= item
 
 
+def behaviour_for(request_id):
+    """How an engine answers."""
+    if request_id.startswith(ITEM_MARK):
+        return ITEM
+    return LARGE if request_id.startswith(LARGE_MARK) else ONLINE
+
+
 def tell(**fields):
     """One line for the soak to read, whatever befalls this process next."""
     print(json.dumps(fields), flush=True)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -125,7 +125,7 @@
             "address": f"127.0.0.1:{engine.link.port}",
             "zone": zone_of(engine.number, self._engine_count),
             "version": "v1",
-            "slots": 4,
+            "slots": engine.slots,
             "state": state,
             "coldRemainingMs": 0,
             "sequence": 1,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -53,6 +53,10 @@
     def life(self):
         return f"{self.name}#{self.lives}"
 
+    @property
+    def pid(self):
+        return self._popen.pid
+
     @property
     def runs(self):
         return self._popen is not None and self._popen.poll() is None
@@ -114,6 +118,9 @@
 class Engine:
     """An engine: each life has an id of its own, or the one before, behind a proxy of its own."""
 
+    module = "tests.soak.engine"
+    slots = 4
+
     def __init__(self, number, folder):
         self.number = number
         self.folder = folder
@@ -131,8 +138,8 @@
         if not keeps_id:
             self.engine_id = f"e{self.number}-{self.births}"
         self.born = int(time.time() * 1000)
-        port = free_port()
-        self.link = Proxy(port)
-        words = ["tests.soak.engine", self.engine_id, str(port)]
+        self.port = free_port()
+        self.link = Proxy(self.port)
+        words = [self.module, self.engine_id, str(self.port)]
         self.process = Process(self.engine_id, self.folder, words)
         self.process.start()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -39,6 +39,7 @@
         "a planned stop cuts nothing",
         "no request reaches an engine that has left",
         "requests are served beside one under which engines end",
+        "a client that stalls gets its whole answer",
     )
 )
 """Promises with bounds of seconds, which a machine that is too busy breaks by itself."""
@@ -169,6 +170,13 @@
                 "whole answers, to one's own request", holds, f"{req.request_id} {req.body!r}"
             )
 
+    def stalled_ended(self, req):
+        """A client that stalled got its answer, or lost its connection."""
+        if self.calm(req.sent_at, req.ended_at):
+            holds = (req.status, req.whole) == (200, True) or req.status in NOT_RUN
+            told = f"{req.request_id} at {req.node}: {req.status}, whole {req.whole}"
+            self.check("a client that stalls gets its whole answer", holds, told)
+
     def page_read(self, job, node, position, page):
         """A node listed results from a position on."""
         for number, result in enumerate(page["results"], position):
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -13,6 +13,11 @@
 """Seconds that an engine runs a request under which it ends."""
 
 
+def event_bytes(request_id, number, padding=0):
+    """One event of an answer."""
+    return f"id: {number}\ndata: {request_id} part {number}{'x' * padding}\n\n".encode()
+
+
 class Behaviour:
     """What an engine does with one request."""
 
@@ -171,8 +176,7 @@
             if behaviour.cut_after is not None and sent >= behaviour.cut_after:
                 connection.sendall(b"9\r\nid: 9")
                 return False
-            padding = "x" * behaviour.padding
-            event = f"id: {number}\ndata: {request_id} part {number}{padding}\n\n".encode()
+            event = event_bytes(request_id, number, behaviour.padding)
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             for piece in (chunk[:9], chunk[9:]) if behaviour.piecewise else (chunk,):
                 connection.sendall(piece)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,15 @@
         self.promises.online_ended(self.online(body=b"y"))
         self.assertEqual(self.broken(), ["whole answers, to one's own request"])
 
+    def test_a_stalled_client_that_is_cut(self):
+        self.promises.stalled_ended(self.online())
+        self.promises.spans.append(Span("node_kill", "n0", 1.2, 1.4))
+        self.promises.stalled_ended(self.online(whole=False))
+        self.assertEqual(self.broken(), [])
+        self.promises.spans.clear()
+        self.promises.stalled_ended(self.online(whole=False))
+        self.assertEqual(self.broken(), ["a client that stalls gets its whole answer"])
+
     def test_a_position_that_changes(self):
         self.read(("i-1-0", "completed", "a"))
         self.read(("i-1-0", "completed", "a"), ("i-1-1", "completed", "b"))
