--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -61,6 +61,16 @@
         )
         self.assertEqual((own.grace, own.read_patience, own.body_partitions), (5, 0.7, 6))
 
+    def test_what_is_held_for_slow_clients_follows_the_machine(self):
+        machine = {**SETTINGS, "limits": {"memoryMb": 160, "cpuShare": 0.5}}
+        own = load_settings(self.path(machine)).gateway_settings()
+        self.assertEqual(own.slow_client_bytes, 10_000_000)
+        own = load_settings(self.path(SETTINGS)).gateway_settings()
+        self.assertEqual(own.slow_client_bytes, 16_000_000)
+        with self.assertRaises(InvalidSettingsGroup) as caught:
+            load_settings(self.path({**SETTINGS, "limits": {"memoryMb": 0}}))
+        self.assertIn("limits.memoryMb", str(caught.exception.exceptions))
+
     def test_every_mistake_is_named_at_once(self):
         broken = {**SETTINGS, "zone": "", "portRange": ["x", 2], "platform": {}}
         path = self.path(broken)
