--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -22,6 +22,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
+from postvalve.core.serving.read_ahead import MemoryBudget
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.builds import Builds
@@ -59,6 +60,7 @@
 from postvalve.gateway.serving.http_calls import JobCalls
 from postvalve.gateway.serving.http_server import GatewayServer, plain_server
 from postvalve.gateway.serving.line import ZoneLine
+from postvalve.gateway.serving.read_ahead import SlowClients
 from postvalve.gateway.serving.routed_run import RunServices
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.gateway.serving.waiting_room import WaitingRoom
@@ -211,6 +213,8 @@
         self._shares.first_waiting = waiting_room.first_waiting
         self._waiting_room = waiting_room
         self._line = waiting_room.line = ZoneLine(peer_services)
+        budget = MemoryBudget(settings.slow_client_bytes)
+        self.slow_clients = SlowClients(budget, clock, events, self._metrics)
         self.application = GatewayApplication(
             RunServices(
                 clock,
@@ -228,6 +232,7 @@
             self._usable,
             generator,
             self._accounts,
+            self.slow_clients,
         )
         self._server = GatewayServer(settings.listen, self.application)
         self._ready_server = plain_server(settings.ready_listen, self._readiness)
@@ -391,6 +396,7 @@
             "waiting": self._waiting_room.rows(),
             "builds": self._builds.fields(),
             "line": self._shares.fields() | self._line.fields(),
+            "readers": self.slow_clients.rows(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
@@ -404,6 +410,8 @@
         self._metrics.revision_age.set(knowledge.revision_age)
         self._metrics.connections.set(self._pool.opened)
         self._metrics.quarantined.set(len(self._quarantine))
+        self._metrics.held_bytes.set(self.slow_clients.budget.held)
+        self._metrics.lagging.set(len(self.slow_clients))
         self._metrics.dropped_log_lines.set(self._events.dropped)
         return "200 OK", self._metrics.exposition()
 
@@ -426,6 +434,7 @@
         idle = table.configuration.limits.idle_timeout * IDLE_FACTOR
         self._server.set_idle_timeout(max(60.0, idle))
         self._runner.urgency.configure(table)
+        self._server.set_head_timeout(table.configuration.limits.header_timeout)
         self._note_usable()
         self._reports.changed()
 
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -151,6 +151,8 @@
             route |= {"host": HOST, "service": SERVICE, "timeoutMs": 5000, "maxAttempts": 3}
             route |= changes
         document = {"version": self._version, "routes": routes, "services": [{"name": SERVICE}]}
+        if limits is not None:
+            document["limits"] = limits
         if tenants is not None:
             document["tenants"] = tenants
         if limits is not None:
