The fleet's list of engines stands apart from where work goes

engine_fleet.py had 483 lines: the directory's list and the standing of engines (listed_engines.py), an attempt's place (placement.py) and the choice (engine_fleet.py) are modules of their own. No behaviour changes.

--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -1,12 +1,10 @@
-"""Engines and other nodes as this node sees them."""
+"""Where requests and batch items go: the load of each engine, and what has room there."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
-from gevent.event import Event as GeventEvent
-
 from postvalve.clock import Clock
 from postvalve.core.admission.engine_use import EngineUse, UseCount, relaxed_slots
 from postvalve.core.admission.holding import EngineRoom, expected_first
@@ -14,49 +12,20 @@
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.randomness import RandomSource
 from postvalve.core.routing.engine_choice import AFFINITY_TOKENS, EngineChooser, EngineOption
-from postvalve.events import Event, EventLog
+from postvalve.events import EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
-from postvalve.gateway.fleet.engine_standing import EngineStandings
-from postvalve.gateway.fleet.usable_engines import UsableEngines
-from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
+from postvalve.gateway.fleet.listed_engines import ListedEngines
+from postvalve.gateway.fleet.placement import Placement
+from postvalve.gateway.interfaces import EngineEntry, RequestTerms
 from postvalve.settings.routes import ServiceSpec
 
 USABLE_MEMORY = 0.95
 """Share of an engine's memory that requests may fill by their own words."""
-SETTLE_LOOK = 0.1
-"""Seconds between looks whether the directory is still unsettled."""
 START_UNREAD = 2_500
 """Prompt tokens that an engine has to read up to which one more batch item starts there, so
 that items which start after a heap don't hold online work up by reading their prompts."""
 
 
-@dataclass(slots=True)
-class Placement:
-    """An engine chosen for one attempt, counted as used until it is left."""
-
-    engine: EngineEntry
-    batch: bool
-    online_seen: int = 0
-    """Online requests of all nodes at the engine, as this node knew before."""
-    batch_seen: int = 0
-    """Batch items likewise."""
-    unread_seen: int = 0
-    """Prompt tokens that the engine had to read before, likewise."""
-    unread: int = 0
-    """Prompt tokens of this attempt; 0 once its first token came."""
-    memory: int = 0
-    """Tokens that this attempt may need in the engine's memory."""
-    to_read: int = 0
-    """Prompt tokens that the engine had to read until this attempt's first event."""
-    expected: float = 0.0
-    """Seconds to the first event, as this node expected."""
-
-    @property
-    def found_slot(self) -> bool:
-        """Whether a slot was free, as far as this node knew."""
-        return self.online_seen + self.batch_seen < self.engine.slots
-
-
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     """An engine that may take an online request, as this node sees it now."""
@@ -97,7 +66,7 @@
     return timely or free or [one.option for one in candidates]
 
 
-class EngineFleet:
+class EngineFleet(ListedEngines):
     """Engines of the directory, with the load and standing of each."""
 
     def __init__(
@@ -108,24 +77,9 @@
         pool: ConnectionPool,
         generator: RandomSource,
     ) -> None:
-        self._zone = zone
-        self._clock = clock
-        self._events = events
-        self._pool = pool
+        super().__init__(zone, clock, events, pool)
         self._chooser = EngineChooser(zone, generator)
         self._random = generator
-        self._engines: dict[EngineLife, EngineEntry] = {}
-        self._usable: dict[str, UsableEngines] = {}
-        """Those that take new work, by service; worked out anew after each change."""
-        self._updated = GeventEvent()
-        """Set, and replaced, when the directory was taken in."""
-        self.directory_unsettled: Callable[[], bool] = bool
-        """Tells whether engines may live that the directory does not list at the moment."""
-        self.directory_age: Callable[[], float] = float
-        """Gives the seconds of which this node does not know how the directory changed."""
-        self._standings = EngineStandings(clock)
-        self._warm_at: dict[EngineLife, float] = {}
-        """Monotonic seconds at which engines that told to be cold are warm."""
         self.use = EngineUse()
         self._paces: dict[str, ServicePace] = {}
         self.service_named: Callable[[str], ServiceSpec | None] = lambda name: None
@@ -139,109 +93,11 @@
         self.on_crowded: Callable[[EngineLife], None] = lambda life: None
         """Called when an online request was sent to an engine where batch must give way."""
 
-    def update(self, entries: Iterable[EngineEntry]) -> None:
-        """Take the directory's present list in."""
-        engines = {entry.life: entry for entry in entries}
-        for life, former in self._engines.items():
-            if life not in engines:
-                self._pool.drop(former.address)
-                self._events.emit(
-                    Event.ENGINE_GONE, engine=life, within=round(self.directory_age(), 3)
-                )
-        self._standings.keep(engines)
-        self._note_cold(engines)
-        for life, entry in engines.items():
-            known = self._engines.get(life)
-            if known is None or known.state is not entry.state:
-                self._events.emit(
-                    Event.ENGINE_LISTED,
-                    engine=life,
-                    state=entry.state.value,
-                    service=entry.service,
-                    engine_zone=entry.zone,
-                    within=round(self.directory_age(), 3),
-                )
-        self._engines = engines
-        self._usable = {}
-        updated, self._updated = self._updated, GeventEvent()
-        updated.set()
-
-    def _note_cold(self, engines: dict[EngineLife, EngineEntry]) -> None:
-        now = self._clock.monotonic()
-        known = {key: at for key, at in self._warm_at.items() if key in engines and at > now}
-        for life, entry in engines.items():
-            # An entry that stands as it was told nothing new.
-            if entry.warm_in > 0 and entry != self._engines.get(life):
-                known[life] = now + entry.warm_in
-        self._warm_at = known
-
-    def await_engines(self, service: str, patience: float) -> bool:
-        """Wait for an engine of a service where the directory may be about to list one.
-
-        Args:
-            service: The service.
-            patience: Seconds.
-
-        Returns:
-            Whether there is one.
-        """
-        deadline = self._clock.monotonic() + patience
-        while not self.engines(service):
-            left = deadline - self._clock.monotonic()
-            if left <= 0 or not self.directory_unsettled():
-                return False
-            self._updated.wait(min(left, SETTLE_LOOK))
-        return True
-
-    def engines(self, service: str) -> Sequence[EngineEntry]:
-        """Engines of a service that take new work; callers only read the list."""
-        return self._usable_of(service).all
-
-    def _usable_of(self, service: str) -> UsableEngines:
-        # Asked for at each look for room: some fifty times a second at a node with batch items.
-        found = self._usable.get(service)
-        if found is None:
-            entries = [
-                entry
-                for entry in self._engines.values()
-                if entry.service == service and self.takes_work(entry.life)
-            ]
-            found = self._usable[service] = UsableEngines(entries, self._zone)
-        return found
-
-    def takes_work(self, life: EngineLife) -> bool:
-        """Whether an engine is listed, does not leave, and was not replaced."""
-        entry = self._engines.get(life)
-        return (
-            entry is not None
-            and entry.state is EngineState.READY
-            and not self._standings.is_replaced(life)
-        )
-
-    def is_listed(self, life: EngineLife) -> bool:
-        """Whether the directory lists this life of an engine."""
-        return life in self._engines
-
-    def listed_engines(self) -> list[EngineEntry]:
-        """All engines of the directory."""
-        return list(self._engines.values())
-
-    def state_of(self, entry: EngineEntry) -> str:
-        """An engine's state in one word, for operators."""
-        if self._standings.is_replaced(entry.life):
-            return "replaced"
-        return "suspect" if self._standings.is_suspect(entry.life) else entry.state.value
-
     def _memory_of(self, service: str) -> int:
         """Tokens that an engine of a service holds; 0 where it is not known."""
         spec = self.service_named(service)
         return spec.memory_tokens if spec is not None else 0
 
-    def _is_cold(self, life: EngineLife) -> bool:
-        if not self._warm_at:
-            return False
-        return self._warm_at.get(life, 0.0) > self._clock.monotonic()
-
     def pace(self, service: str) -> ServicePace:
         """What this node has learnt of a service's engines."""
         return self._paces.setdefault(service, ServicePace())
@@ -270,12 +126,6 @@
     def _has_slot(self, entry: EngineEntry) -> bool:
         return self.use.total(entry.life).online < entry.slots
 
-    def _sound(self, entries: Sequence[EngineEntry]) -> Sequence[EngineEntry]:
-        """Those that did not fail a moment ago; all where each of them did."""
-        if not self._standings.any_suspect:
-            return entries
-        return [one for one in entries if not self._standings.is_suspect(one.life)] or entries
-
     def place_online(
         self, service: str, terms: RequestTerms, excluded: Iterable[EngineLife], left: float
     ) -> Placement | None:
@@ -463,21 +313,3 @@
             self.use.note_read(placement.engine.life, placement.unread)
             placement.unread = 0
             self.on_change()
-
-    def note_success(self, life: EngineLife) -> None:
-        """An attempt went well."""
-        self._standings.note_success(life)
-
-    def note_failure(self, life: EngineLife, reason: str) -> None:
-        """An attempt failed for a cause that lies at the engine."""
-        pause = self._standings.note_failure(life)
-        self._events.emit(Event.ENGINE_SUSPECT, engine=life, seconds=pause, reason=reason)
-
-    def note_replaced(self, life: EngineLife) -> None:
-        """Another engine lives at its address: it takes no more work."""
-        self._standings.note_replaced(life)
-        self._usable = {}
-        entry = self._engines.get(life)
-        if entry is not None:
-            self._pool.drop(entry.address)
-        self._events.emit(Event.ENGINE_REPLACED, engine=life)
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -20,8 +20,9 @@
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_data, event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.load_reports import LoadReports
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
 from postvalve.gateway.jobs.end_writer import EndedItem, EndWriter
 from postvalve.gateway.jobs.item_preemption import ItemPreemption
--- a/postvalve/gateway/jobs/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -7,7 +7,7 @@
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.gateway.engines.engine_connections import EngineAnswer
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import Placement
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.jobs.item_progress import Chain
 
 
--- a/postvalve/gateway/serving/pace_observer.py
+++ b/postvalve/gateway/serving/pace_observer.py
@@ -6,7 +6,8 @@
 
 from postvalve.clock import Clock
 from postvalve.events import Event, EventLog
-from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.metrics import GatewayMetrics
 
 
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -16,7 +16,8 @@
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.pace_observer import Attempts, PaceObserver
