--- a/postvalve/core/admission/holding.py
+++ b/postvalve/core/admission/holding.py
@@ -14,9 +14,8 @@
 from dataclasses import dataclass
 
 from postvalve.core.admission.service_pace import ServicePace
+from postvalve.core.routing.expectation import EngineRoom, any_place, is_timely
 
-GIVE_WAY_TIME = 0.15
-"""Seconds until batch items have left the slots that online work needs."""
 REFUSE_SHARE = 0.12
 """Share of its target latency within which a request is refused, if at all."""
 HOLD_SHARE = 0.8
@@ -52,17 +51,6 @@
     REFUSE = "refuse"
 
 
-@dataclass(slots=True)
-class EngineRoom:
-    """An engine's load as this node sees it."""
-
-    slots: int
-    online: int
-    batch: int
-    unread: int
-    """Prompt tokens that it must read before those of another request."""
-
-
 @dataclass(frozen=True, slots=True)
 class HeldRequest:
     """What decides about a request; times in monotonic seconds."""
@@ -76,34 +64,18 @@
     """Whether its client can come back in time if it is refused."""
 
 
-def queue_wait(room: EngineRoom, pace: ServicePace) -> float:
-    """Seconds until an engine has a slot for one more online request."""
-    total = room.online + room.batch
-    if total < room.slots:
-        return 0.0
-    by_slots = pace.queue_step(room.slots)
-    if room.online < room.slots:
-        return min(GIVE_WAY_TIME, (total - room.slots + 1) * by_slots)
-    return (room.online - room.slots + 1) * by_slots
-
-
-def expected_first(room: EngineRoom, tokens: int, pace: ServicePace) -> float:
-    """Seconds to the first event of a request with so many prompt tokens."""
-    return queue_wait(room, pace) + pace.first_event(room.unread + tokens)
-
-
 def finds_room(
     req: HeldRequest, rooms: Sequence[EngineRoom], pace: ServicePace, now: float
 ) -> bool:
     """Whether an engine should get a request now, for its own sake."""
-    if not rooms or any(room.online < room.slots for room in rooms):
+    if not rooms or any_place(rooms, pace):
         # A slot that no online work needs: late or not, nothing better can be had.
         return True
     if not pace.known:
         # Nobody can say what a queue costs yet: one place in it is risked.
-        return min(room.online - room.slots for room in rooms) < UNKNOWN_QUEUE
+        return min(room.online - room.places(pace) for room in rooms) < UNKNOWN_QUEUE
     left = req.arrived_at + req.target_latency - now
-    return min(expected_first(room, req.tokens, pace) for room in rooms) + pace.margin <= left
+    return any(is_timely(room, req.tokens, pace, left) for room in rooms)
 
 
 def rule(
--- a/postvalve/core/admission/service_pace.py
+++ b/postvalve/core/admission/service_pace.py
@@ -60,6 +60,8 @@
 
     _first: _DecayedLine = field(default_factory=_DecayedLine)
     _held: _DecayedLine = field(default_factory=_DecayedLine)
+    _pause: _DecayedLine = field(default_factory=_DecayedLine)
+    _longest_pause: _DecayedLine = field(default_factory=_DecayedLine)
     _error: float = 0.0
     _queue_factor: float = 1.0
 
@@ -84,6 +86,14 @@
         """Note how long a request held its slot."""
         self._held.add(0.0, seconds)
 
+    def observe_pause(self, running: int, seconds: float) -> None:
+        """Note the mean time between an attempt's events, while so many requests ran there."""
+        self._pause.add(running, seconds)
+
+    def observe_longest_pause(self, running: int, seconds: float) -> None:
+        """Note the longest time between them likewise."""
+        self._longest_pause.add(running, seconds)
+
     def observe_queue(self, places: int, slots: int, seconds: float) -> None:
         """Note how long an attempt waited in an engine's queue.
 
@@ -115,6 +125,15 @@
         """Seconds to a first event where a slot is free and so many tokens are to be read."""
         return self._first.at(tokens / 1000)
 
+    def pause(self, running: int) -> float:
+        """Seconds between events in the mean, while so many requests run; 0 where unknown."""
+        return self._pause.at(running) if self._pause.weight >= LEAST_SAMPLES else 0.0
+
+    def longest_pause(self, running: int) -> float:
+        """The longest pause of a stream likewise, as streams have it on average."""
+        known = self._longest_pause.weight >= LEAST_SAMPLES
+        return self._longest_pause.at(running) if known else 0.0
+
     @property
     def held(self) -> float:
         """Seconds that a request holds its slot."""
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from types import MappingProxyType
 
 from postvalve.core.batch.giving_way import encode_zone_running
 from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups
 from postvalve.core.membership.extensions import (
     OWN_FEATURES,
     Extension,
+    Extensions,
     features_of,
     pack_features,
 )
@@ -46,6 +48,9 @@
 """Due times of waiting items that a digest tells."""
 
 
+EMPTY: Extensions = MappingProxyType({})
+
+
 def tells_by_digest(far_peers: int) -> bool:
     """Whether so many nodes of other zones are told of a zone by its digest."""
     return far_peers > DIRECT_PEERS
@@ -89,7 +94,12 @@
         return now - self._sent_at >= interval
 
     def make(
-        self, own: LoadReport, neighbours: Sequence[Peer], engine_use: bytes, now: float
+        self,
+        own: LoadReport,
+        neighbours: Sequence[Peer],
+        engine_use: bytes,
+        now: float,
+        told: Extensions = EMPTY,
     ) -> bytes:
         """The next digest, packed.
 
@@ -98,6 +108,7 @@
             neighbours: The other nodes of the zone.
             engine_use: Counts of all of them together.
             now: Monotonic seconds.
+            told: Parts that nodes tell in turns, which the last reports don't hold whole.
         """
         reports = sorted([own, *(peer.report for peer in neighbours)], key=lambda one: one.node_id)
         members = tuple(map(_member, reports))
@@ -120,7 +131,7 @@
             members_version=version,
             members=members if listed else None,
             running=[item for one in reports for item in one.running],
-            extensions=merge_extensions(reports),
+            extensions={**merge_extensions(reports), **told},
         )
         data = digest.pack()
         self._size = len(data) if not listed or not self._size else self._size
--- a/postvalve/core/routing/engine_choice.py
+++ b/postvalve/core/routing/engine_choice.py
@@ -60,6 +60,9 @@
     """Whether it is still slow from its start."""
     memory_short: int = 0
     """Tokens by which the engine's memory is too small for this request beside the others."""
+    extra_places: float = 0.0
+    """By how much it is worse than an even engine of the same load; see `core/routing/expectation`.
+    Below 0 where it is better."""
 
     @property
     def load(self) -> float:
@@ -138,6 +141,8 @@
         cost = option.unread + LOAD_TOKENS * option.load
         if option.zone != self._zone:
             cost += ZONE_TOKENS
+        if option.extra_places:
+            cost += SLOT_TOKENS * option.extra_places
         if option.cold:
             cost += COLD_TOKENS
         if option.online >= ALMOST_FULL * option.slots:
--- /dev/null
+++ b/postvalve/core/routing/expectation.py
@@ -0,0 +1,108 @@
+"""What an engine is expected to take for one more request: one answer, in seconds, for all who ask.
+
+Whether there is room, whether a request will be in time, who waits and where it goes follow from
+the same sums: the service's pace, the engine's factors to it, and its load. An engine without
+factors is taken by the service's pace alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from postvalve.core.admission.service_pace import ServicePace
+from postvalve.core.routing.engine_pace import EVEN, PaceFactors
+
+GIVE_WAY_TIME = 0.15
+"""Seconds until batch items have left the slots that online work needs."""
+
+
+@dataclass(slots=True)
+class EngineRoom:
+    """An engine's load as this node sees it."""
+
+    slots: int
+    online: int
+    batch: int
+    unread: int
+    """Prompt tokens that it must read before those of another request."""
+    factors: PaceFactors = EVEN
+    """How much longer than usual for its service it takes now."""
+    pause_aim: float | None = None
+    """Seconds between events that callers bear; None where nobody says."""
+    _places: int = -1
+    """Its places, once they were worked out."""
+
+    def places(self, pace: ServicePace) -> int:
+        """Requests that may run there within the pauses that callers bear, one at least."""
+        if self.factors is EVEN or self.pause_aim is None:
+            return self.slots
+        if self._places < 0:
+            self._places = places_within(self.slots, pace, self.factors.pause, self.pause_aim)
+        return self._places
+
+    def has_place(self, pace: ServicePace) -> bool:
+        """Whether there is a place that no online work needs."""
+        return self.online < self.places(pace)
+
+
+def places_within(slots: int, pace: ServicePace, factor: float, pause_aim: float) -> int:
+    """Requests of which none is expected to see a pause above `pause_aim`; one at the least.
+
+    A slow engine takes what it can bear, so that it is never left without work, and is seen to be
+    well again.
+    """
+    if pace.longest_pause(slots) * factor <= pause_aim:
+        return slots
+    for running in range(slots - 1, 1, -1):
+        if pace.longest_pause(running) * factor <= pause_aim:
+            return running
+    return 1
+
+
+def queue_step(room: EngineRoom, pace: ServicePace) -> float:
+    """Seconds for each place in an engine's queue."""
+    return pace.queue_step(room.places(pace)) * room.factors.held
+
+
+def queue_wait(room: EngineRoom, pace: ServicePace) -> float:
+    """Seconds until an engine has a slot for one more online request."""
+    total = room.online + room.batch
+    places = room.places(pace)
+    if total < places:
+        return 0.0
+    by_slots = queue_step(room, pace)
+    if room.online < places:
+        return min(GIVE_WAY_TIME, (total - places + 1) * by_slots)
+    return (room.online - places + 1) * by_slots
+
+
+def expected_first(room: EngineRoom, tokens: int, pace: ServicePace) -> float:
+    """Seconds to the first event of a request with so many prompt tokens."""
+    return queue_wait(room, pace) + pace.first_event(room.unread + tokens) * room.factors.first
+
+
+def is_timely(room: EngineRoom, tokens: int, pace: ServicePace, left: float) -> bool:
+    """Whether a request's first event is expected within `left` seconds."""
+    return pace.known and expected_first(room, tokens, pace) + pace.margin <= left
+
+
+def any_place(rooms: Iterable[EngineRoom], pace: ServicePace) -> bool:
+    """Whether any engine has a place that no online work needs."""
+    return any(room.has_place(pace) for room in rooms)
+
+
+def extra_places(room: EngineRoom, tokens: int, pace: ServicePace) -> float:
+    """How much worse than an even engine of the same load one is, in places of a queue.
+
+    Counts what the request waits longer for its first event. One place is what an engine of the
+    service needs to come free of one request, so this can be held against other reasons to go
+    elsewhere; 0 for an even engine, below 0 for one that is faster.
+    """
+    if room.factors is EVEN or not pace.known:
+        return 0.0
+    even = EngineRoom(room.slots, room.online, room.batch, room.unread)
+    step = pace.queue_step(room.slots)
+    if step <= 0:
+        return 0.0
+    return (expected_first(room, tokens, pace) - expected_first(even, tokens, pace)) / step
--- a/postvalve/core/routing/route_table.py
+++ b/postvalve/core/routing/route_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from postvalve.core.admission.api_keys import find_by_key
 from postvalve.core.randomness import RandomSource
@@ -29,6 +29,7 @@
             for tenant in configuration.tenants or ()
             for digest in tenant.key_digests
         }
+        self._pause_aims = _pause_aims(configuration.routes)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
 
@@ -68,11 +69,26 @@
         """The tenant that an API key belongs to."""
         return find_by_key(key, self._by_key)
 
+    def pause_aim(self, service: str) -> float | None:
+        """Seconds between events that callers of a service bear: the least of its online routes."""
+        return self._pause_aims.get(service)
+
     def service(self, name: str) -> ServiceSpec | None:
         """A service by its name."""
         return self._services.get(name)
 
 
+def _pause_aims(routes: Iterable[RouteSpec]) -> dict[str, float]:
+    """By service, the least of the online routes to it."""
+    aims: dict[str, float] = {}
+    for route in routes:
+        if route.pause_aim is None or route.batch is not None:
+            continue
+        for target in route.targets:
+            aims[target.service] = min(route.pause_aim, aims.get(target.service, route.pause_aim))
+    return aims
+
+
 def choose_target(targets: Sequence[WeightedService], generator: RandomSource) -> str:
     """Draw a service by the weights."""
     if len(targets) == 1:
--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -7,15 +7,21 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.engine_use import EngineUse, UseCount, relaxed_slots
-from postvalve.core.admission.holding import EngineRoom, expected_first
 from postvalve.core.admission.service_pace import ServicePace
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.randomness import RandomSource
 from postvalve.core.routing.engine_choice import AFFINITY_TOKENS, EngineChooser, EngineOption
+from postvalve.core.routing.expectation import (
+    EngineRoom,
+    any_place,
+    expected_first,
+    extra_places,
+    is_timely,
+)
 from postvalve.events import EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.listed_engines import ListedEngines
-from postvalve.gateway.fleet.placement import Placement
+from postvalve.gateway.fleet.placement import ConsideredEngine, Placement
 from postvalve.gateway.interfaces import EngineEntry, RequestTerms
 from postvalve.settings.routes import ServiceSpec
 
@@ -35,7 +41,7 @@
     room: EngineRoom
 
 
-def _room_of(entry: EngineEntry, count: UseCount) -> EngineRoom:
+def _even_room(entry: EngineEntry, count: UseCount) -> EngineRoom:
     return EngineRoom(entry.slots, count.online, count.batch, count.unread)
 
 
@@ -56,13 +62,9 @@
 def _timely(
     candidates: list[_Candidate], pace: ServicePace, tokens: int, left: float
 ) -> list[EngineOption]:
-    """Engines by which a request can be in time; else those with a free slot; else all."""
-    timely = [
-        one.option
-        for one in candidates
-        if pace.known and expected_first(one.room, tokens, pace) + pace.margin <= left
-    ]
-    free = [one.option for one in candidates if one.room.online < one.room.slots]
+    """Engines by which a request can be in time; else those with a free place; else all."""
+    timely = [one.option for one in candidates if is_timely(one.room, tokens, pace, left)]
+    free = [one.option for one in candidates if one.room.has_place(pace)]
     return timely or free or [one.option for one in candidates]
 
 
@@ -81,7 +83,9 @@
         self._chooser = EngineChooser(zone, generator)
         self._random = generator
         self.use = EngineUse()
-        self._paces: dict[str, ServicePace] = {}
+        self.paces.counted = lambda life: self.use.total(life).total
+        self.pause_aim: Callable[[str], float | None] = lambda service: None
+        """Gives the seconds between events that callers of a service bear; None for no bound."""
         self.service_named: Callable[[str], ServiceSpec | None] = lambda name: None
         """Gives a service of the configuration in force."""
         self.watched: Callable[[], Collection[EngineLife]] = tuple
@@ -100,12 +104,32 @@
 
     def pace(self, service: str) -> ServicePace:
         """What this node has learnt of a service's engines."""
-        return self._paces.setdefault(service, ServicePace())
+        return self.paces.service(service)
+
+    def _rooms_of(self, service: str) -> Callable[[EngineEntry, UseCount], EngineRoom]:
+        """Gives the room of each engine of a service as it is now."""
+        if not self.paces.uneven(service):
+            return _even_room
+        now = self._clock.monotonic()
+        pause_aim = self.pause_aim(service)
+
+        def room_of(entry: EngineEntry, count: UseCount) -> EngineRoom:
+            return EngineRoom(
+                entry.slots,
+                count.online + self.paces.not_counted(entry.life, now),
+                count.batch,
+                count.unread,
+                self.paces.factors(service, entry.life, now),
+                pause_aim,
+            )
+
+        return room_of
 
     def rooms(self, service: str) -> list[EngineRoom]:
         """Load of each sound engine of a service; of all where none is sound."""
         entries = self._sound(self.engines(service))
-        return [_room_of(entry, self.use.total(entry.life)) for entry in entries]
+        room_of = self._rooms_of(service)
+        return [room_of(entry, self.use.total(entry.life)) for entry in entries]
 
     def has_room(self, service: str) -> bool:
         """Whether a sound engine has a slot that no online work needs, or there is no engine.
@@ -113,18 +137,16 @@
         The answer that `rooms` would give too, by the first engine that has one.
         """
         entries = self.engines(service)
+        room_of, pace = self._rooms_of(service), self.pace(service)
         any_sound = False
         for one in entries:
             if self._standings.is_suspect(one.life):
                 continue
             any_sound = True
-            if self._has_slot(one):
+            if room_of(one, self.use.total(one.life)).has_place(pace):
                 return True
         # Where none is sound, all count.
-        return not entries or (not any_sound and any(map(self._has_slot, entries)))
-
-    def _has_slot(self, entry: EngineEntry) -> bool:
-        return self.use.total(entry.life).online < entry.slots
+        return not entries or (not any_sound and any_place(self.rooms(service), pace))
 
     def place_online(
         self, service: str, terms: RequestTerms, excluded: Iterable[EngineLife], left: float
@@ -139,13 +161,13 @@
         """
         memory = terms.shared_tokens + terms.own_tokens + terms.output_tokens
         memory_tokens = self._memory_of(service)
+        pace, room_of = self.pace(service), self._rooms_of(service)
         candidates = [
-            self._candidate(entry, memory, memory_tokens)
+            self._candidate(entry, memory, memory_tokens, room_of, terms.own_tokens)
             for entry in self._looked_at(service, terms, set(excluded))
         ]
         if not candidates:
             return None
-        pace = self.pace(service)
         options = _timely(candidates, pace, terms.own_tokens, left)
         best = self._chooser.choose(options, terms.prefix_key, terms.shared_tokens, self.watched())
         chosen = next(one for one in candidates if one.option.life == best.life)
@@ -153,6 +175,10 @@
         expected = expected_first(chosen.room, unread, pace)
         placement = self._enter(chosen.entry, False, unread, memory)
         placement.expected = expected
+        if self.paces.uneven(service):
+            placement.considered = [
+                ConsideredEngine(one.option.life, one.room) for one in candidates
+            ]
         if self.excess(best.life):
             self.on_crowded(best.life)
         return placement
@@ -190,19 +216,28 @@
         unread = terms.shared_tokens + terms.own_tokens
         return self._enter(entry, False, unread, unread + terms.output_tokens)
 
-    def _candidate(self, entry: EngineEntry, memory: int, memory_tokens: int) -> _Candidate:
+    def _candidate(
+        self,
+        entry: EngineEntry,
+        memory: int,
+        memory_tokens: int,
+        room_of: Callable[[EngineEntry, UseCount], EngineRoom],
+        tokens: int,
+    ) -> _Candidate:
         count = self.use.total(entry.life)
+        room = room_of(entry, count)
         option = EngineOption(
             entry.life,
             entry.zone,
             entry.slots,
-            count.total,
+            room.online + count.batch,
             count.batch,
             count.unread,
             self._is_cold(entry.life),
             _memory_short(count.memory, memory, memory_tokens),
+            extra_places(room, tokens, self.pace(entry.service)),
         )
-        return _Candidate(entry, option, _room_of(entry, count))
+        return _Candidate(entry, option, room)
 
     def batch_room(self, service: str, *, pressing: bool) -> int:
         """Batch items that the service's engines have room for now."""
@@ -233,7 +268,9 @@
             return 0
         if not pressing and self._is_cold(entry.life):
             return 0
-        return self.use.batch_room(entry.life, entry.slots, pressing=pressing)
+        room = self._rooms_of(entry.service)(entry, self.use.total(entry.life))
+        places = room.places(self.pace(entry.service))
+        return self.use.batch_room(entry.life, places, pressing=pressing)
 
     def place_batch(
         self,
@@ -255,9 +292,11 @@
         """
         skipped = set(excluded)
         memory_tokens = self._memory_of(service)
+        room_of = self._rooms_of(service)
         rooms = [
             (
-                self._room(entry, pressing),
+                # One that has to start soon goes where it ends soon.
+                self._room(entry, pressing) / (self._held(entry, room_of) if pressing else 1.0),
                 entry.zone == self._zone,
                 self._random.uniform(0, 1),
                 entry,
@@ -273,6 +312,12 @@
         chosen = max(near, key=lambda one: one[:3])[3]
         return self._enter(chosen, True, prompt, prompt + output)
 
+    def _held(
+        self, entry: EngineEntry, room_of: Callable[[EngineEntry, UseCount], EngineRoom]
+    ) -> float:
+        """How many times as long as usual an engine holds a slot."""
+        return room_of(entry, self.use.total(entry.life)).factors.held
+
     def excess(self, life: EngineLife) -> int:
         """Batch items of all nodes that should give way at an engine."""
         entry = self._engines.get(life)
--- /dev/null
+++ b/postvalve/gateway/fleet/engine_paces.py
@@ -0,0 +1,245 @@
+"""What this node knows of how fast engines are: learnt, told by engines, and told by peers."""
+
+from __future__ import annotations
+
+import math
+import struct
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+
+from postvalve.clock import Clock
+from postvalve.core.admission.engine_use import engine_hash
+from postvalve.core.admission.service_pace import ServicePace
+from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.attempt_times import AttemptTimes
+from postvalve.core.routing.engine_load import CountCorrection, EngineLoad, PaceReading, PaceSignal
+from postvalve.core.routing.engine_pace import Aspect, EnginePace, LifeShown, PaceFactors
+from postvalve.core.routing.pace_telling import PaceTeller, unpack_told
+from postvalve.events import Event, EventLog
+from postvalve.gateway.fleet.placement import Placement
+
+LOOK_INTERVAL = 0.25
+"""Seconds between looks at which engines differ, at the least."""
+CHANGES_TOLD = 8
+"""Engines of which one look tells by a line each that they begin or cease to differ."""
+BAD_LOADS_TOLD = 1_000
+"""Engines whose bad figures are told of, once each."""
+
+
+@dataclass(frozen=True, slots=True)
+class PaceFacts:
+    """What is known of one engine's pace; ages in seconds, None where nothing is known."""
+
+    learnt: PaceFactors
+    weight: float
+    """Of the samples of all nodes."""
+    age: float | None = None
+    """Since the newest of them."""
+    told: float | None = None
+    """What the engine told last, for 1.0 as usual."""
+    told_age: float | None = None
+    trust: float = 0.0
+    """How much of it counts still, from 0 to 1."""
+
+
+def _age(at: float, now: float) -> float | None:
+    return now - at if math.isfinite(at) else None
+
+
+class EnginePaces:
+    """Paces of all services and engines."""
+
+    def __init__(self, clock: Clock, events: EventLog) -> None:
+        self._clock = clock
+        self._events = events
+        self._services: dict[str, ServicePace] = {}
+        self.learnt = EnginePace()
+        self._signals: dict[str, PaceSignal] = {}
+        self._counts = CountCorrection()
+        self._near = PaceTeller()
+        self._far = PaceTeller()
+        self._bad_loads: set[int] = set()
+        self._looked_at = float("-inf")
+        self.counted: Callable[[EngineLife], int] = lambda life: 0
+        """Gives the requests of all nodes at an engine, as this node counts them."""
+
+    def service(self, service: str) -> ServicePace:
+        """The pace of a service's engines together."""
+        return self._services.setdefault(service, ServicePace())
+
+    def keep(self, services: Mapping[EngineLife, str]) -> None:
+        """The directory lists these engines: what was known of other lives ends with them."""
+        self.learnt.keep(services)
+        lives = {engine_hash(life) for life in services}
+        self._counts.keep(lives)
+        self._bad_loads &= lives
+        for signal in self._signals.values():
+            signal.keep(lives)
+
+    def uneven(self, service: str) -> bool:
+        """Whether engines of a service tell their pace, or differ by what they showed."""
+        signal = self._signals.get(service)
+        return self.learnt.differs(service) or (signal is not None and signal.told)
+
+    def factors(self, service: str, life: EngineLife, now: float) -> PaceFactors:
+        """How much longer than usual for its service an engine takes now."""
+        key = engine_hash(life)
+        factors = self.learnt.factors(key)
+        signal = self._signals.get(service)
+        told = signal.factor(key, now) if signal is not None else 1.0
+        return factors if told == 1.0 else factors.times(told)
+
+    def facts(self, service: str, life: EngineLife, now: float) -> PaceFacts:
+        """What is known of an engine's pace, with its age."""
+        key = engine_hash(life)
+        shown = self.learnt.total(key, now)
+        signal = self._signals.get(service)
+        reading = signal.readings().get(key) if signal is not None else None
+        if signal is None or reading is None:
+            return PaceFacts(self.learnt.factors(key), shown.weight, _age(shown.newest_at, now))
+        told_age = now - reading.at
+        return PaceFacts(
+            self.learnt.factors(key),
+            shown.weight,
+            _age(shown.newest_at, now),
+            math.exp(reading.value),
+            told_age,
+            signal.trust(told_age),
+        )
+
+    def not_counted(self, life: EngineLife, now: float) -> int:
+        """Requests at an engine that no node reports, as it told itself."""
+        return self._counts.requests(engine_hash(life), now)
+
+    # What attempts show
+
+    def note_load(self, placement: Placement, load: EngineLoad) -> None:
+        """An engine told its load with an answer."""
+        if load.pace is None:
+            # Engines that tell no pace are taken as they always were.
+            return
+        life = placement.engine.life
+        key = engine_hash(life)
+        service = placement.engine.service
+        self._signals.setdefault(service, PaceSignal()).note(key, load.pace, load.at)
+        self._counts.note(key, load.requests, self.counted(life), load.at)
+
+    def note_bad_load(self, life: EngineLife, told: str) -> None:
+        """An engine's figures can't be read: it is named once."""
+        key = engine_hash(life)
+        if key in self._bad_loads or len(self._bad_loads) >= BAD_LOADS_TOLD:
+            return
+        self._bad_loads.add(key)
+        self._events.emit(Event.ENGINE_LOAD_UNREADABLE, engine=life, told=told)
+
+    def note_first_event(self, placement: Placement, seconds: float) -> None:
+        """An attempt's first event came after so many seconds."""
+        if not placement.found_slot:
+            return
+        pace = self.service(placement.engine.service)
+        if pace.known:
+            expected = pace.first_event(placement.to_read)
+            self._observe(placement, Aspect.FIRST, seconds, expected)
+
+    def note_end(self, placement: Placement, times: AttemptTimes, *, whole: bool = True) -> None:
+        """An attempt ended by no fault of its engine.
+
+        Args:
+            placement: Where.
+            times: Of its events.
+            whole: Whether it got its last event; one that was ended by this system still shows
+                how fast its events came.
+        """
+        pause = times.mean_pause
+        if not pause:
+            return
+        pace = self.service(placement.engine.service)
+        running = placement.running
+        pace.observe_pause(running, pause)
+        if times.asked_at:
+            # Items are read in the intervals of a poll, which show no single pause.
+            pace.observe_longest_pause(running, times.longest_pause)
+        usual = pace.pause(running)
+        if not usual:
+            return
+        self._observe(placement, Aspect.PAUSE, pause, usual)
+        if whole and pace.known and placement.found_slot:
+            held = self._clock.monotonic() - times.placed_at
+            expected = pace.first_event(placement.to_read) + usual * (times.events - 1)
+            self._observe(placement, Aspect.HELD, held, expected)
+
+    def _observe(
+        self, placement: Placement, aspect: Aspect, seconds: float, expected: float
+    ) -> None:
+        now = self._clock.monotonic()
+        self.learnt.observe(placement.engine.life, aspect, seconds, expected, now)
+
+    # What peers tell
+
+    def tell(self, peers: int) -> bytes:
+        """The part of a report to so many peers of the zone."""
+        now = self._clock.monotonic()
+        lives = self._worth_telling(self.learnt.own(now))
+        return self._near.part(lives, self._readings(lambda peer: not peer), peers, now)
+
+    def tell_zone(self, peers: list[str], zones: int) -> bytes:
+        """The part of a digest of this node and these peers, to so many zones."""
+        now = self._clock.monotonic()
+        lives = self._worth_telling(self.learnt.sum_of(peers, now))
+        near = {"", *peers}
+        return self._far.part(lives, self._readings(near.__contains__), zones, now)
+
+    def _worth_telling(
+        self, lives: Iterator[tuple[int, LifeShown]]
+    ) -> Iterator[tuple[int, LifeShown]]:
+        """Lives of services whose engines tell their pace, or of which one differs."""
+        return (one for one in lives if self.uneven(self.learnt.service_of(one[0])))
+
+    def _readings(self, heard_from: Callable[[str], bool]) -> Iterator[tuple[int, PaceReading]]:
+        """The newest reading of each engine that came from some peers, or from the engine."""
+        return (
+            (life, one)
+            for signal in self._signals.values()
+            for life, one in signal.readings().items()
+            if heard_from(one.peer)
+        )
+
+    def hear(self, peer: str, data: bytes) -> None:
+        """Take in what a peer tells; a part that is cut is left out."""
+        if not data:
+            return
+        try:
+            told = unpack_told(data, self._clock.monotonic())
+        except struct.error as exc:
+            self._events.emit(Event.PEER_MESSAGE_INVALID, peer=peer, error=str(exc))
+            return
+        for life, shown in told.lives:
+            self.learnt.hear(peer, life, shown)
+        for life, value, at in told.readings:
+            if service := self.learnt.service_of(life):
+                self._signals.setdefault(service, PaceSignal()).note(life, value, at, peer)
+
+    def forget(self, peer: str) -> None:
+        """What a peer told comes by another way now."""
+        self.learnt.forget(peer)
+
+    # What follows
+
+    def look(self) -> None:
+        """Work out which engines differ; called a few times a second."""
+        now = self._clock.monotonic()
+        if now - self._looked_at < LOOK_INTERVAL:
+            return
+        self._looked_at = now
+        changes = self.learnt.look(now)
+        for change in changes[:CHANGES_TOLD]:
+            self._events.emit(
+                Event.ENGINE_DIFFERS if change.differs else Event.ENGINE_DIFFERS_NO_MORE,
+                engine=change.life,
+                first=round(change.factors.first, 2),
+                pause=round(change.factors.pause, 2),
+                held=round(change.factors.held, 2),
+                weight=round(change.weight, 1),
+                age=round(change.age, 2),
+                others=len(changes) - 1,
+            )
--- a/postvalve/gateway/fleet/listed_engines.py
+++ b/postvalve/gateway/fleet/listed_engines.py
@@ -10,6 +10,7 @@
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.engine_paces import EnginePaces
 from postvalve.gateway.fleet.engine_standing import EngineStandings
 from postvalve.gateway.fleet.usable_engines import UsableEngines
 from postvalve.gateway.interfaces import EngineEntry, EngineState
@@ -36,6 +37,7 @@
         self.directory_age: Callable[[], float] = float
         """Gives the seconds of which this node does not know how the directory changed."""
         self._standings = EngineStandings(clock)
+        self.paces = EnginePaces(clock, events)
         self._warm_at: dict[EngineLife, float] = {}
         """Monotonic seconds at which engines that told to be cold are warm."""
 
@@ -62,6 +64,7 @@
                     within=round(self.directory_age(), 3),
                 )
         self._engines = engines
+        self.paces.keep({life: entry.service for life, entry in engines.items()})
         self._usable = {}
         updated, self._updated = self._updated, GeventEvent()
         updated.set()
--- /dev/null
+++ b/postvalve/gateway/fleet/load_reading.py
@@ -0,0 +1,22 @@
+"""Hands on what an engine tells of its load with each answer."""
+
+from __future__ import annotations
+
+from postvalve.clock import Clock
+from postvalve.core.routing.engine_load import EngineLoadError
+from postvalve.gateway.fleet.engine_paces import EnginePaces
+from postvalve.gateway.fleet.placement import Placement
+from postvalve.gateway.interfaces import Dialect, Headers
+
+
+def read_load(
+    dialect: Dialect, clock: Clock, paces: EnginePaces, placement: Placement, headers: Headers
+) -> None:
+    """Read an answer's head; what can't be read is left out, and its engine named once."""
+    try:
+        load = dialect.engine_load(headers, clock.monotonic())
+    except EngineLoadError as exc:
+        paces.note_bad_load(placement.engine.life, str(exc))
+        return
+    if load is not None:
+        paces.note_load(placement, load)
--- a/postvalve/gateway/fleet/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -133,6 +133,7 @@
         if now - self._looked_at >= TARGETS_AGE:
             self._looked_at = now
             self._expire(now)
+            self._fleet.paces.look()
             self.on_look()
             self._targets = self._find_targets()
         if self._changed.is_set():
@@ -194,6 +195,14 @@
         parts = {number: tell() for number, tell in self.extensions.items()}
         return {number: data for number, data in parts.items() if data}
 
+    def tell_pace(self) -> None:
+        """Tell peers how fast engines are, too."""
+        self.extensions[Extension.ENGINE_PACE] = self._engine_pace
+        self.zones.engine_pace = self._fleet.paces.tell_zone
+
+    def _engine_pace(self) -> bytes:
+        return self._fleet.paces.tell(sum(map(len, self._targets)))
+
     def receive(self, data: bytes, address: str) -> None:
         """Take a datagram."""
         try:
@@ -225,6 +234,7 @@
         if not self._peers.observe(report, now):
             return
         self._fleet.use.observe(report.node_id, report.engine_use)
+        self._fleet.paces.hear(report.node_id, report.extensions.get(Extension.ENGINE_PACE, b""))
         self.items.observe(report.node_id, report.items_running)
         if first:
             self.look_again()
--- a/postvalve/gateway/fleet/placement.py
+++ b/postvalve/gateway/fleet/placement.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.expectation import EngineRoom
 from postvalve.gateway.interfaces import EngineEntry
 
 
+@dataclass(frozen=True, slots=True)
+class ConsideredEngine:
+    """An engine that a request might have been sent to, as this node saw it then."""
+
+    life: EngineLife
+    room: EngineRoom
+
+
 @dataclass(slots=True)
 class Placement:
     """An engine chosen for one attempt, counted as used until it is left."""
@@ -28,6 +39,14 @@
     expected: float = 0.0
     """Seconds to the first event, as this node expected."""
 
+    considered: Sequence[ConsideredEngine] = ()
+    """Engines that were looked at, where those of the service differ."""
+
+    @property
+    def running(self) -> int:
+        """Requests that ran at the engine with this one, as far as this node knew."""
+        return min(self.engine.slots, self.online_seen + self.batch_seen + 1)
+
     @property
     def found_slot(self) -> bool:
         """Whether a slot was free, as far as this node knew."""
--- a/postvalve/gateway/fleet/zone_digests.py
+++ b/postvalve/gateway/fleet/zone_digests.py
@@ -7,6 +7,7 @@
 import gevent
 
 from postvalve.core.batch.giving_way import RunningItems
+from postvalve.core.membership.extensions import Extension
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneDigestError, unpack_digest
 from postvalve.core.membership.zone_reporting import (
@@ -46,6 +47,9 @@
         """Whether this node was its zone's reporter at the last look."""
         self._spare_at = float("-inf")
         self.own_report: Callable[[], LoadReport] = lambda: LoadReport("", 0, 0)
+        self.engine_pace: Callable[[list[str], int], bytes] = lambda names, zones: b""
+        """Gives what this node and some of its peers have seen of engines' pace, for so many zones.
+        """
         self.on_digest: Callable[[ZoneDigest], None] = lambda digest: None
 
     def run(self) -> None:
@@ -69,8 +73,11 @@
             self._events.emit(Event.ZONE_REPORTED, reporter=reports, nodes=len(neighbours) + 1)
         if not reports or not self._reporting.is_due(len(zones), now):
             return
-        use = self._fleet.use.report_of(peer.node_id for peer in neighbours)
-        packed = self._reporting.make(self.own_report(), neighbours, use, now)
+        names = [peer.node_id for peer in neighbours]
+        use = self._fleet.use.report_of(names)
+        pace = self.engine_pace(names, len(zones))
+        told: dict[int, bytes] = {Extension.ENGINE_PACE: pace} if pace else {}
+        packed = self._reporting.make(self.own_report(), neighbours, use, now, told)
         data = encode_frame(gateway.ZoneDigest(packed=packed), 0)
         spare = now - self._spare_at >= SPARE_INTERVAL
         if spare:
@@ -132,6 +139,7 @@
         elif digest.members is not None:
             self._note_changes(digest, before, set(known.members))
         self._fleet.use.observe(digest.key, digest.engine_use)
+        self._fleet.paces.hear(digest.key, digest.extensions.get(Extension.ENGINE_PACE, b""))
         zone = self._peers.zones()[digest.zone]
         self._items.observe_zone(
             digest.key, digest.items_running, zone.order if zone.members_known else ()
@@ -144,6 +152,7 @@
         for peer in self._peers.neighbours(zone):
             self._peers.drop(peer.node_id)
             self._fleet.use.forget(peer.node_id)
+            self._fleet.paces.forget(peer.node_id)
             self._items.forget(peer.node_id)
 
     def _note_changes(self, digest: ZoneDigest, before: set[str], after: set[str]) -> None:
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -227,6 +227,7 @@
     def _connect(self) -> None:
         self.configuration.listen(self._configuration_changed)
         self._fleet.service_named = self._service_named
+        self._fleet.pause_aim = self._pause_aim
         self._claims.heard_all = self._reports.zones.heard_all
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
@@ -235,6 +236,7 @@
         self._reports.store_failing = lambda: self._topics.failing
         self._reports.directory = self._directory.state
         self._reports.on_look = self._look
+        self._reports.tell_pace()
         self._reports.on_quarantine_news = self._sharing.receive
         self._sharing.on_learned = self._note_usable
         self._topics.on_change = self._reports.changed
@@ -358,7 +360,7 @@
             "store_away": self._directory.store_away,
             "store_silence": round(min(MAX_SILENCE, self._log.silence()), 2),
             "nodes": peer_rows(self.peers, self._clock.monotonic()),
-            "engines": engine_rows(self._fleet),
+            "engines": engine_rows(self._fleet, self._clock.monotonic()),
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
@@ -411,6 +413,10 @@
         table = self.configuration.table
         return table.service(name) if table else None
 
+    def _pause_aim(self, service: str) -> float | None:
+        table = self.configuration.table
+        return table.pause_aim(service) if table else None
+
     def _follow_jobs(self) -> None:
         self._usable.wait(JOBS_PATIENCE)
         self._log.follower.run()
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -11,6 +11,7 @@
 from postvalve.core.admission.fleet_limits import LimitBounds
 from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.engine_load import EngineLoad
 from postvalve.exceptions import PlatformError, Verdict
 
 Headers = Sequence[tuple[str, str]]
@@ -101,6 +102,14 @@
         """Judge the head of an engine's answer."""
         ...
 
+    def engine_load(self, headers: Headers, now: float) -> EngineLoad | None:
+        """What an engine's answer, read at `now`, tells of its load; None where it tells nothing.
+
+        Raises:
+            EngineLoadError: it tells what can't be.
+        """
+        ...
+
     def retry_headers(self, seconds: float) -> list[tuple[str, str]]:
         """Headers that tell a client when to come back."""
         ...
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -15,12 +15,14 @@
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.membership import load_report
 from postvalve.core.membership.peers import PeerView
+from postvalve.core.routing.attempt_times import AttemptTimes
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_data, event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.load_reading import read_load
 from postvalve.gateway.fleet.load_reports import LoadReports
 from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
@@ -290,10 +292,13 @@
         if item.cancelled:
             answer.abort()
             return
+        item.times = AttemptTimes(self._clock.monotonic())
         answer.read_head(EVENT_SILENCE)
+        read_load(self._dialect, self._clock, self._fleet.paces, placement, answer.headers)
         self._judge(item, placement, item_id, answer)
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
+            self._fleet.paces.note_end(placement, item.times)
             self._fleet.note_success(engine.life)
             guard.note_answered()
             self._complete(item)
@@ -360,8 +365,7 @@
             number = event_id_of(event)
             if number is None:
                 continue
-            if item.placement is not None:
-                self._fleet.note_read(item.placement)
+            self._note_event(item)
             if item.guard is not None:
                 item.guard.note_event()
             item.events.append(event_data(event))
@@ -369,6 +373,15 @@
             if not answer.has_event():
                 gevent.sleep(READ_PAUSE)
 
+    def _note_event(self, item: RunningItem) -> None:
+        times, placement = item.times, item.placement
+        times.note_event(self._clock.monotonic())
+        if placement is None:
+            return
+        self._fleet.note_read(placement)
+        if times.events == 1:
+            self._fleet.paces.note_first_event(placement, times.first_event)
+
     def _note_failure(self, item: RunningItem, placement: Placement, error: PostvalveError) -> None:
         if item.cancelled:
             return
@@ -379,6 +392,7 @@
         if item.guard is not None:
             item.guard.note_failure(error)
         if item.preempted:
+            self._fleet.paces.note_end(placement, item.times, whole=False)
             self._events.emit(
                 Event.ROUTED_ITEM_PREEMPTED,
                 job=item.job_id,
--- a/postvalve/gateway/jobs/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.attempt_times import AttemptTimes
 from postvalve.gateway.engines.engine_connections import EngineAnswer
 from postvalve.gateway.engines.request_guard import RequestGuard
 from postvalve.gateway.fleet.placement import Placement
@@ -35,6 +36,8 @@
     """Whether a peer has told this node to stop its present attempt."""
     answer: EngineAnswer | None = None
     placement: Placement | None = None
+    times: AttemptTimes = field(default_factory=lambda: AttemptTimes(0.0))
+    """Of its present attempt's events."""
     started_at: float = 0.0
     run_seconds: float = 0.0
     """Seconds that its former attempts ran."""
--- a/postvalve/gateway/serving/pace_observer.py
+++ b/postvalve/gateway/serving/pace_observer.py
@@ -5,11 +5,21 @@
 from dataclasses import dataclass
 
 from postvalve.clock import Clock
+from postvalve.core.routing.attempt_times import AttemptTimes
+from postvalve.core.routing.expectation import expected_first
 from postvalve.events import Event, EventLog
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
-from postvalve.gateway.fleet.placement import Placement
+from postvalve.gateway.fleet.placement import ConsideredEngine, Placement
 from postvalve.gateway.metrics import GatewayMetrics
 
+CANDIDATES_TOLD = 6
+"""Engines of which a line tells: the one that was chosen, and those that were expected to be first.
+"""
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 2)
+
 
 @dataclass(slots=True)
 class Attempts:
@@ -52,10 +62,21 @@
         self._placed_at = 0.0
         self._first_at = 0.0
         """When the first event came; 0 before."""
+        self._times = AttemptTimes(0.0)
+        """Of the attempt under way."""
 
     def note_placed(self, now: float) -> None:
         """An attempt begins."""
         self._placed_at = now
+        self._times = AttemptTimes(now)
+
+    def note_asked(self) -> None:
+        """The next event is asked for: its reader is not behind."""
+        self._times.asked_at = self._clock.monotonic()
+
+    def note_event(self) -> None:
+        """An event was read."""
+        self._times.note_event(self._clock.monotonic())
 
     def note_first_event(self, placement: Placement | None, attempts: Attempts) -> None:
         """The request's first event came."""
@@ -81,10 +102,45 @@
             waited=round(waited, 3),
         )
 
+        if placement.considered:
+            self._tell_considered(placement)
+
+    def _tell_considered(self, placement: Placement) -> None:
+        """Tell of the engines that a late request might have been sent to, the best ones."""
+        pace = self._fleet.pace(self._service)
+        tokens = placement.to_read - placement.unread_seen
+        expected = [(expected_first(one.room, tokens, pace), one) for one in placement.considered]
+        expected.sort(key=lambda one: (one[1].life != placement.engine.life, one[0]))
+        self._events.emit(
+            Event.PLACED_BY_PACE,
+            request=self._request_id,
+            engine=placement.engine.life,
+            engines=len(expected),
+            candidates=[
+                self._candidate_fields(one, seconds) for seconds, one in expected[:CANDIDATES_TOLD]
+            ],
+        )
+
+    def _candidate_fields(self, one: ConsideredEngine, seconds: float) -> dict[str, object]:
+        now = self._clock.monotonic()
+        facts = self._fleet.paces.facts(self._service, one.life, now)
+        return {
+            "engine": one.life,
+            "expected_ms": round(seconds * 1000),
+            "online": one.room.online,
+            "batch": one.room.batch,
+            "first": round(one.room.factors.first, 2),
+            "pause": round(one.room.factors.pause, 2),
+            "held": round(one.room.factors.held, 2),
+            "age": _rounded(facts.age),
+            "told_age": _rounded(facts.told_age),
+        }
+
     def _learn_first_event(self, placement: Placement) -> None:
         now = self._first_at = self._clock.monotonic()
         pace = self._fleet.pace(self._service)
         seconds = now - self._placed_at
+        self._fleet.paces.note_first_event(placement, seconds)
         if placement.found_slot:
             pace.observe_first(placement.to_read, seconds)
         if not pace.known:
@@ -102,3 +158,4 @@
         pace = self._fleet.pace(self._service)
         read = min(self._first_at - self._placed_at, pace.first_event(placement.to_read))
         pace.observe_held(self._clock.monotonic() - self._first_at + max(0.0, read))
+        self._fleet.paces.note_end(placement, self._times)
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -17,6 +17,7 @@
 from postvalve.gateway.engines.event_stream import event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.load_reading import read_load
 from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
@@ -291,6 +292,7 @@
     def _judge(self, answer: EngineAnswer) -> None:
         terms = self._request.terms
         judge = self._services.dialect.judge
+        self._note_load(answer)
         judgement = judge(terms.request_id, answer.status, answer.headers)
         life = self._life
         if judgement is Judgement.REFUSED:
@@ -310,6 +312,11 @@
             self._guard.note_engine_failed()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
+    def _note_load(self, answer: EngineAnswer) -> None:
+        if self._placement is not None:
+            paces = self._fleet.paces
+            read_load(self._services.dialect, self._clock, paces, self._placement, answer.headers)
+
     def _passes_on(self, judgement: Judgement) -> bool:
         """Whether the client gets an engine's failure: the last one, while it has no head.
 
@@ -428,6 +435,7 @@
         assert answer is not None
         while True:
             silence = EVENT_SILENCE if self._progress.events else HEAD_SILENCE
+            self._pace.note_asked()
             event = answer.read_event(self._patience(silence))
             if not event:
                 rest = answer.rest_of_body()
@@ -449,6 +457,7 @@
 
     def _note_event(self, event: bytes) -> None:
         progress = self._progress
+        self._pace.note_event()
         self._guard.note_event()
         if self._placement is not None:
             self._fleet.note_read(self._placement)
--- a/postvalve/gateway/status.py
+++ b/postvalve/gateway/status.py
@@ -8,6 +8,7 @@
 from postvalve.core.batch.job_board import JobBoard
 from postvalve.core.membership.peers import PeerView
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.interfaces import EngineEntry
 
 
 def peer_rows(peers: PeerView, now: float) -> list[dict[str, Any]]:
@@ -25,7 +26,26 @@
     ]
 
 
-def engine_rows(fleet: EngineFleet) -> list[dict[str, Any]]:
+def _pace_fields(fleet: EngineFleet, entry: EngineEntry, now: float) -> dict[str, Any]:
+    """How many times as long as usual for its service an engine takes: learnt, and told by it."""
+    facts = fleet.paces.facts(entry.service, entry.life, now)
+    return {
+        "pace_first": round(facts.learnt.first, 2),
+        "pace_pause": round(facts.learnt.pause, 2),
+        "pace_held": round(facts.learnt.held, 2),
+        "pace_weight": round(facts.weight, 1),
+        "pace_age": _rounded(facts.age),
+        "pace_told": _rounded(facts.told),
+        "pace_told_age": _rounded(facts.told_age),
+        "pace_trust": round(facts.trust, 2),
+    }
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 2)
+
+
+def engine_rows(fleet: EngineFleet, now: float) -> list[dict[str, Any]]:
     """The engines of the directory with the requests of all nodes, as this node counts them."""
     rows = []
     for entry in sorted(fleet.listed_engines(), key=lambda one: one.engine_id):
@@ -42,6 +62,7 @@
                 "batch": count.batch,
                 "unread_tokens": count.unread,
                 "memory_tokens": count.memory,
+                **_pace_fields(fleet, entry, now),
             }
         )
     return rows
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from postvalve.core.admission.request_identity import RequestIdentity, identify
+from postvalve.core.routing.engine_load import EngineLoad, EngineLoadError
 from postvalve.exceptions import AuthenticationError
 from postvalve.gateway.interfaces import Headers, Judgement, RequestTerms
 
@@ -17,10 +18,17 @@
 TOKENS = "Token-Count"
 RETRY_AFTER = "Retry-After"
 ENCODING = "Content-Encoding"
+ENGINE_LOAD = "Server-Load"
 API_KEY = "Api-Key"
 TENANT = "Tenant"
 CALLER_HEADERS = frozenset(("authorization", "proxy-authorization", "cookie", "x-api-key"))
 """Headers by which callers may name themselves where the configuration names no tenants."""
+MOST_REQUESTS = 1_000_000
+"""Requests and slots that an engine may tell of; more are taken for nonsense."""
+MOST_PERCENT = 100_000
+"""The same for how long work takes there, where 100 is as usual."""
+MOST_TOLD = 80
+"""Characters of a load that can't be read which are told of."""
 MISDIRECTED = 421
 IMPOSSIBLE = 422
 
@@ -109,6 +117,26 @@
             return Judgement.HOPELESS
         return Judgement.ACCEPTED if 200 <= status < 300 else Judgement.FAILED
 
+    def engine_load(self, headers: Headers, now: float) -> EngineLoad | None:
+        """See `Dialect`."""
+        told = [value for name, value in headers if _plain(name) == ENGINE_LOAD.lower()]
+        if not told:
+            return None
+        numbers = [_number(figure) for figure in ",".join(told).split(",")]
+        match numbers:
+            case [int(running), int(waiting), int(slots)]:
+                percent = None
+            case [int(running), int(waiting), int(slots), int(percent)]:
+                pass
+            case _:
+                raise EngineLoadError(",".join(told)[:MOST_TOLD])
+        if max(running, waiting, slots) > MOST_REQUESTS or not slots:
+            raise EngineLoadError(",".join(told)[:MOST_TOLD])
+        if percent is not None and not 0 < percent <= MOST_PERCENT:
+            raise EngineLoadError(",".join(told)[:MOST_TOLD])
+        pace = percent / 100 if percent is not None else None
+        return EngineLoad(now, running, waiting, slots, pace)
+
     def retry_headers(self, seconds: float) -> list[tuple[str, str]]:
         """See `Dialect`."""
         return [(RETRY_AFTER, f"{seconds:.3f}")]
--- a/postvalve/platform/fleet.py
+++ b/postvalve/platform/fleet.py
@@ -59,6 +59,7 @@
     kind: str
     timeoutMs: float = 30_000.0  # noqa: N815
     targetLatencyMs: float = 1_000.0  # noqa: N815
+    gapAimMs: float | None = None  # noqa: N815
     maxAttempts: int = 1  # noqa: N815
     priority: int = 0
     service: str | None = None
@@ -86,6 +87,7 @@
             repeat=self._repeat(),
             timeout=self.timeoutMs / 1000,
             target_latency=self.targetLatencyMs / 1000,
+            pause_aim=self.gapAimMs / 1000 if self.gapAimMs else None,
             max_attempts=max(1, self.maxAttempts),
             priority=self.priority,
             batch=self._batch(),
--- a/postvalve/settings/routes.py
+++ b/postvalve/settings/routes.py
@@ -51,6 +51,9 @@
     repeat: RepeatPolicy = RepeatPolicy.ONCE
     timeout: float = Field(gt=0, description="seconds a request may be held")
     target_latency: float = Field(1.0, gt=0, description="seconds to an answer or first event")
+    pause_aim: float | None = Field(
+        None, gt=0, description="seconds between events that callers bear; none: no bound"
+    )
     max_attempts: int = Field(1, ge=1, description="engines that one request may go to")
     priority: int = Field(0, ge=0, description="0 is the most urgent")
     batch: BatchTerms | None = None
--- /dev/null
+++ b/tests/test_expectation.py
@@ -0,0 +1,230 @@
+"""One answer for all who ask what an engine takes; even engines are taken as they were before."""
+
+import random
+import unittest
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from postvalve.core.admission.engine_use import engine_hash
+from postvalve.core.admission.holding import HeldRequest, finds_room
+from postvalve.core.admission.service_pace import ServicePace
+from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.engine_choice import (
+    ALMOST_FULL,
+    COLD_TOKENS,
+    FULL_TOKENS,
+    GIVE_WAY_TOKENS,
+    LOAD_TOKENS,
+    SLOT_TOKENS,
+    ZONE_TOKENS,
+    EngineChooser,
+    EngineOption,
+)
+from postvalve.core.routing.engine_pace import Aspect, PaceFactors
+from postvalve.core.routing.expectation import (
+    GIVE_WAY_TIME,
+    EngineRoom,
+    expected_first,
+    extra_places,
+    places_within,
+    queue_wait,
+)
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
+from tests.gateway_support import QuietLog
+
+SLOTS = 8
+SERVICE = "s"
+SLOW = PaceFactors(2.0, 2.0, 2.0)
+loads = st.tuples(st.integers(1, 12), st.integers(0, 20), st.integers(0, 20), st.integers(0, 9_000))
+
+
+def learnt(first=0.06, held=0.8, pause=0.04, longest=0.1):
+    pace = ServicePace()
+    for number in range(40):
+        pace.observe_first(100 + number * 30, first + number * 0.001)
+        pace.observe_held(held)
+        pace.observe_pause(1 + number % SLOTS, pause)
+        pace.observe_longest_pause(1 + number % SLOTS, longest * (1 + number % SLOTS) / SLOTS)
+    return pace
+
+
+def former_queue_wait(room, pace):
+    """As it was before engines had factors."""
+    total = room.online + room.batch
+    if total < room.slots:
+        return 0.0
+    by_slots = pace.queue_step(room.slots)
+    if room.online < room.slots:
+        return min(GIVE_WAY_TIME, (total - room.slots + 1) * by_slots)
+    return (room.online - room.slots + 1) * by_slots
+
+
+def former_expected_first(room, tokens, pace):
+    return former_queue_wait(room, pace) + pace.first_event(room.unread + tokens)
+
+
+def former_finds_room(req, rooms, pace, now):
+    if not rooms or any(room.online < room.slots for room in rooms):
+        return True
+    if not pace.known:
+        return min(room.online - room.slots for room in rooms) < 1
+    left = req.arrived_at + req.target_latency - now
+    first = min(former_expected_first(room, req.tokens, pace) for room in rooms)
+    return first + pace.margin <= left
+
+
+def former_cost(option, zone):
+    cost = option.unread + LOAD_TOKENS * option.load
+    cost += ZONE_TOKENS if option.zone != zone else 0
+    cost += COLD_TOKENS if option.cold else 0
+    if option.online >= ALMOST_FULL * option.slots:
+        cost += FULL_TOKENS
+    elif option.in_flight >= option.slots:
+        cost += GIVE_WAY_TOKENS
+    if option.memory_short > 0:
+        cost += SLOT_TOKENS + option.memory_short
+    return cost + SLOT_TOKENS * max(0, option.online - option.slots + 1)
+
+
+class EvenEnginesTest(unittest.TestCase):
+    @given(st.lists(loads, max_size=6), st.integers(0, 3_000), st.floats(0, 2), st.booleans())
+    def test_what_is_expected_is_as_before(self, drawn, tokens, now, known):
+        pace = learnt() if known else ServicePace()
+        rooms = [EngineRoom(*one, pause_aim=0.001) for one in drawn]
+        req = HeldRequest(0.0, 0.3, 5.0, tokens, True)
+        self.assertEqual(
+            finds_room(req, rooms, pace, now), former_finds_room(req, rooms, pace, now)
+        )
+        for room in rooms:
+            self.assertEqual(queue_wait(room, pace), former_queue_wait(room, pace))
+            self.assertEqual(
+                expected_first(room, tokens, pace), former_expected_first(room, tokens, pace)
+            )
+            self.assertEqual(extra_places(room, tokens, pace), 0.0)
+
+    @given(st.lists(st.tuples(loads, st.booleans(), st.booleans()), min_size=1, max_size=12),
+           st.integers(0, 1_000))  # fmt: skip
+    def test_the_choice_is_as_before(self, drawn, seed):
+        options = [
+            EngineOption(EngineLife.of(f"e{n}"), "near" if near else "far", slots,
+                         online + batch, batch, unread, cold)
+            for n, ((slots, online, batch, unread), near, cold) in enumerate(drawn)
+        ]  # fmt: skip
+        choice = EngineChooser("near", random.Random(seed)).choose(options, "", 0)
+        draw = random.Random(seed)
+        near = [one for one in options if one.zone == "near"]
+        far = [one for one in options if one.zone != "near"]
+        looked = [*draw.sample(near, min(2, len(near))), *draw.sample(far, min(2, len(far)))]
+        best = min(looked, key=lambda one: former_cost(one, "near"))
+        self.assertEqual((choice.life, choice.cost), (best.life, former_cost(best, "near")))
+
+
+class UnevenEnginesTest(unittest.TestCase):
+    def test_a_slow_engine_takes_longer_in_every_part(self):
+        pace = learnt()
+        for online in (0, SLOTS, SLOTS + 3):
+            even = EngineRoom(SLOTS, online, 0, 0)
+            slow = EngineRoom(SLOTS, online, 0, 0, SLOW)
+            ratio = expected_first(slow, 100, pace) / expected_first(even, 100, pace)
+            self.assertAlmostEqual(ratio, 2.0)
+            self.assertGreater(extra_places(slow, 100, pace), 0.0)
+
+    def test_a_fast_engine_is_worth_less_than_nothing_more(self):
+        fast = EngineRoom(SLOTS, 0, 0, 0, PaceFactors(0.5, 0.5, 0.5))
+        self.assertLess(extra_places(fast, 100, learnt()), 0.0)
+
+    def test_places_follow_from_the_pauses_that_callers_bear(self):
+        pace = learnt(longest=0.4)
+        self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW).places(pace), SLOTS)
+        self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW, 0.8).places(pace), SLOTS)
+        self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW, 0.41).places(pace), SLOTS // 2)
+
+    def test_a_slow_one_still_gets_something(self):
+        self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW, 1e-6).places(learnt()), 1)
+
+    def test_nothing_known_of_pauses_bounds_nothing(self):
+        self.assertEqual(places_within(SLOTS, ServicePace(), 4.0, 0.001), SLOTS)
+
+    @given(st.integers(1, 64), st.floats(0.25, 4.0), st.floats(0.001, 5.0))
+    def test_places_are_within_slots(self, slots, factor, aim):
+        self.assertTrue(1 <= places_within(slots, learnt(), factor, aim) <= slots)
+
+    def test_who_waits_and_who_is_in_time_take_the_same_answer(self):
+        pace = learnt()
+        req = HeldRequest(0.0, 0.3, 5.0, 100, True)
+        for factors in (SLOW, PaceFactors(0.5, 0.5, 0.5)):
+            for online in range(SLOTS, SLOTS + 5):
+                room = EngineRoom(SLOTS, online, 0, 0, factors)
+                in_time = expected_first(room, 100, pace) + pace.margin <= 0.3
+                self.assertEqual(finds_room(req, [room], pace, 0.0), in_time)
+
+
+class FleetTest(unittest.TestCase):
+    """The shell: one node's choice among engines that showed to differ."""
+
+    def setUp(self):
+        self.clock = mock.Mock(**{"monotonic.return_value": 100.0})
+        self.log = QuietLog()
+        self.fleet = EngineFleet("z", self.clock, self.log, mock.Mock(), random.Random(1))
+        self.lives = [EngineLife.of(f"e{number}", 1) for number in range(4)]
+        self.fleet.update(
+            EngineEntry(life, SERVICE, f"{life}:1", "z", SLOTS, EngineState.READY)
+            for life in self.lives
+        )
+        self.fleet.paces._services[SERVICE] = learnt()
+
+    def show(self, life, factor):
+        for _ in range(20):
+            for aspect in Aspect:
+                self.fleet.paces.learnt.observe(life, aspect, 0.05 * factor, 0.05, 100.0)
+        self.clock.monotonic.return_value += 1.0
+        self.fleet.paces.look()
+
+    def place(self):
+        terms = RequestTerms("r", None, None, "", 0, 100, 10)
+        return self.fleet.place_online(SERVICE, terms, (), 0.3)
+
+    def test_a_slow_engine_gets_less_while_others_have_room(self):
+        self.show(self.lives[0], 2.5)
+        placed = [self.place() for _ in range(16)]
+        counts = {life: sum(one.engine.life == life for one in placed) for life in self.lives}
+        self.assertLess(counts[self.lives[0]], 2)
+        self.assertTrue(all(counts[life] >= 3 for life in self.lives[1:]))
+
+    def test_it_still_takes_what_the_others_have_no_slots_for(self):
+        self.show(self.lives[0], 2.5)
+        placed = [self.place() for _ in range(4 * SLOTS)]
+        counts = {life: sum(one.engine.life == life for one in placed) for life in self.lives}
+        self.assertGreaterEqual(counts[self.lives[0]], SLOTS // 2)
+
+    def test_one_that_is_said_to_differ_is_logged_once(self):
+        self.show(self.lives[0], 2.5)
+        self.show(self.lives[0], 2.5)
+        told = [fields["engine"] for event, fields in self.log.written if "DIFFERS" in event.name]
+        self.assertEqual(told, [self.lives[0]])
+
+    def test_even_engines_tell_peers_nothing(self):
+        for _ in range(3):
+            self.clock.monotonic.return_value += 1.0
+            self.assertEqual(self.fleet.paces.tell(20), b"")
+            for life in self.lives:
+                self.show(life, 1.0)
+        self.assertFalse(self.fleet.paces.uneven(SERVICE))
+
+    def test_what_a_peer_tells_wrongly_is_left_out(self):
+        self.fleet.paces.hear("n1", b"\x09cut")
+        self.assertIn("PEER_MESSAGE_INVALID", [event.name for event, _ in self.log.written])
+        self.assertFalse(self.fleet.paces.uneven(SERVICE))
+
+    def test_a_replaced_engine_begins_as_the_others(self):
+        self.show(self.lives[0], 2.5)
+        again = EngineLife.of("e0", 2)
+        self.fleet.update(
+            EngineEntry(life, SERVICE, f"{life}:1", "z", SLOTS, EngineState.READY)
+            for life in (again, *self.lives[1:])
+        )
+        self.assertFalse(self.fleet.paces.uneven(SERVICE))
+        self.assertEqual(self.fleet.paces.learnt.factors(engine_hash(again)).pause, 1.0)
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -16,15 +16,13 @@
     REFUSE_SHARE,
     RETURN_SHARE,
     RETURN_SPREAD,
-    EngineRoom,
     HeldRequest,
     OverloadEpisodes,
     Ruling,
-    expected_first,
-    queue_wait,
     rule,
 )
 from postvalve.core.admission.service_pace import LONGEST_QUEUE_FACTOR, ServicePace
+from postvalve.core.routing.expectation import EngineRoom, expected_first, queue_wait
 from postvalve.events import Event
 from tests.answers import read_answer
 from tests.gateway_support import STREAM_PATH, GatewayFleet
