Uneven engines under virtual time; a slot held longer counts in the choice

Emulator: engines have a slowness and times of noise (EngineNoise) as settings.

Change: extra_places adds (held - 1) x load: what the next request waits longer, as likely as the engine is full.

--- a/postvalve/core/routing/expectation.py
+++ b/postvalve/core/routing/expectation.py
@@ -95,9 +95,10 @@
 def extra_places(room: EngineRoom, tokens: int, pace: ServicePace) -> float:
     """How much worse than an even engine of the same load one is, in places of a queue.
 
-    Counts what the request waits longer for its first event. One place is what an engine of the
-    service needs to come free of one request, so this can be held against other reasons to go
-    elsewhere; 0 for an even engine, below 0 for one that is faster.
+    Counts what the request waits longer for its first event, and what the next one waits longer for
+    its slot, as likely as the engine is full. One place is what an engine of the service needs to
+    come free of one request, so this can be held against other reasons to go elsewhere; 0 for an
+    even engine, below 0 for one that is faster.
     """
     if room.factors is EVEN or not pace.known:
         return 0.0
@@ -105,4 +106,6 @@
     step = pace.queue_step(room.slots)
     if step <= 0:
         return 0.0
-    return (expected_first(room, tokens, pace) - expected_first(even, tokens, pace)) / step
+    own = (expected_first(room, tokens, pace) - expected_first(even, tokens, pace)) / step
+    load = min(1.0, (room.online + room.batch) / room.slots)
+    return own + (room.factors.held - 1.0) * load
--- a/postvalve/emulator/engine_model.py
+++ b/postvalve/emulator/engine_model.py
@@ -15,6 +15,18 @@
 PREFIX_BLOCK_CHARACTERS = 256
 
 
+@dataclass(frozen=True, slots=True)
+class EngineNoise:
+    """Times in which an engine is slower, since it shares its machine with others."""
+
+    share: float = 0.0
+    """Of all times."""
+    factor: float = 1.0
+    """How many times as long work takes in them."""
+    seconds: float = 0.6
+    """Length of each time, slow or not."""
+
+
 @dataclass(frozen=True, slots=True)
 class EngineParameters:
     """Size and speed of an engine."""
@@ -29,6 +41,20 @@
     """Seconds for each prompt token that the prefix cache does not hold."""
     cache_blocks: int = 4096
     """Capacity of the prefix cache, blocks of 256 characters."""
+    slowness: float = 1.0
+    """How many times as long as usual all work takes."""
+    noise: EngineNoise = EngineNoise()
+
+    def pace(self, name: str, now: float) -> float:
+        """How many times as long as usual work takes at engine `name` now.
+
+        A function of both: a run is the same each time.
+        """
+        noise = self.noise
+        if noise.share <= 0:
+            return self.slowness
+        turn = xxhash.xxh32_intdigest(f"{name} {int(now / noise.seconds)}".encode())
+        return self.slowness * (noise.factor if turn < noise.share * 2**32 else 1.0)
 
 
 @dataclass(slots=True)
@@ -200,14 +226,18 @@
         self.cache.admit(exported.cache_salt, exported.prompt_text)
         return len(self.cache)
 
-    def step(self) -> StepResult:
-        """Run one step of the batch, after choosing it by priority and arrival."""
+    def step(self, pace: float = 1.0) -> StepResult:
+        """Run one step of the batch, after choosing it by priority and arrival.
+
+        Args:
+            pace: How many times as long as usual it takes.
+        """
         self._running = sorted(self._sequences.values(), key=lambda one: one.order)
         del self._running[self.parameters.slots :]
         result = StepResult()
         if not self._running:
             return result
-        result.duration = self._step_duration()
+        result.duration = self._step_duration() * pace
         for sequence in self._running:
             result.emissions.append(self._advance(sequence))
         for emission in result.emissions:
--- a/postvalve/emulator/virtual_engine.py
+++ b/postvalve/emulator/virtual_engine.py
@@ -152,10 +152,14 @@
         if self._stepping or self.model.idle or not self.alive:
             return
         self._stepping = True
-        result = self.model.step()
+        result = self.model.step(self.pace())
         self._note_load()
         self.loop.call_for(self.place.owner, result.duration, self._finish_step, result)
 
+    def pace(self) -> float:
+        """How many times as long as usual work takes now."""
+        return self.model.parameters.pace(self.place.owner, self.loop.now())
+
     def _finish_step(self, result: StepResult) -> None:
         self._stepping = False
         for emission in result.emissions:
