--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -294,7 +294,6 @@
             return
         item.times = AttemptTimes(self._clock.monotonic())
         answer.read_head(EVENT_SILENCE)
-        read_load(self._dialect, self._clock, self._fleet.paces, placement, answer.headers)
         self._judge(item, placement, item_id, answer)
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
@@ -331,6 +330,8 @@
         self, item: RunningItem, placement: Placement, item_id: str, answer: EngineAnswer
     ) -> None:
         judgement = self._dialect.judge(item_id, answer.status, answer.headers)
+        paces = self._fleet.paces
+        read_load(self._dialect, self._clock, paces, placement, judgement, answer.headers)
         life = placement.engine.life
         guard = item.guard
         if guard is not None and judgement in ANSWERS:
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -292,8 +292,8 @@
     def _judge(self, answer: EngineAnswer) -> None:
         terms = self._request.terms
         judge = self._services.dialect.judge
-        self._note_load(answer)
         judgement = judge(terms.request_id, answer.status, answer.headers)
+        self._note_load(judgement, answer)
         life = self._life
         if judgement is Judgement.REFUSED:
             raise AttemptError(f"the engine refused: {answer.status}", Verdict.NOT_RUN)
@@ -312,10 +312,11 @@
             self._guard.note_engine_failed()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
-    def _note_load(self, answer: EngineAnswer) -> None:
-        if self._placement is not None:
-            paces = self._fleet.paces
-            read_load(self._services.dialect, self._clock, paces, self._placement, answer.headers)
+    def _note_load(self, judgement: Judgement, answer: EngineAnswer) -> None:
+        placement = self._placement
+        if placement is not None:
+            dialect, paces = self._services.dialect, self._fleet.paces
+            read_load(dialect, self._clock, paces, placement, judgement, answer.headers)
 
     def _passes_on(self, judgement: Judgement) -> bool:
         """Whether the client gets an engine's failure: the last one, while it has no head.
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -32,6 +32,8 @@
         """Seconds before the head."""
         self.events = 3
         self.piecewise = False
+        self.load = None
+        """What it tells of its load with each answer."""
         self.__dict__.update(changes)
 
 
@@ -147,6 +149,8 @@
         gevent.sleep(behaviour.thinks)
         told = "other" if behaviour.foreign else request_id
         common = f"Request-Id: {told}\r\nResponse-Seal: seal-{self.engine_id}\r\n"
+        if behaviour.load is not None:
+            common += f"Server-Load: {behaviour.load}\r\n"
         if behaviour.status != 200:
             connection.sendall(
                 f"HTTP/1.1 {behaviour.status} -\r\n{common}Content-Length: 0\r\n\r\n".encode()
