--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -251,6 +251,7 @@
     def _connect(self) -> None:
         self.configuration.listen(self._configuration_changed)
         self._fleet.service_named = self._service_named
+        self._fleet.pause_aim = self._pause_aim
         self._claims.heard_all = self._reports.zones.heard_all
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
@@ -264,6 +265,7 @@
         self._line.own_report = self._reports.next_report
         self._line.on_granted = self._waiting_room.look
         self._reports.extensions[Extension.SHARE_CLOCK] = self._shares.pack
+        self._reports.tell_pace()
         self._reports.on_quarantine_news = self._sharing.receive
         self._sharing.on_learned = self._note_usable
         self._topics.on_change = self._reports.changed
@@ -388,7 +390,7 @@
             "store_away": self._directory.store_away,
             "store_silence": round(min(MAX_SILENCE, self._log.silence()), 2),
             "nodes": peer_rows(self.peers, self._clock.monotonic()),
-            "engines": engine_rows(self._fleet),
+            "engines": engine_rows(self._fleet, self._clock.monotonic()),
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
@@ -450,6 +452,10 @@
         table = self.configuration.table
         return table.service(name) if table else None
 
+    def _pause_aim(self, service: str) -> float | None:
+        table = self.configuration.table
+        return table.pause_aim(service) if table else None
+
     def _follow_jobs(self) -> None:
         self._usable.wait(JOBS_PATIENCE)
         self._log.follower.run()
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -12,12 +12,15 @@
 from postvalve.core.batch.item_order import DurationEstimate
 from postvalve.core.batch.job_board import BoardJob
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.attempt_times import AttemptTimes
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, PostvalveError, QuarantinedError, Verdict
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_data, event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.load_reading import read_load
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
 from postvalve.gateway.jobs.item_ends import ItemEnds
 from postvalve.gateway.jobs.item_progress import ProgressLog
@@ -125,10 +128,12 @@
         if item.cancelled:
             answer.abort()
             return
+        item.times = AttemptTimes(self._clock.monotonic())
         answer.read_head(EVENT_SILENCE)
         self._judge(item, placement, item_id, answer)
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
+            self._fleet.paces.note_end(placement, item.times)
             self._fleet.note_success(engine.life)
             guard.note_answered()
             self._complete(item)
@@ -161,6 +166,8 @@
         self, item: RunningItem, placement: Placement, item_id: str, answer: EngineAnswer
     ) -> None:
         judgement = self._dialect.judge(item_id, answer.status, answer.headers)
+        paces = self._fleet.paces
+        read_load(self._dialect, self._clock, paces, placement, judgement, answer.headers)
         life = placement.engine.life
         guard = item.guard
         if guard is not None and judgement in ANSWERS:
@@ -195,8 +202,7 @@
             number = event_id_of(event)
             if number is None:
                 continue
-            if item.placement is not None:
-                self._fleet.note_read(item.placement)
+            self._note_event(item)
             if item.guard is not None:
                 item.guard.note_event()
             item.events.append(event_data(event))
@@ -204,6 +210,15 @@
             if not answer.has_event():
                 gevent.sleep(READ_PAUSE)
 
+    def _note_event(self, item: RunningItem) -> None:
+        times, placement = item.times, item.placement
+        times.note_event(self._clock.monotonic())
+        if placement is None:
+            return
+        self._fleet.note_read(placement)
+        if times.events == 1:
+            self._fleet.paces.note_first_event(placement, times.first_event)
+
     def _note_failure(self, item: RunningItem, placement: Placement, error: PostvalveError) -> None:
         if item.cancelled:
             return
@@ -214,6 +229,7 @@
         if item.guard is not None:
             item.guard.note_failure(error)
         if item.preempted:
+            self._fleet.paces.note_end(placement, item.times, whole=False)
             self._tell_preempted(item, life)
             return
         item.failed_engine = life
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -24,7 +24,9 @@
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.load_reading import read_load
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.caller_accounts import RequestAccount
@@ -311,6 +313,7 @@
         terms = self._request.terms
         judge = self._services.dialect.judge
         judgement = judge(terms.request_id, answer.status, answer.headers)
+        self._note_load(judgement, answer)
         life = self._life
         if judgement is Judgement.REFUSED:
             raise AttemptError(f"the engine refused: {answer.status}", Verdict.NOT_RUN)
@@ -329,6 +332,12 @@
             self._guard.note_engine_failed()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
+    def _note_load(self, judgement: Judgement, answer: EngineAnswer) -> None:
+        placement = self._placement
+        if placement is not None:
+            dialect, paces = self._services.dialect, self._fleet.paces
+            read_load(dialect, self._clock, paces, placement, judgement, answer.headers)
+
     def _passes_on(self, judgement: Judgement) -> bool:
         """Whether the client gets an engine's failure: the last one, while it has no head.
 
@@ -449,6 +458,7 @@
         assert answer is not None
         while True:
             silence = EVENT_SILENCE if self._progress.events else HEAD_SILENCE
+            self._pace.note_asked()
             event = answer.read_event(self._patience(silence))
             if not event:
                 rest = answer.rest_of_body()
@@ -471,6 +481,7 @@
 
     def _note_event(self, event: bytes) -> None:
         progress = self._progress
+        self._pace.note_event()
         self._guard.note_event()
         if self._placement is not None:
             self._fleet.note_read(self._placement)
