Test: online work of peers that has ended leaves its room to batch (fails)

Fails: after a peer's report without an engine, or a peer that is gone, the mean of that engine's online requests stays what it was, and no item starts there until another online request comes to it (room -1 for 7).

--- a/tests/test_online_means.py
+++ b/tests/test_online_means.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from postvalve.core.admission.engine_use import EngineUse
+from postvalve.core.admission.engine_use import EngineUse, engine_hash
 from postvalve.core.admission.online_means import KEPT_WINDOWS, WINDOW, OnlineMeans
 
 
@@ -55,6 +55,30 @@
         use.means.roll(4 * WINDOW)
         self.assertEqual(use.batch_room("e", 8), 7)
 
+    def test_work_of_peers_that_has_ended_leaves_the_room_it_took(self):
+        """A report names only engines where something runs, and a peer that is gone tells nothing:
+        items would never start at an engine where no other online request comes."""
+        for drop in (lambda use: use.observe("n1", b""), lambda use: use.forget("n1")):
+            peer, use = EngineUse(), EngineUse()
+            for _ in range(8):
+                peer.enter("e", batch=False)
+            use.observe("n1", peer.report())
+            use.means.roll(WINDOW)
+            drop(use)
+            use.means.roll(3 * WINDOW)
+            self.assertEqual(use.batch_room("e", 8), 7)
+            use.means.roll(WINDOW * (KEPT_WINDOWS + 3))
+            self.assertEqual(len(use.means._engines), 0)
+
+    def test_each_report_of_a_peer_is_one_count(self):
+        """The one between taking its former counts off and adding the new ones is no count."""
+        peer, use = EngineUse(), EngineUse()
+        for _ in range(4):
+            peer.enter("e", batch=False)
+            use.observe("n1", peer.report())
+        use.means.roll(WINDOW)
+        self.assertEqual(use.means.at(engine_hash("e")), 2.5)
+
     def test_steady_work_changes_nothing(self):
         for pressing in (True, False):
             steady, fresh = self.use(3, 3), EngineUse()
