Online means hear of peers' work that has ended

Cause: OnlineMeans was told only of engines that a peer's new report names. A report leaves out engines where nothing of the peer runs, and a peer that is gone was taken off without a word; so the last number stood as the mean for good. With 8 phantom requests of 8 slots no item starts at the engine until an online request comes to it.

Ruled out: the own requests of a node (told at each change); the window (it rolls at each look).

Change: the engines of the former report are counted, too, each once for a report.

Before: room -1 of 8 slots for ever, the engine never forgotten; after: 7, forgotten (test_work_of_peers_that_has_ended_leaves_the_room_it_took).

Conclusion: in a lull, and after a node's death, batch gets the slots that are free.

--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -137,7 +137,8 @@
         if self._reports.get(node_id) == report:
             return
         self._reports[node_id] = report
-        self._subtract(self._peers.get(node_id, {}))
+        former = self._peers.get(node_id, {})
+        self._subtract(former)
         counts: dict[int, UseCount] = {}
         whole = len(report) - len(report) % _ENTRY.size
         for key, online, batch, unread, memory in _ENTRY.iter_unpack(report[:whole]):
@@ -147,13 +148,20 @@
             total.batch += batch
             total.unread += count.unread
             total.memory += count.memory
-            self.means.note(key, total.online)
         self._peers[node_id] = counts
+        # A report leaves out engines where nothing of the peer runs any more.
+        self._note_online(former.keys() | counts.keys())
 
     def forget(self, node_id: str) -> None:
         """Drop the counts of a peer that is gone."""
         self._reports.pop(node_id, None)
-        self._subtract(self._peers.pop(node_id, {}))
+        former = self._peers.pop(node_id, {})
+        self._subtract(former)
+        self._note_online(former)
+
+    def _note_online(self, keys: Iterable[int]) -> None:
+        for key in keys:
+            self.means.note(key, self._total(key).online)
 
     def _subtract(self, counts: dict[int, UseCount]) -> None:
         for key, count in counts.items():
