--- a/tests/test_item_preemption.py
+++ b/tests/test_item_preemption.py
@@ -74,6 +74,18 @@
         self.tell(50)
         self.assertEqual(self.stopped(), [0, 1])
 
+    def test_a_word_of_the_next_excess_stops_an_item(self):
+        """A word about the excess that the own look saw comes as fast as datagrams do; one that
+        comes later is about another online request, which would wait until it is said again."""
+        self.items = [running(0, 50), running(1, 50)]
+        self.excess = 1
+        self.preemption.look()
+        stopped = next(one for one in self.items if one.preempted)
+        stopped.running = False
+        self.now += 0.2
+        self.tell(50)
+        self.assertEqual(self.stopped(), [0, 1])
+
     def test_a_word_about_another_engine_or_much_later_stops_an_item(self):
         for engine, later in (("e1", 0.0), ("e0", TOLD_TIME)):
             self.items = [running(0, 50)]
