A node is deaf to words about its own finds no longer than these take to come

Cause: a word for an engine was swallowed for 0.4 s after the own look had stopped an item there (TOLD_TIME, the time in which told items leave the reports), where no word had come about that item. It is least urgent, so any word fits it. In a heap the next online request comes within that time: its word stopped nothing, the watcher said it again 0.4 s later only, and the request waited for a batch item unless the own look saw it sooner (reports of a zone come 0.08 to 0.5 s apart).

Ruled out: comparing the urgencies exactly (items of a job have the same one); ending it when the next report is built (reports out of turn go to other watchers).

Change: FOUND_TIME, from the delay of a telling and two gatherings of datagrams: 0.17 s.

Conclusion: a late word may stop an item too many; online requests don't wait for that.

--- a/postvalve/gateway/jobs/item_preemption.py
+++ b/postvalve/gateway/jobs/item_preemption.py
@@ -6,11 +6,18 @@
 from dataclasses import dataclass
 
 from postvalve.core.admission.engine_use import engine_hash
-from postvalve.core.batch.giving_way import TOLD_TIME, RunningItems, encode_running, giving_way
+from postvalve.core.batch.giving_way import RunningItems, encode_running, giving_way
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.membership.report_pace import GATHER_SHARE, IDLE_INTERVAL
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.engine_watch import TELL_DELAY
 from postvalve.gateway.jobs.running_item import RunningItem
 
+FOUND_TIME = TELL_DELAY + 2 * GATHER_SHARE * IDLE_INTERVAL
+"""Seconds within which a peer's word about an excess comes that this node has seen itself: the
+request that made it is told out of turn, and datagrams gather twice on the way. A later word is
+about another online request, which waits for the item that this node doesn't stop."""
+
 
 @dataclass(slots=True)
 class _Found:
@@ -106,7 +113,7 @@
         The peer has seen the same excess, and a second item would go for it.
         """
         now = self._now()
-        self._found = [one for one in self._found if now - one.at < TOLD_TIME]
+        self._found = [one for one in self._found if now - one.at < FOUND_TIME]
         for found in self._found:
             if found.gone and found.engine == engine and found.urgency >= urgency:
                 self._found.remove(found)
