--- /dev/null
+++ b/tests/test_item_attempts.py
@@ -0,0 +1,71 @@
+"""An attempt of an item that was told to give way before its request was sent."""
+
+import unittest
+from unittest import mock
+
+from postvalve.core.routing.attempt_times import AttemptTimes
+from postvalve.events import Event
+from postvalve.exceptions import AttemptError, Verdict
+from postvalve.gateway.jobs.item_attempts import ItemAttempts
+from postvalve.gateway.jobs.running_item import RunningItem
+
+
+class GivesWayEarlyTest(unittest.TestCase):
+    def setUp(self):
+        self.events, self.fleet, self.pool = mock.Mock(), mock.Mock(), mock.Mock()
+        self.fleet.takes_work.return_value = True
+        self.sent = 0
+        estimate = mock.Mock()
+        estimate.seconds_left.return_value = 1.0
+        clock = mock.Mock(monotonic=lambda: 10.0, wall=lambda: 10.0)
+        self.item = RunningItem("j", 0, "c", 20_000, running=True, started_at=9.0)
+        self.item.guard = mock.Mock()
+        self.item.times = self.former = AttemptTimes(1.0)
+        self.placement = self.item.placement = mock.Mock()
+        job = mock.Mock(items=[mock.Mock(item_id="i")])
+        req = mock.Mock(headers=[], target="/", body=b"")
+        dialect = mock.Mock(**{"attempt_headers.return_value": []})
+        self.jobs = mock.Mock(**{"item_request.return_value": req})
+        self.attempts = ItemAttempts(
+            clock,
+            self.events,
+            mock.Mock(board=mock.Mock(jobs={"j": job})),
+            self.jobs,
+            self.fleet,
+            self.pool,
+            dialect,
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
+            estimate,
+            mock.Mock(),
+        )
+
+    def start(self, *args, wanted):
+        """Open a connection, as the pool does, while the item is told to go."""
+        self.item.preempted = True
+        if not wanted():
+            raise AttemptError("not wanted", Verdict.NOT_RUN)
+        self.sent += 1
+        raise AttemptError("cut", Verdict.MAY_HAVE_RUN)
+
+    def test_its_request_is_not_sent(self):
+        """Else the engine reads its prompt in a slot that an online request waits for."""
+        self.pool.start = self.start
+        self.attempts.run(self.item, self.placement)
+        self.assertEqual(self.sent, 0)
+        self.assertEqual(self.events.emit.call_args.args, (Event.ROUTED_ITEM_PREEMPTED,))
+        self.fleet.note_failure.assert_not_called()
+        self.assertFalse(self.item.running)
+
+    def test_it_says_nothing_of_the_engines_pace(self):
+        """The times of its former attempt are another engine's."""
+        self.pool.start = self.start
+        self.attempts.run(self.item, self.placement)
+        for call in self.fleet.paces.note_end.call_args_list:
+            self.assertIsNot(call.args[1], self.former)
+            self.assertEqual(call.args[1].events, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
