An item told to go while it connects sends nothing and tells no pace

Cause: _stop aborts an answer, and before the request is sent there is none; so the request went out, and the engine read its prompt in the slot that an online request waited for, up to the first event. And the joining of paces: the times of an attempt were set only once its request was sent, so an end before that was noted with those of the former attempt for this one's engine.

Ruled out: stopping it in _stop (the greenlet may hold a connection that is being opened).

Change: the pool asks whether a stopped item is still wanted; one that was stopped while its request was sent is aborted; times begin with the attempt.

Conclusion: what was told to go leaves its slot at once, whatever it was at.

--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -78,6 +78,8 @@
     def run(self, item: RunningItem, placement: Placement) -> None:
         """Run an item that was counted in at an engine, and count it out."""
         held = True
+        # Until the request is sent those of the former attempt, at another engine, would stand.
+        item.times = AttemptTimes(self._clock.monotonic())
         try:
             self._attempt(item, placement)
         except PostvalveError as error:
@@ -109,11 +111,13 @@
         guard.check()
         engine = placement.engine
 
+        if item.cancelled or not self._fleet.takes_work(engine.life):
+            return
+
         def wanted() -> bool:
-            return self._fleet.takes_work(engine.life)
+            # One that was told to go has no answer to abort yet.
+            return not item.preempted and self._fleet.takes_work(engine.life)
 
-        if item.cancelled or not wanted():
-            return
         headers = self._dialect.attempt_headers(
             self._dialect.item_headers(named, item_id, job.accepted.host),
             job.accepted.tenant,
@@ -128,6 +132,9 @@
         if item.cancelled:
             answer.abort()
             return
+        if item.preempted:
+            answer.abort()
+            raise AttemptError("the attempt was ended", Verdict.MAY_HAVE_RUN)
         item.times = AttemptTimes(self._clock.monotonic())
         answer.read_head(EVENT_SILENCE)
         self._judge(item, placement, item_id, answer)
