--- a/tests/test_item_shares.py
+++ b/tests/test_item_shares.py
@@ -8,6 +8,7 @@
 
 from postvalve.core.batch.item_end import ItemEnd, ItemState
 from postvalve.core.batch.item_order import (
+    HOPELESS_PENALTY_MS,
     TAG_STEP,
     DurationEstimate,
     ShareRank,
@@ -247,6 +248,16 @@
         self.assertEqual(ordered, sorted(ordered))
         self.assertEqual(len(set(ordered)), len(ordered))
 
+    def test_one_that_is_late_for_long_waits_no_longer_behind_all_others(self):
+        """Else a tenant's late items never start while another sends more than there is room for;
+        by due time they do after the same time."""
+        due = 20_000
+        for late, goes_first in ((HOPELESS_PENALTY_MS - 1, False), (HOPELESS_PENALTY_MS, True)):
+            now = due + late
+            old = share_urgency(ShareRank(0, 0), due, now, 1.0)
+            new = share_urgency(ShareRank(0, TAG_STEP), now + 10_000, now, 1.0)
+            self.assertEqual(old < new, goes_first)
+
     @given(st.integers(0, 2**70), st.integers(0, 2**50), st.integers(0, 99), st.floats(0, 10**6))
     def test_it_fits_a_report(self, tag, due, priority, left):
         self.assertLess(self.rank(tag, due, priority, left), 1 << 64)
