By shares a late item waits no longer behind all others than by due time

Cause: that an item can't be in time was the highest bit of its urgency for good. By due time it costs 600 s (HOPELESS_PENALTY_MS). With a long keep a tenant's late items never started while another sent more than there was room for.

Ruled out: the test of starvation (no item of it is late). Keep of 60 s, as the planned sites have it: nothing changes there.

Change: the bit stands until 600 s after the due time; then priority, share and due time count.

Before: an item late by 600 s after one of a later step that can be in time; after: before it (test_one_that_is_late_for_long_waits_no_longer_behind_all_others).

Conclusion: as by due time.

--- a/postvalve/core/batch/item_order.py
+++ b/postvalve/core/batch/item_order.py
@@ -128,9 +128,11 @@
     """Sort key of an item where tenants compete, in the 64 bits of a report.
 
     Those that would end too late come last, as in `urgency`; then priority, the tenant's share, and
-    between equals the due time. All of a priority that nearly end go before the others of it.
+    between equals the due time. All of a priority that nearly end go before the others of it. One
+    that is late for long stands with the others again: it would never start while they keep coming.
     """
-    hopeless = now_ms + seconds_left * 1000 > due_at_ms
+    late = now_ms + seconds_left * 1000 > due_at_ms
+    hopeless = late and now_ms < due_at_ms + HOPELESS_PENALTY_MS
     priority = min(rank.priority, (1 << _PRIORITY_BITS) - 1)
     step = min(rank.tag // TAG_STEP, (1 << _TAG_BITS) - 1)
     due = due_at_ms // _DUE_STEP_MS % (1 << _DUE_BITS)
