Tests of line and shares that fail: looker, leaving, feature off, numbers of two keepers, refunds

Each was seen failing on: - A request that comes while the looker's last datagram waits for room in the socket (sendto yields then) is looked at by nobody until another one comes: it waits beyond HOLD_SHARE, for ever at a node without traffic. - For 0.1 s after a node is heard that can't do LINE, states are sent; grants for up to STATE_TIME (0.5 s): look() asks nobody. - A keeper that leaves goes on granting by the states that it knows, while the others' new keeper grants the same slots. - A grant number of another keeper (its answer came last; or wall-clock milliseconds wrapped) shows this one's grants as taken. - A single free slot of another zone is granted by nobody where no engine is near: floor(1 / zones) is 0. - What comes back of a refused heap is cut to MAX_COST a stamp: of 100 refused requests of 2 s, 140 slot seconds stay.

Two of the new tests pass already and keep the mends' bounds (no number too large to send; long work that was refused).

--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -3,6 +3,7 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -15,6 +16,7 @@
     Work,
     normal_weights,
 )
+from postvalve.gateway.serving.fair_shares import FairShares
 from tests.share_model import (
     HELD,
     DeficitRoundRobin,
@@ -234,6 +236,52 @@
         self.assertLessEqual(model.clocks["n0"].now, lowest)
 
 
+class CorrectionsTest(unittest.TestCase):
+    """What a node tells of a tenant's former requests, however many ended at once."""
+
+    def setUp(self):
+        tenants = [mock.Mock(rate=0.0), mock.Mock(rate=0.0)]
+        tenants[0].name, tenants[1].name = "a", "b"
+        table = mock.Mock()
+        table.configuration.tenants = tenants
+        self.shares = FairShares(lambda: table)
+
+    def enter(self, cost):
+        work = self.shares.work("a", cost)
+        return self.shares.enter("a", work, 0.0)
+
+    def test_a_heap_that_was_refused_gets_all_back(self):
+        for share in [self.enter(2.0) for _ in range(100)]:
+            share.end()
+        tags = [self.enter(2.0).tag for _ in range(10)]
+        self.assertLess(tags[-1], FIRST_TIME + 10 * 2.0)
+
+    def test_refused_requests_of_long_work_get_back_no_more_than_they_cost(self):
+        self.enter(1000.0)
+        for _ in range(5):
+            self.enter(1000.0).end()
+        self.assertGreaterEqual(self.enter(1.0).tag, FIRST_TIME + MAX_COST)
+
+    def take(self, cost, seconds):
+        share = self.enter(cost)
+        share.enter(0.0)
+        return share, seconds
+
+    def test_a_heap_that_took_longer_than_told_is_counted_in_full(self):
+        for share, seconds in [self.take(1.0, 3.0) for _ in range(100)]:
+            share.leave(seconds)
+            share.end()
+        tags = [self.enter(1.0).tag for _ in range(10)]
+        self.assertAlmostEqual(tags[-1], FIRST_TIME + 100 * 3.0 + 9 * 1.0)
+
+    def test_one_request_counts_for_so_much_at_the_most(self):
+        share, seconds = self.take(1.0, 1e6)
+        share.leave(seconds)
+        share.end()
+        tags = [self.enter(1.0).tag for _ in range(10)]
+        self.assertAlmostEqual(tags[-1], FIRST_TIME + MAX_COST + 9 * 1.0)
+
+
 class BookTest(unittest.TestCase):
     def setUp(self):
         self.clock = ShareClock()
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -130,6 +130,22 @@
         self.assertFalse(self.keeper.stands)
         self.assertTrue(self.keeper.hear(state("a", [(1, 1.0)], 1, incarnation=2), 0.2))
 
+    def test_numbers_of_another_keeper_stand_for_no_grants_of_this_one(self):
+        """That one, or this one's former life, numbered higher; its answer came last."""
+        self.keeper.hear(state("a", [(1, 5.0)], 1, taken=5000), 0.0)
+        self.keeper.hear(state("b", [(1, 6.0)]), 0.0)
+        self.assertEqual(self.granted(1), {"a": (1,)})
+        self.keeper.hear(state("a", [(1, 5.0)], 2, taken=5000), 0.01)
+        self.assertEqual(self.keeper.outstanding, 1)
+        told = self.keeper.answers(["a"])["a"]
+        self.keeper.hear(state("a", [], 3, taken=told.number), 0.02)
+        self.assertEqual(self.keeper.outstanding, 0)
+
+    def test_no_number_that_a_node_tells_makes_a_grant_too_large_to_send(self):
+        self.keeper.hear(state("a", [(1, 5.0)], 1, taken=2**32 - 1), 0.0)
+        self.keeper.grant(1, 0.0)
+        self.assertEqual(unpack_grant(self.keeper.answers(["a"])["a"].pack()).granted, (1,))
+
     def test_a_node_that_is_gone_loses_its_place_only(self):
         self.keeper.hear(state("a", [(1, 1.0)]), 0.0)
         self.keeper.hear(state("b", [(1, 2.0)]), STATE_TIME)
@@ -450,6 +466,39 @@
         self.network.play(0.2)
         self.assertEqual(self.stand(self.first), [True])
 
+    def test_nothing_is_sent_from_the_moment_on_that_one_is_heard_that_cannot(self):
+        """An older build doesn't know these messages, and may have taken a member's place."""
+        self.first.ask(1, 1.0)
+        self.network.play(0.2)
+        self.third.can = Feature.NONE
+        self.network.hear_all()
+        self.network.queue.clear()
+        self.network.sent = 0
+        self.network.online -= 1
+        self.network.play(0.3)
+        self.assertEqual((self.stand(self.first), self.network.sent), ([False], 0))
+
+    def test_a_keeper_that_leaves_grants_nothing_to_those_that_it_knows(self):
+        """Others keep the line from its last report on, and grant the same slots."""
+        keeper = self.network.keeper
+        self.first.ask(1, 1.0)
+        self.network.play(0.2)
+        self.network.nodes[keeper].line.leaving = True
+        self.network.online -= 1
+        self.network.play(0.3)
+        self.assertEqual(self.network.order, [])
+
+    def test_a_single_free_slot_of_another_zone_goes_to_who_has_no_engine_near(self):
+        line = self.first.line
+        far = SimpleNamespace(life="f", slots=4, zone="y", service="s")
+        line._fleet.engines = lambda service: [far]
+        line._zones = 3
+        for online, places in ((5, 0), (4, 0), (3, 1), (0, 1)):
+            self.network.online = online
+            self.assertEqual(line._free("s"), places)
+        line._zones = 2
+        self.assertEqual(line._free("s"), 2)
+
     def test_nothing_is_sent_while_nobody_waits(self):
         self.network.play(1.0)
         self.assertEqual(self.network.sent, 0)
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -336,6 +336,32 @@
         self.assertFalse(set(kept) & set(self.refused))
 
 
+class LookerTest(RoomCase):
+    def test_one_that_comes_while_the_line_is_told_that_nobody_waits_is_looked_at(self):
+        """A datagram may wait for room in the socket, and others go on meanwhile."""
+        self.room._looker = None
+        told = []
+
+        def show(waiting):
+            told.append(waiting)
+            # The look that finds nobody, then that the looker ends.
+            if told[-2:] == [{}, {}] and self.started == ["first"]:
+                self.online = 9
+                self.send("second", 2.0)
+                self.online = 7
+
+        self.room.line = mock.Mock(
+            stands=lambda service: False,
+            granted=lambda service, number: False,
+            ahead=lambda service, number: None,
+            show=show,
+        )
+        self.send("first", 1.0)
+        self.online = 7
+        gevent.sleep(0.3)
+        self.assertEqual(self.started, ["first", "second"])
+
+
 class WithoutSharesTest(RoomCase):
     """Without tags the way is by priority, age, rule and draw: a plain copy of it decides alike."""
 
