A request that comes while the looker ends has a looker of its own

Cause: the looker told the line that nobody waits before it was marked as ended; sendto of a full socket lets others run, and who came then was looked at by nobody. Ruled out: a lock, a second look. Change: marked as ended first. Test: test_turning_away.LookerTest, failing before (started ['first'] of two), passing after.

--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -263,8 +263,9 @@
         while self._waiting:
             gevent.sleep(LOOK_INTERVAL)
             self._look()
-        self.line.show({})
+        # Telling may wait for the socket: one that comes meanwhile needs a looker of its own.
         self._looker = None
+        self.line.show({})
 
     def look(self) -> None:
         """Something has changed for those that wait."""
