Corrections beyond what a lender takes at once are kept for the next request

Cause: corrections of a tenant's requests are gathered until its next one, and the stamp cut the sum to MAX_COST. Of 100 refused requests of 2 s the tenant stood 138 slot seconds behind for nothing (tag 159 instead of less than 21 after ten more); of 100 that took 2 s longer than told, 140 were not counted. A request told as longer than MAX_COST was charged that and got all back. Change: the rest is kept; a request counts for MAX_COST at the most, told and taken alike, as that constant says. Ruled out: a larger bound at the lender (it keeps a peer's error small). The account of untold ones is bounded by the requests under way.

--- a/postvalve/gateway/serving/fair_shares.py
+++ b/postvalve/gateway/serving/fair_shares.py
@@ -7,7 +7,13 @@
 from typing import Any
 
 from postvalve.core.routing.route_table import RouteTable
-from postvalve.core.scheduling.fair_share import ShareClock, TagBook, Work, normal_weights
+from postvalve.core.scheduling.fair_share import (
+    MAX_COST,
+    ShareClock,
+    TagBook,
+    Work,
+    normal_weights,
+)
 from postvalve.core.scheduling.waiting_order import Place, ShareNews, unpack_news
 from postvalve.core.scheduling.weights import weights_of
 
@@ -61,7 +67,12 @@
         """
         if not self.enabled:
             return Work(0.0)
-        return Work(cost or UNKNOWN_COST, self._untold.pop(tenant, 0.0))
+        untold = self._untold.pop(tenant, 0.0)
+        correction = max(-MAX_COST, min(MAX_COST, untold))
+        if untold != correction:
+            # Many ended since the last one: no lender takes more at once.
+            self._untold[tenant] = untold - correction
+        return Work(min(MAX_COST, cost or UNKNOWN_COST), correction)
 
     def enter(self, tenant: str, work: Work, told: float) -> RequestShare | None:
         """Count a request in; None where there are no shares.
@@ -134,4 +145,4 @@
 
     def end(self) -> None:
         """Correct the account: whoever was refused gets back what it was told to cost."""
-        self.shares.note_end(self.tenant, self._took - self.estimate)
+        self.shares.note_end(self.tenant, min(MAX_COST, self._took) - self.estimate)
