Lines: nothing sent while the feature is off, no grants while leaving, numbers beyond another keeper's, single far slots

Now the gate is asked each time (it is one attribute); only the number of zones is remembered. - A keeper that leaves granted by known states for up to STATE_TIME beside its successor. Now it drops its lines, likewise with the feature off. - A node's last taken number may be another keeper's (an answer that comes after the change, a wrapped clock): this one's grants counted as taken unseen for as long as both lived, so free slots were granted again before reports showed them. Now a keeper numbers on beyond what it is told, up to a bound that leaves 32 bits enough. Ruled out: the sender's address, which is not always that of its reports; a further field, which builds would differ in. - A part of a slot was no slot: a node without an engine near got none of fewer free slots than zones, until the longest time that it is held. Now one counts where there is one; at most one more a zone goes to the engines' queues by it.

--- a/postvalve/core/scheduling/line.py
+++ b/postvalve/core/scheduling/line.py
@@ -46,6 +46,9 @@
 _NUMBER = struct.Struct("!I")
 _AHEAD = struct.Struct("!IH")
 MAX_AHEAD = 0xFFFF
+MAX_FOLLOWED = 0xF0000000
+"""Largest number of another keeper beyond which this one goes on: the rest of 32 bits is left for
+its own, also where a node tells a wrong one."""
 
 
 def keeper_of(zone: str, service: int, node_ids: Iterable[str]) -> str | None:
@@ -204,6 +207,9 @@
     def hear(self, state: State, now: float) -> bool:
         """Take in who waits at a node; returns whether it is newer than what was known."""
         known = self._members.get(state.node_id)
+        if self._grants < state.taken <= MAX_FOLLOWED:
+            # Another keeper's: this one's must be larger, else they would count as taken unseen.
+            self._grants = state.taken
         if known is None:
             known = self._members[state.node_id] = _Member(state, now)
             known.update()
--- a/postvalve/gateway/serving/line.py
+++ b/postvalve/gateway/serving/line.py
@@ -33,8 +33,8 @@
 
 FIRST_GRANTS = 0x7FFFFFFF
 """Numbers that a keeper's grants may begin with: the rest of 32 bits is left for those after."""
-FEATURES_AGE = 0.1
-"""Seconds for which it is remembered what all nodes can do: asked for at each look at the room."""
+ZONES_AGE = 0.1
+"""Seconds for which it is remembered how many zones there are: asked for at each look."""
 
 
 class Line(Protocol):
@@ -109,8 +109,7 @@
         self._peers = services.peers
         self._started_at = services.clock.monotonic()
         self._numbers = 0
-        self._features_at = float("-inf")
-        self._all_can = False
+        self._zones_at = float("-inf")
         self._zones = 1
         """Zones with nodes, that share the engines."""
         self._told: dict[int, _Told] = {}
@@ -127,15 +126,14 @@
 
     @property
     def _usable(self) -> bool:
-        """Whether all nodes that are heard can do this; looked at now and then."""
-        now = self._clock.monotonic()
-        if now - self._features_at >= FEATURES_AGE:
-            self._features_at = now
-            self._all_can = bool(self._peers.features() & Feature.LINE)
-            self._zones = len(
-                {one.report.zone for one in self._peers.all()} | {self._identity.zone}
-            )
-        return self._all_can
+        """Whether all nodes that are heard can do this: others don't know its messages."""
+        return Feature.LINE in self._peers.features()
+
+    def _count_zones(self, now: float) -> None:
+        if now - self._zones_at >= ZONES_AGE:
+            self._zones_at = now
+            zones = {one.report.zone for one in self._peers.all()}
+            self._zones = len(zones | {self._identity.zone})
 
     def stands(self, service: str) -> bool:
         """See `Line`."""
@@ -161,6 +159,7 @@
             self._told.clear()
             return
         now = self._clock.monotonic()
+        self._count_zones(now)
         for service, entries in waiting.items():
             key = service_hash(service)
             self._names[key] = service
@@ -262,6 +261,10 @@
 
     # The lines that this node keeps
 
+    @property
+    def _may_keep(self) -> bool:
+        return self._usable and not self.leaving
+
     def hear_state(self, msg: gateway.LineState, address: str) -> None:
         """Take in who waits at a peer."""
         try:
@@ -271,8 +274,9 @@
 
     def _take_state(self, state: State) -> None:
         now = self._clock.monotonic()
-        if self.leaving or now - self._started_at < LISTEN_TIME or not self._usable:
+        if not self._may_keep or now - self._started_at < LISTEN_TIME:
             return
+        self._count_zones(now)
         keeper = self._keepers.get(state.service)
         if keeper is None:
             # Numbers go on beyond those of a former life: no keeper grants so many a second.
@@ -283,6 +287,9 @@
 
     def look(self) -> None:
         """Grant what has come free: called when peers' counts came in."""
+        if not self._may_keep:
+            # Another one keeps the lines, or nobody: grants by old states would go beside theirs.
+            self._keepers.clear()
         for service, keeper in list(self._keepers.items()):
             if keeper.stands:
                 self._grant(service, keeper, set())
@@ -325,7 +332,9 @@
                 near += max(0, left + QUEUED_PLACES)
             else:
                 far += max(0, left)
-        return near + far // self._zones
+        # One slot is one request's also where no zone's part is a whole one: where nobody waits in
+        # the others it would stand idle.
+        return near + far // self._zones or min(1, far)
 
     def _send(self, node_id: str, grant: Grant) -> None:
         if node_id == self._identity.node_id:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -34,7 +34,7 @@
 from postvalve.core.scheduling.turning_away import QUEUED_PLACES
 from postvalve.core.scheduling.waiting_order import Place, service_hash
 from postvalve.events import Event
-from postvalve.gateway.serving.line import FEATURES_AGE, ZoneLine
+from postvalve.gateway.serving.line import ZONES_AGE, ZoneLine
 from postvalve.messages.framing import decode_datagram
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
@@ -239,7 +239,7 @@
         self.frozen, self.lost = set(), lambda source, target: False
         self.nodes = {f"n{number}": Node(self, f"n{number}") for number in range(count)}
         self.hear_all()
-        self.now += LISTEN_TIME + FEATURES_AGE
+        self.now += LISTEN_TIME + ZONES_AGE
         self.settle()
 
     def settle(self):
