Tests that fail: a keeper that starts anew, a time told below nothing

- Since what all can do goes on at a node only when it has settled (10 s), a node that starts anew answers nobody for so long; the others, where the line stays in use, choose it as keeper at once: no line in the zone for these 10 s.
- Where a route's aim is later than a client's deadline, a request may be turned away after it, with a negative Retry-After.

--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -201,16 +201,21 @@
             )
         )
         self.line.on_granted = self.take
-        self.numbers = 0
+        self.numbers, self.incarnation = 0, 1
 
     def report(self, leaving=False):
         self.numbers += 1
         parts = {Extension.FEATURES: pack_features(self.can)}
         return LoadReport(
-            self.name, 1, self.numbers, peer_address=self.name, zone="z", leaving=leaving,
+            self.name, self.incarnation, self.numbers, peer_address=self.name, zone="z", leaving=leaving,
             extensions=parts,
         )  # fmt: skip
 
+    def hear(self, report):
+        """As the gateway does."""
+        if self.peers.observe(report, self.network.now):
+            self.line.look()
+
     def ask(self, number, tag):
         self.waiting[number] = Place((0, 0), tag)
 
@@ -253,7 +258,7 @@
         for one in self.nodes.values():
             report = one.report()
             for other in self.nodes.values():
-                other.peers.observe(report, self.now)
+                other.hear(report)
 
     def send(self, source, target, data):
         self.sent += 1
@@ -454,6 +459,25 @@
         self.network.play(0.2)
         self.assertEqual(self.stand(self.first), [True])
 
+    def test_a_keeper_that_starts_anew_leaves_no_zone_without_a_line(self):
+        """What all can do goes on there when it has settled; till then another one keeps it."""
+        network, keeper = self.network, self.network.keeper
+        network.nodes[keeper] = Node(network, keeper)
+        network.nodes[keeper].incarnation = 2
+        network.hear_all()
+        self.first.ask(1, 1.0)
+        self.second.ask(1, 2.0)
+        for _ in range(3):
+            network.play(1.0)
+            self.assertEqual(self.stand(self.first, self.second), [True, True])
+        network.online -= 1
+        network.play(0.2)
+        self.assertEqual(network.order, [(self.first.name, 1)])
+        network.settle()
+        network.play(0.2)
+        self.assertEqual(self.second.line._told[SERVICE].keeper, keeper)
+        self.assertEqual(self.stand(self.second), [True])
+
     def test_one_node_that_cannot_turns_it_off_for_all_that_hear_it(self):
         self.third.can = Feature.NONE
         self.network.hear_all()
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -73,6 +73,10 @@
             ruling = self.rule([room(30)], 500, now)
             self.assertIs(ruling is Ruling.START, now >= AIM * HOLD_SHARE, now)
 
+    def test_no_time_told_is_below_nothing(self):
+        for left in (-2.0, 0.0, 0.1):
+            self.assertGreaterEqual(return_time(1.0, left, 0.5), 0.0)
+
     def test_the_time_told_follows_the_line_and_fits_the_client(self):
         self.assertEqual(return_time(0.0, 60.0, 0.0), LEAST_RETURN)
         self.assertEqual(return_time(2.0, 60.0, 0.0), 2.0)
