A node that starts anew keeps no line until it uses one; no time told is below nothing

Cause, from the joining of the line with the feature gate: at a node that starts what all can do goes on after 10 s, and it answers no states till then. The others, where it stays in use, chose it at once as keeper: no line in the zone for 10 s after a start of the preferred node (it was 1 s before, LISTEN_TIME). Change: those heard first, or in a new life, less than SETTLE_TIME ago are not chosen; who is heard in the first second of the own life was there before. Ruled out: a keeper that answers before its gate is on (messages while the feature is off); age by the wall clock (skewed clocks, two keepers). Beside it: return_time is never negative where a client's time is over.

--- a/postvalve/core/scheduling/line.py
+++ b/postvalve/core/scheduling/line.py
@@ -17,6 +17,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
+from postvalve.core.membership.feature_gate import SETTLE_TIME
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.scheduling.waiting_order import MAX_RANK, Place
 
@@ -45,12 +46,40 @@
 """Hash of the service; number of the grant; numbers of granted and of waiting requests."""
 _NUMBER = struct.Struct("!I")
 _AHEAD = struct.Struct("!IH")
+MAX_NEW = 1000
+"""Nodes whose starts are remembered, the last ones: several times as many as a zone has."""
 MAX_AHEAD = 0xFFFF
 MAX_FOLLOWED = 0xF0000000
 """Largest number of another keeper beyond which this one goes on: the rest of 32 bits is left for
 its own, also where a node tells a wrong one."""
 
 
+class NewNodes:
+    """Nodes that have started lately: they use nothing yet that takes all, and keep no line."""
+
+    def __init__(self, now: float) -> None:
+        self._listens_until = now + LISTEN_TIME
+        self._lives: dict[str, tuple[int, float]] = {}
+        """Incarnation of each node, and when it was first heard."""
+
+    def hear(self, node_id: str, incarnation: int, now: float) -> None:
+        """A node reported itself."""
+        known = self._lives.get(node_id)
+        if known is not None and known[0] == incarnation:
+            return
+        # Who is heard while this node itself starts was there before, as far as it can tell.
+        first = -math.inf if known is None and now < self._listens_until else now
+        self._lives.pop(node_id, None)
+        self._lives[node_id] = incarnation, first
+        if len(self._lives) > MAX_NEW:
+            del self._lives[next(iter(self._lives))]
+
+    def has(self, node_id: str, now: float) -> bool:
+        """Whether it is one."""
+        known = self._lives.get(node_id)
+        return known is not None and now - known[1] < SETTLE_TIME
+
+
 def keeper_of(zone: str, service: int, node_ids: Iterable[str]) -> str | None:
     """The node that keeps a line, alike at all nodes with the same view."""
     return preferred_owner(f"line {zone} {service}", node_ids)
--- a/postvalve/core/scheduling/turning_away.py
+++ b/postvalve/core/scheduling/turning_away.py
@@ -94,5 +94,5 @@
         time_left: Seconds that its client still waits.
         drawn: From 0 to 1: those that are turned away together come back one after the other.
     """
-    latest = time_left * RETURN_SHARE
+    latest = max(0.0, time_left) * RETURN_SHARE
     return min(latest, max(LEAST_RETURN, expected) + RETURN_SPREAD * drawn)
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -469,7 +469,7 @@
 
     def _peer_reported(self, report: LoadReport) -> None:
         self._hear_shares(report.node_id, report.extensions)
-        self._line.look()
+        self._line.hear_report(report)
         self._revisions.consider(report.revision, report.node_id, report.peer_address)
         if report.directory is not None:
             self._directory.hear(report.directory, report.node_id)
--- a/postvalve/gateway/serving/line.py
+++ b/postvalve/gateway/serving/line.py
@@ -11,12 +11,14 @@
 
 from postvalve.clock import milliseconds
 from postvalve.core.membership.extensions import Feature
+from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.scheduling.line import (
     KEEPER_PATIENCE,
     LISTEN_TIME,
     Grant,
     LineKeeper,
     LineMessageError,
+    NewNodes,
     State,
     keeper_of,
     state_interval,
@@ -108,6 +110,7 @@
         self._fleet = services.fleet
         self._peers = services.peers
         self._started_at = services.clock.monotonic()
+        self._new_nodes = NewNodes(self._started_at)
         self._numbers = 0
         self._zones_at = float("-inf")
         self._zones = 1
@@ -232,7 +235,12 @@
     def _nodes(self) -> list[str]:
         """Nodes of the zone that may keep a line."""
         near = self._peers.neighbours(self._identity.zone)
-        nodes = [one.node_id for one in near if not one.report.leaving]
+        now = self._clock.monotonic()
+        nodes = [
+            one.node_id
+            for one in near
+            if not one.report.leaving and not self._new_nodes.has(one.node_id, now)
+        ]
         return nodes if self.leaving else [*nodes, self._identity.node_id]
 
     def hear_grant(self, msg: gateway.LineGrant, address: str) -> None:
@@ -285,8 +293,13 @@
         if keeper.hear(state, now):
             self._grant(state.service, keeper, {state.node_id} if state.waiting else set())
 
+    def hear_report(self, report: LoadReport) -> None:
+        """A peer's counts came in: grant what has come free."""
+        self._new_nodes.hear(report.node_id, report.incarnation, self._clock.monotonic())
+        self.look()
+
     def look(self) -> None:
-        """Grant what has come free: called when peers' counts came in."""
+        """Grant what has come free."""
         if not self._may_keep:
             # Another one keeps the lines, or nobody: grants by old states would go beside theirs.
             self._keepers.clear()
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -18,12 +18,14 @@
     KEEPER_PATIENCE,
     LEAST_INTERVAL,
     LISTEN_TIME,
+    MAX_NEW,
     MAX_TOLD,
     STATE_TIME,
     STATES_PER_SECOND,
     Grant,
     LineKeeper,
     LineMessageError,
+    NewNodes,
     State,
     Waiting,
     keeper_of,
@@ -174,6 +176,34 @@
                 self.assertLess(max(given), min(left))
 
 
+class NewNodesTest(unittest.TestCase):
+    def setUp(self):
+        self.new = NewNodes(0.0)
+
+    def test_who_is_heard_at_the_start_was_there_before(self):
+        self.new.hear("a", 1, LISTEN_TIME / 2)
+        self.assertFalse(self.new.has("a", LISTEN_TIME))
+
+    def test_a_node_that_starts_is_new_until_it_uses_what_takes_all_nodes(self):
+        self.new.hear("a", 1, 0.0)
+        for node, incarnation in (("a", 2), ("b", 1)):
+            for at in (20.0, 25.0):
+                self.new.hear(node, incarnation, at)
+            self.assertTrue(self.new.has(node, 20.0 + SETTLE_TIME - 0.01))
+            self.assertFalse(self.new.has(node, 20.0 + SETTLE_TIME))
+
+    def test_one_that_was_not_heard_for_a_while_is_not_new(self):
+        self.new.hear("a", 1, 20.0)
+        self.new.hear("a", 1, 500.0)
+        self.assertFalse(self.new.has("a", 500.0))
+
+    def test_no_more_are_remembered_than_a_fleet_has(self):
+        for number in range(3 * MAX_NEW):
+            self.new.hear(f"n{number}", 1, 20.0)
+        known = [number for number in range(3 * MAX_NEW) if self.new.has(f"n{number}", 20.0)]
+        self.assertEqual(known, list(range(2 * MAX_NEW, 3 * MAX_NEW)))
+
+
 class Node:
     """The line of one node, with engines and peers that the test sets."""
 
@@ -207,14 +237,14 @@
         self.numbers += 1
         parts = {Extension.FEATURES: pack_features(self.can)}
         return LoadReport(
-            self.name, self.incarnation, self.numbers, peer_address=self.name, zone="z", leaving=leaving,
-            extensions=parts,
+            self.name, self.incarnation, self.numbers, peer_address=self.name, zone="z",
+            leaving=leaving, extensions=parts,
         )  # fmt: skip
 
     def hear(self, report):
         """As the gateway does."""
         if self.peers.observe(report, self.network.now):
-            self.line.look()
+            self.line.hear_report(report)
 
     def ask(self, number, tag):
         self.waiting[number] = Place((0, 0), tag)
