--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -18,12 +18,14 @@
     KEEPER_PATIENCE,
     LEAST_INTERVAL,
     LISTEN_TIME,
+    MAX_NEW,
     MAX_TOLD,
     STATE_TIME,
     STATES_PER_SECOND,
     Grant,
     LineKeeper,
     LineMessageError,
+    NewNodes,
     State,
     Waiting,
     keeper_of,
@@ -34,7 +36,7 @@
 from postvalve.core.scheduling.turning_away import QUEUED_PLACES
 from postvalve.core.scheduling.waiting_order import Place, service_hash
 from postvalve.events import Event
-from postvalve.gateway.serving.line import FEATURES_AGE, ZoneLine
+from postvalve.gateway.serving.line import ZONES_AGE, ZoneLine
 from postvalve.messages.framing import decode_datagram
 from postvalve.messages.generated import gateway
 from tests.gateway_support import QuietLog
@@ -130,6 +132,22 @@
         self.assertFalse(self.keeper.stands)
         self.assertTrue(self.keeper.hear(state("a", [(1, 1.0)], 1, incarnation=2), 0.2))
 
+    def test_numbers_of_another_keeper_stand_for_no_grants_of_this_one(self):
+        """That one, or this one's former life, numbered higher; its answer came last."""
+        self.keeper.hear(state("a", [(1, 5.0)], 1, taken=5000), 0.0)
+        self.keeper.hear(state("b", [(1, 6.0)]), 0.0)
+        self.assertEqual(self.granted(1), {"a": (1,)})
+        self.keeper.hear(state("a", [(1, 5.0)], 2, taken=5000), 0.01)
+        self.assertEqual(self.keeper.outstanding, 1)
+        told = self.keeper.answers(["a"])["a"]
+        self.keeper.hear(state("a", [], 3, taken=told.number), 0.02)
+        self.assertEqual(self.keeper.outstanding, 0)
+
+    def test_no_number_that_a_node_tells_makes_a_grant_too_large_to_send(self):
+        self.keeper.hear(state("a", [(1, 5.0)], 1, taken=2**32 - 1), 0.0)
+        self.keeper.grant(1, 0.0)
+        self.assertEqual(unpack_grant(self.keeper.answers(["a"])["a"].pack()).granted, (1,))
+
     def test_a_node_that_is_gone_loses_its_place_only(self):
         self.keeper.hear(state("a", [(1, 1.0)]), 0.0)
         self.keeper.hear(state("b", [(1, 2.0)]), STATE_TIME)
@@ -158,6 +176,34 @@
                 self.assertLess(max(given), min(left))
 
 
+class NewNodesTest(unittest.TestCase):
+    def setUp(self):
+        self.new = NewNodes(0.0)
+
+    def test_who_is_heard_at_the_start_was_there_before(self):
+        self.new.hear("a", 1, LISTEN_TIME / 2)
+        self.assertFalse(self.new.has("a", LISTEN_TIME))
+
+    def test_a_node_that_starts_is_new_until_it_uses_what_takes_all_nodes(self):
+        self.new.hear("a", 1, 0.0)
+        for node, incarnation in (("a", 2), ("b", 1)):
+            for at in (20.0, 25.0):
+                self.new.hear(node, incarnation, at)
+            self.assertTrue(self.new.has(node, 20.0 + SETTLE_TIME - 0.01))
+            self.assertFalse(self.new.has(node, 20.0 + SETTLE_TIME))
+
+    def test_one_that_was_not_heard_for_a_while_is_not_new(self):
+        self.new.hear("a", 1, 20.0)
+        self.new.hear("a", 1, 500.0)
+        self.assertFalse(self.new.has("a", 500.0))
+
+    def test_no_more_are_remembered_than_a_fleet_has(self):
+        for number in range(3 * MAX_NEW):
+            self.new.hear(f"n{number}", 1, 20.0)
+        known = [number for number in range(3 * MAX_NEW) if self.new.has(f"n{number}", 20.0)]
+        self.assertEqual(known, list(range(2 * MAX_NEW, 3 * MAX_NEW)))
+
+
 class Node:
     """The line of one node, with engines and peers that the test sets."""
 
@@ -185,16 +231,21 @@
             )
         )
         self.line.on_granted = self.take
-        self.numbers = 0
+        self.numbers, self.incarnation = 0, 1
 
     def report(self, leaving=False):
         self.numbers += 1
         parts = {Extension.FEATURES: pack_features(self.can)}
         return LoadReport(
-            self.name, 1, self.numbers, peer_address=self.name, zone="z", leaving=leaving,
-            extensions=parts,
+            self.name, self.incarnation, self.numbers, peer_address=self.name, zone="z",
+            leaving=leaving, extensions=parts,
         )  # fmt: skip
 
+    def hear(self, report):
+        """As the gateway does."""
+        if self.peers.observe(report, self.network.now):
+            self.line.hear_report(report)
+
     def ask(self, number, tag):
         self.waiting[number] = Place((0, 0), tag)
 
@@ -223,7 +274,7 @@
         self.frozen, self.lost = set(), lambda source, target: False
         self.nodes = {f"n{number}": Node(self, f"n{number}") for number in range(count)}
         self.hear_all()
-        self.now += LISTEN_TIME + FEATURES_AGE
+        self.now += LISTEN_TIME + ZONES_AGE
         self.settle()
 
     def settle(self):
@@ -237,7 +288,7 @@
         for one in self.nodes.values():
             report = one.report()
             for other in self.nodes.values():
-                other.peers.observe(report, self.now)
+                other.hear(report)
 
     def send(self, source, target, data):
         self.sent += 1
@@ -438,6 +489,25 @@
         self.network.play(0.2)
         self.assertEqual(self.stand(self.first), [True])
 
+    def test_a_keeper_that_starts_anew_leaves_no_zone_without_a_line(self):
+        """What all can do goes on there when it has settled; till then another one keeps it."""
+        network, keeper = self.network, self.network.keeper
+        network.nodes[keeper] = Node(network, keeper)
+        network.nodes[keeper].incarnation = 2
+        network.hear_all()
+        self.first.ask(1, 1.0)
+        self.second.ask(1, 2.0)
+        for _ in range(3):
+            network.play(1.0)
+            self.assertEqual(self.stand(self.first, self.second), [True, True])
+        network.online -= 1
+        network.play(0.2)
+        self.assertEqual(network.order, [(self.first.name, 1)])
+        network.settle()
+        network.play(0.2)
+        self.assertEqual(self.second.line._told[SERVICE].keeper, keeper)
+        self.assertEqual(self.stand(self.second), [True])
+
     def test_one_node_that_cannot_turns_it_off_for_all_that_hear_it(self):
         self.third.can = Feature.NONE
         self.network.hear_all()
@@ -450,6 +520,39 @@
         self.network.play(0.2)
         self.assertEqual(self.stand(self.first), [True])
 
+    def test_nothing_is_sent_from_the_moment_on_that_one_is_heard_that_cannot(self):
+        """An older build doesn't know these messages, and may have taken a member's place."""
+        self.first.ask(1, 1.0)
+        self.network.play(0.2)
+        self.third.can = Feature.NONE
+        self.network.hear_all()
+        self.network.queue.clear()
+        self.network.sent = 0
+        self.network.online -= 1
+        self.network.play(0.3)
+        self.assertEqual((self.stand(self.first), self.network.sent), ([False], 0))
+
+    def test_a_keeper_that_leaves_grants_nothing_to_those_that_it_knows(self):
+        """Others keep the line from its last report on, and grant the same slots."""
+        keeper = self.network.keeper
+        self.first.ask(1, 1.0)
+        self.network.play(0.2)
+        self.network.nodes[keeper].line.leaving = True
+        self.network.online -= 1
+        self.network.play(0.3)
+        self.assertEqual(self.network.order, [])
+
+    def test_a_single_free_slot_of_another_zone_goes_to_who_has_no_engine_near(self):
+        line = self.first.line
+        far = SimpleNamespace(life="f", slots=4, zone="y", service="s")
+        line._fleet.engines = lambda service: [far]
+        line._zones = 3
+        for online, places in ((5, 0), (4, 0), (3, 1), (0, 1)):
+            self.network.online = online
+            self.assertEqual(line._free("s"), places)
+        line._zones = 2
+        self.assertEqual(line._free("s"), 2)
+
     def test_nothing_is_sent_while_nobody_waits(self):
         self.network.play(1.0)
         self.assertEqual(self.network.sent, 0)
