Test: bodies that keep up are given up for the room they take

Fails on this code: three bodies that come within 0.06 s, with a budget that holds less than all, get 408 (broken pipe while they send); and one beside a body that lags gets 408 in its place.

--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -19,8 +19,10 @@
 
 
 class BodyCase(unittest.TestCase):
+    patience_ms = PATIENCE_MS
+
     def setUp(self):
-        limits = {"headerTimeoutMs": PATIENCE_MS, "maxBodyBytes": LARGEST}
+        limits = {"headerTimeoutMs": self.patience_ms, "maxBodyBytes": LARGEST}
         self.fleet = GatewayFleet(nodes=1, engines=1, limits=limits)
         self.addCleanup(self.fleet.stop)
         self.node = self.fleet.nodes["n0"]
@@ -139,6 +141,47 @@
         answer = parse_answer(read_answer_head(connection))
         self.assertEqual(answer.status, 413)
 
+
+class BodyBudgetTest(BodyCase):
+    """Of bodies that come together, those that keep up are never given up for others."""
+
+    patience_ms = 3_000
+    """Longer than a body may lag before it counts."""
+
+    def test_bodies_that_keep_up_are_read_whatever_they_hold(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        for framing in ("Content-Length: 6000", "Transfer-Encoding: chunked"):
+            with self.subTest(framing):
+                chunked = "chunked" in framing
+                connections = [self.begin(framing) for _ in range(3)]
+                for _ in range(3):
+                    for connection in connections:
+                        connection.sendall(b"7d0\r\n" * chunked + b"x" * 2_000 + b"\r\n" * chunked)
+                    gevent.sleep(0.02)
+                for connection in connections:
+                    connection.sendall(b"0\r\n\r\n" * chunked)
+                answers = [read_answer(connection).status for connection in connections]
+                self.assertEqual(answers, [200] * 3)
+                self.assertEqual(self.engine.bodies["r1"], b"x" * 6_000)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+
+    def test_one_that_lags_gives_way_and_those_that_keep_up_do_not(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        slow = self.begin("Content-Length: 10000")
+        slow.sendall(b"x" * 3_000)
+        wait_until(lambda: budget.held == 3_000)
+        quick = self.begin("Content-Length: 9000")
+        for _ in range(3):
+            quick.sendall(b"x" * 3_000)
+            gevent.sleep(0.02)
+        self.assertEqual(read_answer(quick).status, 200)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+        slow.sendall(b"x" * 2_500)
+        self.engine.runs.clear()
+        self.assert_too_slow(slow)
+
     def test_bodies_that_come_slowly_count_in_the_budget(self):
         budget = self.node.slow_clients.budget
         budget.limit = 5_000
