Bodies count in the budget only from when they lag

Cause: whatever didn't come together with its head was held for a slow client from its first byte, so uploads at full speed used the budget up and the one under way longest was told 408, against "never one that keeps up". Ruled out: counting from an age (a node that is busy would make quick bodies late) and from a rate (bodies at any rate above it would hold without bound). Change: a body counts from when it was waited for by 0.5 s, all waits together (core Lag); also one of which nothing more comes.

--- a/postvalve/gateway/serving/request_body.py
+++ b/postvalve/gateway/serving/request_body.py
@@ -10,7 +10,8 @@
 
 import gevent
 
-from postvalve.core.serving.transfer_pace import TransferPace
+from postvalve.core.serving.read_ahead import Holding
+from postvalve.core.serving.transfer_pace import Lag, TransferPace
 from postvalve.events import Event
 from postvalve.exceptions import InvalidRequestError, RefusedError, RequestTooLargeError
 from postvalve.gateway.serving.http_server import CONNECTION_KEY
@@ -20,6 +21,10 @@
 """Bytes a second that a body must come at: a third of what the slowest mobile links carry."""
 READ_BLOCK = MIN_BODY_RATE
 """Bytes read at once of a body that comes slowly: a second of the slowest pace."""
+BODY_LAG = 0.5
+"""Seconds that a body is waited for, all waits together, before what has come of it counts as held.
+A large body seldom comes whole with its head, and one that comes at a link's full speed must not be
+given up for others."""
 
 Receive = Callable[[], bytes]
 """Gives the next bytes of a body; nothing at its end."""
@@ -97,36 +102,29 @@
         return part
 
     def _read_rest(self, source: Any, parts: list[bytes], receive: Receive) -> bytes:
-        """Read on within the pace; what has come counts as held for a slow client."""
-        clock, connection = self.slow.clock, self.environ[CONNECTION_KEY]
-
-        def stop_reading() -> None:
-            with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RD)
-
-        holding = self.slow.enter("", self.request_id(), stop_reading)
+        """Read on within the pace; from when it lags, what has come counts as held for it."""
+        clock = self.slow.clock
         pace = TransferPace(MIN_BODY_RATE, self.patience, clock.monotonic())
-        size = sum(map(len, parts))
+        body = _LateBody(parts, self.slow, self.request_id, self.environ[CONNECTION_KEY])
         try:
-            self.slow.take(holding, size)
-            while holding.cause is None:
+            while not body.given_up:
+                body.lag.wait(clock.monotonic())
                 part = self._next(receive, pace)
+                body.lag.came(clock.monotonic())
                 if part is None:
-                    raise self._given_up(source, size, "its pace")
+                    raise self._given_up(source, body.size, "its pace")
                 if not part:
                     return b"".join(parts)
-                parts.append(part)
-                size += len(part)
-                self._check(size)
+                body.add(part)
+                self._check(body.size)
                 pace.went(len(part), clock.monotonic())
-                self.slow.take(holding, len(part))
         except OSError:
             # Reading ends like this, too, where others needed the room.
-            if holding.cause is None:
+            if not body.given_up:
                 raise
         finally:
-            self.slow.leave(holding)
-        raise self._given_up(source, size, "no room for it")
+            body.close()
+        raise self._given_up(source, body.size, "no room for it")
 
     def _next(self, receive: Receive, pace: TransferPace) -> bytes | None:
         """What comes within the pace."""
@@ -144,3 +142,54 @@
             Event.BODY_TOO_SLOW, request=self.request_id(), size=size, cause=cause
         )
         return SlowBodyError(f"the body came too slowly: {cause}")
+
+
+class _LateBody:
+    """What has come of a body; held for a slow client from when it lags."""
+
+    def __init__(
+        self,
+        parts: list[bytes],
+        slow: SlowClients,
+        request_id: Callable[[], str],
+        connection: Any,
+    ) -> None:
+        self.parts = parts
+        self.size = sum(map(len, parts))
+        """Bytes."""
+        self.lag = Lag(BODY_LAG)
+        self._slow = slow
+        self._request_id = request_id
+        self._connection = connection
+        self._holding: Holding | None = None
+        # Counts also a body of which nothing more comes.
+        self._counter = gevent.spawn_later(BODY_LAG, self._count_when_late)
+
+    @property
+    def given_up(self) -> bool:
+        """Whether others needed the room."""
+        return self._holding is not None and self._holding.cause is not None
+
+    def add(self, part: bytes) -> None:
+        """Keep what came."""
+        self.parts.append(part)
+        self.size += len(part)
+        if self._holding is not None:
+            self._slow.take(self._holding, len(part))
+
+    def close(self) -> None:
+        """It is here, or won't be read any further."""
+        # Waited for: it must not begin to count after this.
+        self._counter.kill()
+        if self._holding is not None:
+            self._slow.leave(self._holding)
+
+    def _count_when_late(self) -> None:
+        while (left := self.lag.left(self._slow.clock.monotonic())) > 0:
+            gevent.sleep(left)
+        self._holding = self._slow.enter("", self._request_id(), self._stop_reading)
+        self._slow.take(self._holding, self.size)
+
+    def _stop_reading(self) -> None:
+        with contextlib.suppress(OSError):
+            self._connection.shutdown(socket.SHUT_RD)
