Test: a node that stands still counts bodies as late for it

Fails on the count by measured waits: three bodies that had come while the node stood still for 1 s were told 408.

--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -166,6 +166,22 @@
                 self.assertEqual(self.engine.bodies["r1"], b"x" * 6_000)
         self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
 
+    def test_a_node_that_stood_still_counts_no_body_for_it(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        connections = [self.begin("Content-Length: 6000") for _ in range(3)]
+        for connection in connections:
+            connection.sendall(b"x" * 3_000)
+        gevent.sleep(0.1)
+        for connection in connections:
+            connection.sendall(b"x" * 2_000)
+        time.sleep(1.0)
+        gevent.sleep(0.02)
+        for connection in connections:
+            connection.sendall(b"x" * 1_000)
+        self.assertEqual([read_answer(connection).status for connection in connections], [200] * 3)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+
     def test_one_that_lags_gives_way_and_those_that_keep_up_do_not(self):
         budget = self.node.slow_clients.budget
         budget.limit = 5_000
@@ -233,6 +249,38 @@
         self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
 
 
+class StandstillTest(BodyCase):
+    """A node that stands still for longer than a client may lag tells no client so for that."""
+
+    REST = {
+        "Content-Length: 8": (b"some", b"body"),
+        "Transfer-Encoding: chunked": (b"4\r\nsome\r\n", b"4\r\nbody\r\n0\r\n\r\n"),
+    }
+
+    def stand_still_before_the_rest(self, connection, rest):
+        """The rest comes while the node stands still."""
+        gevent.sleep(0.05)
+        connection.sendall(rest)
+        time.sleep(2 * PATIENCE_MS / 1000)
+
+    def test_a_body_that_came_meanwhile_is_served(self):
+        for framing, (first, rest) in self.REST.items():
+            with self.subTest(framing):
+                connection = self.begin(framing)
+                connection.sendall(first)
+                self.stand_still_before_the_rest(connection, rest)
+                self.assertEqual(read_answer(connection).status, 200)
+                self.assertEqual(self.engine.bodies["r1"], b"somebody")
+
+    def test_a_head_that_came_meanwhile_is_served(self):
+        connection = self.fleet.connect("n0")
+        self.addCleanup(connection.close)
+        connection.sendall(f"POST {ONCE_PATH} HTTP/1.1\r\nHost: ".encode())
+        rest = f"{HOST}\r\nRequest-Id: r1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        self.stand_still_before_the_rest(connection, rest.encode())
+        self.assertEqual(read_answer(connection).status, 200)
+
+
 def read_answer_head(connection):
     """What comes until the connection ends, or breaks off."""
     connection.settimeout(3.0)
