Bodies count as late by looks whether bytes are there

Cause: a wait that is measured by the clock has the node's own standstill in it. Ruled out: bounding each wait (a stall is one of them). Change: every 0.05 s the node looks whether bytes can be read, and counts the step when none can; this replaces the measured waits.

--- a/postvalve/core/serving/transfer_pace.py
+++ b/postvalve/core/serving/transfer_pace.py
@@ -1,4 +1,4 @@
-"""How slowly somebody may send, or take, what must come in time; who lags."""
+"""How slowly somebody may send, or take, what must come in time."""
 
 from __future__ import annotations
 
@@ -25,29 +25,3 @@
     def left(self, now: float) -> float:
         """Seconds until it is too slow if nothing goes over; 0 or less: it is."""
         return self._left - (now - self._told_at)
-
-
-class Lag:
-    """How long somebody was waited for, all waits together.
-
-    Only waits count: what comes late because the node itself is busy is there when it looks.
-    """
-
-    def __init__(self, allowance: float) -> None:
-        """Seconds for which whoever keeps up may be waited for."""
-        self._left = allowance
-        self._waits_since: float | None = None
-
-    def wait(self, now: float) -> None:
-        """A wait begins."""
-        self._waits_since = now
-
-    def came(self, now: float) -> None:
-        """What was waited for is there."""
-        self._left = self.left(now)
-        self._waits_since = None
-
-    def left(self, now: float) -> float:
-        """Seconds of waiting until somebody lags; 0 or less: somebody does."""
-        waited = 0.0 if self._waits_since is None else now - self._waits_since
-        return self._left - waited
--- a/postvalve/gateway/serving/request_body.py
+++ b/postvalve/gateway/serving/request_body.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 import gevent
 
 from postvalve.core.serving.read_ahead import Holding
-from postvalve.core.serving.transfer_pace import Lag, TransferPace
+from postvalve.core.serving.transfer_pace import TransferPace
 from postvalve.events import Event
 from postvalve.exceptions import InvalidRequestError, RefusedError, RequestTooLargeError
 from postvalve.gateway.serving.http_server import CONNECTION_KEY
@@ -25,6 +26,8 @@
 """Seconds that a body is waited for, all waits together, before what has come of it counts as held.
 A large body seldom comes whole with its head, and one that comes at a link's full speed must not be
 given up for others."""
+LAG_STEP = 0.05
+"""Seconds between two looks whether a body is waited for."""
 
 Receive = Callable[[], bytes]
 """Gives the next bytes of a body; nothing at its end."""
@@ -108,9 +111,7 @@
         body = _LateBody(parts, self.slow, self.request_id, self.environ[CONNECTION_KEY])
         try:
             while not body.given_up:
-                body.lag.wait(clock.monotonic())
                 part = self._next(receive, pace)
-                body.lag.came(clock.monotonic())
                 if part is None:
                     raise self._given_up(source, body.size, "its pace")
                 if not part:
@@ -157,13 +158,12 @@
         self.parts = parts
         self.size = sum(map(len, parts))
         """Bytes."""
-        self.lag = Lag(BODY_LAG)
         self._slow = slow
         self._request_id = request_id
         self._connection = connection
         self._holding: Holding | None = None
         # Counts also a body of which nothing more comes.
-        self._counter = gevent.spawn_later(BODY_LAG, self._count_when_late)
+        self._counter = gevent.spawn(self._count_when_late)
 
     @property
     def given_up(self) -> bool:
@@ -185,11 +185,21 @@
             self._slow.leave(self._holding)
 
     def _count_when_late(self) -> None:
-        while (left := self.lag.left(self._slow.clock.monotonic())) > 0:
-            gevent.sleep(left)
+        waited = 0.0
+        while waited < BODY_LAG:
+            gevent.sleep(LAG_STEP)
+            # A node that is busy, or has stood still, finds bytes: it didn't wait for the client.
+            waited += 0.0 if _has_come(self._connection) else LAG_STEP
         self._holding = self._slow.enter("", self._request_id(), self._stop_reading)
         self._slow.take(self._holding, self.size)
 
     def _stop_reading(self) -> None:
         with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_RD)
+
+
+def _has_come(connection: Any) -> bool:
+    """Whether bytes, or an end, can be read at once."""
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
