--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -110,6 +110,17 @@
         self.assertEqual((answer.body, answer.whole), (whole_stream("r1"), True))
         wait_until(lambda: self.held() == 0)
 
+    def test_an_answer_that_is_taken_as_it_comes_counts_for_nothing(self):
+        """It is larger than what sockets hold, so that a write must wait for any client."""
+        self.node.slow_clients.budget.limit = SIZE // 2
+        self.answer_with(events=EVENTS, padding=PADDING, content_type="text/plain")
+        for number in range(3):
+            answer = read_answer(self.send(f"r{number}"))
+            self.assertEqual((answer.body, answer.whole), (whole_stream(f"r{number}"), True))
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+        wait_until(lambda: not self.node.application.in_progress)
+        self.assertEqual((self.held(), self.node.status_document()["readers"]), (0, []))
+
     def test_a_slow_stream_goes_on_at_another_engine(self):
         plan = [Behaviour(events=EVENTS, padding=PADDING, cut_after=120)]
         for engine in self.fleet.engines:
