Whole answers count in the budget only from when their client lags

Cause: a whole answer counted in full at its first write that waited, and whatever is larger than the socket's buffer makes one wait for any client: a client that takes it at full speed was cut as soon as the answer, or all together, were beyond the budget. Ruled out: counting what is left of it (its memory is held until all has gone out). Change: it counts from when the client was waited for by 0.5 s, looked at as for bodies; both share gateway/serving/lag.

--- a/postvalve/gateway/serving/read_ahead.py
+++ b/postvalve/gateway/serving/read_ahead.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 from collections.abc import Callable, Generator, Iterator
@@ -21,6 +22,7 @@
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PostvalveError, Verdict
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.serving.lag import await_lag
 
 CLOSE_AT_ONCE = struct.pack("ii", 1, 0)
 """Linger option of a connection that keeps nothing for its client when it is closed."""
@@ -126,6 +128,7 @@
         self._connection = connection
         self._whole: bytes | None = None
         self._reader: gevent.Greenlet | None = None
+        self._counter: gevent.Greenlet | None = None
         self._holding: Holding | None = None
         self._store: EventStore | None = None
         self._came = GeventEvent()
@@ -165,11 +168,16 @@
             lagging=len(slow),
         )
         if self._whole is not None:
-            slow.take(self._holding, len(self._whole))
+            self._counter = gevent.spawn(self._count_when_late, self._holding, len(self._whole))
             return
         self._store = EventStore(slow.budget, self._holding)
         self._reader = gevent.spawn(self._read_on, self._store)
 
+    def _count_when_late(self, holding: Holding, size: int) -> None:
+        """Hold a whole answer for a client that doesn't take it as it goes out."""
+        await_lag(self._connection, select.POLLOUT)
+        self._slow.take(holding, size)
+
     def _read_on(self, store: EventStore) -> None:
         # Unless it comes to its end, it must look cut.
         error: PostvalveError | None = ReaderCutError("the answer was not read to its end")
@@ -229,8 +237,9 @@
 
     def close(self) -> None:
         """Nothing more goes to the client; an attempt under way ends."""
-        if self._reader is not None:
-            self._reader.kill()
+        for greenlet in (self._reader, self._counter):
+            if greenlet is not None:
+                greenlet.kill()
         self._source.close()
         if self._holding is not None:
             self._slow.leave(self._holding)
--- a/postvalve/gateway/serving/request_body.py
+++ b/postvalve/gateway/serving/request_body.py
@@ -16,18 +16,13 @@
 from postvalve.events import Event
 from postvalve.exceptions import InvalidRequestError, RefusedError, RequestTooLargeError
 from postvalve.gateway.serving.http_server import CONNECTION_KEY
+from postvalve.gateway.serving.lag import await_lag
 from postvalve.gateway.serving.read_ahead import SlowClients
 
 MIN_BODY_RATE = 4 * 1024
 """Bytes a second that a body must come at: a third of what the slowest mobile links carry."""
 READ_BLOCK = MIN_BODY_RATE
 """Bytes read at once of a body that comes slowly: a second of the slowest pace."""
-BODY_LAG = 0.5
-"""Seconds that a body is waited for, all waits together, before what has come of it counts as held.
-A large body seldom comes whole with its head, and one that comes at a link's full speed must not be
-given up for others."""
-LAG_STEP = 0.05
-"""Seconds between two looks whether a body is waited for."""
 
 Receive = Callable[[], bytes]
 """Gives the next bytes of a body; nothing at its end."""
@@ -185,21 +180,10 @@
             self._slow.leave(self._holding)
 
     def _count_when_late(self) -> None:
-        waited = 0.0
-        while waited < BODY_LAG:
-            gevent.sleep(LAG_STEP)
-            # A node that is busy, or has stood still, finds bytes: it didn't wait for the client.
-            waited += 0.0 if _has_come(self._connection) else LAG_STEP
+        await_lag(self._connection, select.POLLIN)
         self._holding = self._slow.enter("", self._request_id(), self._stop_reading)
         self._slow.take(self._holding, self.size)
 
     def _stop_reading(self) -> None:
         with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_RD)
-
-
-def _has_come(connection: Any) -> bool:
-    """Whether bytes, or an end, can be read at once."""
-    poll = select.poll()
-    poll.register(connection.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
