--- a/tests/test_unknown_messages.py
+++ b/tests/test_unknown_messages.py
@@ -11,6 +11,7 @@
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.events import Event
+from postvalve.exceptions import PeerUnavailableError, Verdict
 from postvalve.gateway.fleet.load_reports import LoadReports
 from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.messages.framing import HEADER, PackedReport, encode_frame
@@ -63,7 +64,8 @@
 
 
 class ReplyTest(unittest.TestCase):
-    def test_a_reply_that_is_not_known_ends_no_other_call(self):
+    def begin_call(self):
+        """Returns the call, its peer's connection and its number."""
         listener = socket.socket()
         listener.bind(("127.0.0.1", 0))
         listener.listen()
@@ -75,9 +77,21 @@
         conn, _ = listener.accept()
         self.addCleanup(conn.close)
         _, number = read_frame(conn)
+        return call, conn, number
+
+    def test_a_reply_that_is_not_known_ends_no_other_call(self):
+        call, conn, number = self.begin_call()
         conn.sendall(LATER + encode_frame(gateway.RevisionReply(revision=9), number))
         self.assertEqual(call.get(timeout=5.0), gateway.RevisionReply(revision=9))
 
+    def test_a_call_whose_reply_is_not_known_may_have_run(self):
+        """An acknowledgement would say that the peer didn't know the call."""
+        call, conn, number = self.begin_call()
+        conn.sendall(HEADER.pack(3, LATER_KIND, number) + b"new")
+        with self.assertRaises(PeerUnavailableError) as caught:
+            call.get(timeout=3.0)
+        self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
 
 class DatagramTest(unittest.TestCase):
     def setUp(self):
