A call whose reply can't be read may have run

Cause: a reply of a kind that only another build knows became an acknowledgement for its caller; the relayed store reads that as a call that its peer didn't know, so an append that was made would count as NOT_RUN and be made again. Ruled out: ending the connection (it ends calls beside it). Change: just that call fails, with MAY_HAVE_RUN. No build sends such a reply today.

--- a/postvalve/node/peer_link.py
+++ b/postvalve/node/peer_link.py
@@ -192,24 +192,30 @@
 
     def _read_replies(self) -> None:
         try:
-            while frame := self._next_reply():
-                message, correlation_id = frame
+            while self._read_reply():
                 self._frames += 1
-                result = self._waiting.get(correlation_id)
-                # A late reply has no waiter any more and is dropped.
-                if result is not None:
-                    result.set(message)
         except (OSError, FrameError):
             pass
         finally:
             self.close()
 
-    def _next_reply(self) -> tuple[betterproto.Message, int] | None:
-        """The next reply; one that only another build knows tells its caller nothing."""
+    def _read_reply(self) -> bool:
+        """Give the next reply to its caller; False at the end of the connection."""
+        # A late reply has no waiter any more and is dropped.
         try:
-            return read_frame(self._socket)
+            frame = read_frame(self._socket)
         except UnknownKindError as unknown:
-            return peer.Acknowledgement(), unknown.header.correlation_id
+            # The peer has done something that this build can't read.
+            error = PeerUnavailableError(f"peer: {unknown}", Verdict.MAY_HAVE_RUN)
+            if (result := self._waiting.get(unknown.header.correlation_id)) is not None:
+                result.set_exception(error)
+            return True
+        if frame is None:
+            return False
+        message, correlation_id = frame
+        if (result := self._waiting.get(correlation_id)) is not None:
+            result.set(message)
+        return True
 
     def close(self) -> None:
         """Close, and fail everything that waits."""
