Test: short events take more memory than is counted

Fails on this code: 1,000 events of 2, 20, 40 and 200 bytes take 43,704, 61,736, 81,672 and 241,672 bytes (tracemalloc), counted are 2,000, 20,000, 40,000 and 200,000.

--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -1,5 +1,6 @@
 """What is held for slow clients: each byte once and in order, within the budget, fairly."""
 
+import tracemalloc
 import unittest
 
 from hypothesis import given
@@ -129,6 +130,21 @@
         self.assertEqual(store.put(b"x" * size, 0.0), [])
 
 
+class ShortEventTest(unittest.TestCase):
+    def test_short_events_take_no_more_memory_than_is_counted(self):
+        for size in (2, 20, 40, 200, 2_000):
+            with self.subTest(size):
+                budget = MemoryBudget(10_000_000)
+                store = EventStore(budget, Holding("t"))
+                tracemalloc.start()
+                self.addCleanup(tracemalloc.stop)
+                before, _ = tracemalloc.get_traced_memory()
+                for number in range(1_000):
+                    store.put(bytes([number % 251]) * size, 0.0)
+                taken = tracemalloc.get_traced_memory()[0] - before
+                self.assertGreaterEqual(budget.held * 1.1, taken)
+
+
 class BudgetTest(unittest.TestCase):
     def setUp(self):
         self.budget = MemoryBudget(LIMIT)
