--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import socket
 
+from postvalve.core.serving.read_ahead import EVENT_OVERHEAD
 from postvalve.events import Event
 from tests.answers import parse_answer, read_answer
 from tests.gateway_support import HOST, ONCE_PATH, STREAM_PATH, GatewayFleet
@@ -110,6 +111,17 @@
         self.assertEqual((answer.body, answer.whole), (whole_stream("r1"), True))
         wait_until(lambda: self.held() == 0)
 
+    def test_an_answer_that_is_taken_as_it_comes_counts_for_nothing(self):
+        """It is larger than what sockets hold, so that a write must wait for any client."""
+        self.node.slow_clients.budget.limit = SIZE // 2
+        self.answer_with(events=EVENTS, padding=PADDING, content_type="text/plain")
+        for number in range(3):
+            answer = read_answer(self.send(f"r{number}"))
+            self.assertEqual((answer.body, answer.whole), (whole_stream(f"r{number}"), True))
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+        wait_until(lambda: not self.node.application.in_progress)
+        self.assertEqual((self.held(), self.node.status_document()["readers"]), (0, []))
+
     def test_a_slow_stream_goes_on_at_another_engine(self):
         plan = [Behaviour(events=EVENTS, padding=PADDING, cut_after=120)]
         for engine in self.fleet.engines:
@@ -204,7 +216,7 @@
         return most
 
     def test_who_holds_most_for_longest_is_cut(self):
-        self.budget.limit = 3 * SIZE
+        self.budget.limit = 3 * (SIZE + EVENTS * EVENT_OVERHEAD)
         # One store alone may hold an answer here.
         self.budget.stream_share = 1.0
         most = self.watch_budget()
