Fill a tenant's bucket by what its node could lend all the while

Cause: a bucket was set to its node's share only when it was asked, so one that nobody asked during a cut kept and earned the whole of the limit, while the other side lent its part; after the cut both were lent. A node that starts earned the whole rate for the time in which it heard nobody. Ruled out: filling all buckets at each look (work for each tenant, twice a second, and a bucket that is made later knows nothing of it). Change: the shares of the last 10 s are kept, as views are, and a bucket fills by each of them. A start begins at no share until the first look. The second step of the start's test expected too little: 1.2 s at an eighth and 1.9 requests later make two, so it asks after 1.2 requests now, which leaves exactly one; its first step, which is the fault, is as it was.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -119,6 +119,15 @@
     """Monotonic seconds at which the last refused caller was told to come back."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """What a node could lend by from a time on."""
+
+    since: float
+    share: float
+    zone_share: float
+
+
 @dataclass(slots=True)
 class _View:
     since: float
@@ -149,6 +158,8 @@
             [_View(now, frozenset((node_id,)), frozenset((node_id,)))]
         )
         self._certain = frozenset((node_id,))
+        self._parts: deque[_Part] = deque([_Part(now, 0.0, 0.0)])
+        """For as long as views; a bucket that is not asked for fills by them all the same."""
         self._sizes: deque[tuple[float, int]] = deque()
         """When the fleet was seen to have so many nodes, the largest first."""
         self._own: dict[str, _Account] = {}
@@ -212,8 +223,16 @@
             self._views.popleft()
         self._certain = nodes if certain is None else nodes.intersection(certain)
         self._note_size(len(nodes), announced, now)
+        self._note_part(now)
         return stalled
 
+    def _note_part(self, now: float) -> None:
+        parts, share, zone_share = self._parts, self.share, self.zone_share
+        if (share, zone_share) != (parts[-1].share, parts[-1].zone_share):
+            parts.append(_Part(now, share, zone_share))
+        while len(parts) > 1 and parts[1].since < now - VIEW_TIME:
+            parts.popleft()
+
     def _note_size(self, heard: int, announced: int, now: float) -> None:
         while self._sizes and self._sizes[0][0] < now - KNOWN_TIME:
             self._sizes.popleft()
@@ -252,29 +271,40 @@
             account = accounts[tenant] = _Account(terms, bucket)
         if terms.revision >= account.terms.revision:
             account.terms = terms
-        share = self._fill_by_zone(account) if deputy else self._fill(account)
+        part = self._fill(account, deputy)
+        share = part.zone_share if deputy else part.share
         wait = account.bucket.take(now)
         if not wait:
             return Loan(Lending.LENT, share=share)
         return Loan(Lending.OVER, self._return_time(account, now, wait), share)
 
-    def _fill(self, account: _Account) -> float:
-        """Set what a first choice lends by; returns its share."""
-        share, bucket = self.share, account.bucket
-        bucket.rate = max(account.terms.rate * share, 1e-6)
+    def _fill(self, account: _Account, deputy: bool) -> _Part:
+        """Fill a bucket by each part since it was asked for; returns the one that is in force.
+
+        Others have lent what a part left, which is no credit of this node once it hears them again.
+        """
+        bucket, set_part = account.bucket, self._set_zone_part if deputy else self._set_part
+        for part in self._parts:
+            if part.since > bucket.refilled_at:
+                bucket.refill(part.since)
+            set_part(account, part)
+        return self._parts[-1]
+
+    def _set_part(self, account: _Account, part: _Part) -> None:
+        """Set what a first choice lends by."""
+        bucket = account.bucket
+        bucket.rate = max(account.terms.rate * part.share, 1e-6)
         # A share below one request would refuse everything.
-        bucket.burst = max(1.0, self._bounds.capacity(account.terms) * share)
-        return share
+        bucket.burst = max(1.0, self._bounds.capacity(account.terms) * part.share)
 
-    def _fill_by_zone(self, account: _Account) -> float:
-        """Set what a second choice lends by; returns its zone's share."""
-        share, bucket = self.zone_share, account.bucket
+    def _set_zone_part(self, account: _Account, part: _Part) -> None:
+        """Set what a second choice lends by."""
+        share, bucket = part.zone_share, account.bucket
         credit = self._bounds.deputies_credit(account.terms) * share
         bucket.rate = max(credit * (1 - FILLED_PART) / self._bounds.window, 1e-6)
         # Only one zone can hold most of the fleet, and lend one request of a smaller share.
         least = 1.0 if share > 0.5 else 0.0
         bucket.burst = max(least, credit * FILLED_PART)
-        return share
 
     def _return_time(self, account: _Account, now: float, wait: float) -> float:
         """Seconds until a refused caller may come back, one behind the other."""
--- a/postvalve/core/admission/token_bucket.py
+++ b/postvalve/core/admission/token_bucket.py
@@ -14,11 +14,15 @@
     tokens: float
     refilled_at: float
 
-    def take(self, now: float) -> float:
-        """Take one token; returns 0, or the seconds until there will be one."""
+    def refill(self, now: float) -> None:
+        """Add what came in until `now`."""
         elapsed = max(0.0, now - self.refilled_at)
         self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
         self.refilled_at = now
+
+    def take(self, now: float) -> float:
+        """Take one token; returns 0, or the seconds until there will be one."""
+        self.refill(now)
         if self.tokens < 1.0:
             return (1.0 - self.tokens) / self.rate
         self.tokens -= 1.0
--- a/tests/test_zoned_limits.py
+++ b/tests/test_zoned_limits.py
@@ -91,7 +91,7 @@
     def test_a_node_that_starts_has_no_credit_for_the_time_before_it_heard_the_fleet(self):
         limits = self.limits([(0.1, 1), (0.6, 1), (1.2, 8)])
         self.assertEqual(self.lent(limits, 1.2), 0)
-        self.assertEqual(self.lent(limits, 1.2 + 1.9 / SMALL.rate), 1)
+        self.assertEqual(self.lent(limits, 1.2 + 1.2 / SMALL.rate), 1)
 
 
 class CutZoneTest(unittest.TestCase):
