Test, failing: a caller is sent away for seconds though its lender is not silent

The first choice answers that others lend now (it has heard of a newcomer, or is leaving, and this node has not): told 3.1 s, while this node hears the same within a report or a digest.

--- a/tests/test_tenant_credit.py
+++ b/tests/test_tenant_credit.py
@@ -7,6 +7,7 @@
 
 from postvalve.core.admission.fleet_limits import SETTLE_TIME, FleetLimits, Lending, Loan
 from postvalve.events import Event
+from postvalve.messages.generated import gateway
 from tests.gateway_support import STREAM_PATH, GatewayFleet
 from tests.waiting import PATIENCE, wait_until
 
@@ -165,6 +166,14 @@
         self.credit._hears_neighbours = lambda: False
         self.assertLess(float(self.send(self.node).headers["retry-after"]), 0.2)
 
+    def test_one_whose_lender_is_not_silent_but_sends_elsewhere_comes_back_at_once(self):
+        """A node that others heard before this one lends now: this one will hear it in a moment."""
+        self.refuse()
+        self.credit._silent_until.clear()
+        elsewhere = gateway.CreditReply(lending=Lending.NOT_MINE.value)
+        self.credit._call = lambda node_id, address, ask: elsewhere
+        self.assertLess(float(self.send(self.node).headers["retry-after"]), 0.2)
+
     def test_what_a_second_choice_has_not_left_is_no_limit_reached(self):
         self.refuse()
         over = Loan(Lending.OVER, 3.0, 0.25)
