Send a caller away for seconds only where its lender was silent

Cause: whoever got no credit was told when a silent first choice would be taken for gone, also where that one had answered that others lend (a newcomer ranks first, or it is leaving): the client waited 3 s and more of its time for what its node hears a report later. Ruled out: asking anew (views may differ for a digest's interval, and the request would be held). Change: the longer time is told only where the lender did not answer; a silence is noted where an ask is made, so a stubbed call counts.

--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -163,9 +163,11 @@
         at the same time as this one.
         """
         first = self._peers.get(asked[0]) if asked else None
-        if first is None or not self._hears_neighbours():
-            return UNKNOWN_RETRY_AFTER
         now = self._clock.monotonic()
+        if first is None or not self._was_silent(first.node_id, now):
+            return UNKNOWN_RETRY_AFTER
+        if not self._hears_neighbours():
+            return UNKNOWN_RETRY_AFTER
         left = first.heard_at + LENDER_SILENT_AFTER + LOOK_TIME - now
         most = (deadline - now) * RETURN_SHARE
         if not 0 < left <= most:
@@ -193,6 +195,13 @@
                 return second, little
         return first, asked.get()
 
+    def _was_silent(self, node_id: str, now: float) -> bool:
+        """Whether a node did not answer, and the second choice has been asked since at the most.
+
+        One that answered and lends nothing knows of another lender, and this node will in a moment.
+        """
+        return self._silent_until.get(node_id, 0.0) > now - self.patience
+
     def _hears_neighbours(self) -> bool:
         """Whether this node is not alone cut off, as far as it knows."""
         now, zone = self._clock.monotonic(), self._services.identity.zone
@@ -230,6 +239,8 @@
             correction=work.correction,
         )
         reply = self._call(node_id, peer.report.peer_address, ask)
+        if reply is None:
+            self._silent_until[node_id] = self._clock.monotonic() + SILENT_TIME
         if not isinstance(reply, gateway.CreditReply) or reply.lending not in _LENDINGS:
             return Loan(Lending.NOT_MINE)
         return Loan(Lending(reply.lending), reply.wait, reply.share, reply.tag)
@@ -251,7 +262,6 @@
             except PeerUnavailableError as exc:
                 error = exc.message
         if reply is None:
-            self._silent_until[node_id] = self._clock.monotonic() + SILENT_TIME
             self._events.emit(Event.CREDIT_NOT_TOLD, peer=node_id, error=error)
         return reply
 
