--- a/tests/test_zoned_limits.py
+++ b/tests/test_zoned_limits.py
@@ -3,7 +3,8 @@
 import itertools
 import unittest
 
-from postvalve.core.admission.fleet_limits import FleetLimits, LimitBounds, LimitTerms
+from postvalve.core.admission.fleet_limits import FleetLimits, Lending, LimitBounds, LimitTerms
+from postvalve.core.membership.ownership import rank_owners
 from tests.limit_model import STEP, allowed
 from tests.test_fleet_limits import FAULTS, flood, settle
 from tests.zoned_limit_model import ZonedLimitModel
@@ -160,6 +161,19 @@
             self.assertEqual(self.limits("n7", far).choices(tenant)[0], first)
             self.assertIn(self.limits("n7", far).choices(tenant)[1], far)
 
+    def test_who_is_replaced_as_second_choice_begins_anew_when_it_is_one_again(self):
+        """The other one has lent meanwhile, and may be full when it ends."""
+        tenant = next(
+            one for one in map(str, range(999)) if rank_owners(one, "abc") == [*"abc"]
+        )
+        limits = FleetLimits("c", 0.0)
+        for step in range(1, 100):
+            live = "ac" if step < 60 else "abc" if step < 98 else "ac"
+            limits.look(live, 2, step * 0.5)
+            if step == 50:
+                self.assertEqual(limits.lend(tenant, LARGE, 25.0).lending, Lending.LENT)
+        self.assertEqual(limits.lend(tenant, LARGE, 49.6).lending, Lending.OVER)
+
     def test_all_second_choices_together_lend_no_more_than_one(self):
         bounds, terms = LimitBounds(), LimitTerms(0.001, 0.0)
         tenant = next(
