A second choice that was replaced begins anew

Cause: only the buckets of first choices were dropped when others took the place, so a node that was second, then not, then second again lent what it had beside what the other lent in the same window. Ruled out: dropping it only where a third node stood there (a first choice's stint has a second one beside it, too). Change: both kinds are dropped alike; a bucket made later fills since its place is this node's. Seen before: lent at once after 24 s as no second choice; now over.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -249,10 +249,12 @@
         self._views = deque([_View(now, self._views[-1].live, self._views[-1].near)])
 
     def _drop_foreign(self) -> None:
+        """Others lend from now on, and this node begins anew when it does so again."""
         view = self._views[-1]
-        for tenant in list(self._own):
-            if view.choices_of(tenant)[:1] != [self._node_id]:
-                del self._own[tenant]
+        for rank, accounts in enumerate((self._own, self._deputy)):
+            for tenant in list(accounts):
+                if view.choices_of(tenant)[rank : rank + 1] != [self._node_id]:
+                    del accounts[tenant]
 
     def choices(self, tenant: str) -> list[str]:
         """Whom to ask, the first one first; two at the most."""
--- a/tests/test_zoned_limits.py
+++ b/tests/test_zoned_limits.py
@@ -163,9 +163,7 @@
 
     def test_who_is_replaced_as_second_choice_begins_anew_when_it_is_one_again(self):
         """The other one has lent meanwhile, and may be full when it ends."""
-        tenant = next(
-            one for one in map(str, range(999)) if rank_owners(one, "abc") == [*"abc"]
-        )
+        tenant = next(one for one in map(str, range(999)) if rank_owners(one, "abc") == [*"abc"])
         limits = FleetLimits("c", 0.0)
         for step in range(1, 100):
             live = "ac" if step < 60 else "abc" if step < 98 else "ac"
