--- a/tests/test_connect_patience.py
+++ b/tests/test_connect_patience.py
@@ -71,3 +71,31 @@
         failed = self.fleet.events("n0", Event.ROUTED_ATTEMPT_FAILED)
         self.assertTrue(failed)
         self.assertLess(max(one["age"] for one in failed), IN_TIME)
+
+
+class OnlyEngineTest(unittest.TestCase):
+    """Its connections turn slow, and no other engine could have the request."""
+
+    SLOW = 0.2
+
+    def test_it_gets_all_the_time_that_a_connection_may_take(self):
+        fleet = GatewayFleet(nodes=1, engines=1)
+        self.addCleanup(fleet.stop)
+        pool, address = fleet.nodes["n0"]._pool, fleet.engines[0].address
+        for number in range(2 * LEAST_SAMPLES):
+            fleet.request("n0", STREAM_PATH + "x", request_id=f"w{number}")
+            pool.drop(address)
+        slow, port = self.SLOW, fleet.engines[0].port
+
+        class SlowSocket(socket.socket):
+            def connect(self, address):
+                if address[1] == port:
+                    gevent.sleep(min(slow, self.gettimeout()))
+                    if self.gettimeout() < slow:
+                        raise TimeoutError("timed out")
+                return super().connect(address)
+
+        with mock.patch.object(engine_connections.gevent_socket, "socket", SlowSocket):
+            answer = fleet.request("n0", STREAM_PATH + "x", request_id="r")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(fleet.events("n0", Event.ROUTED_ATTEMPT_FAILED), [])
