Give a connection up early only where another engine is left

Cause: the first two tries of a request were hurried whatever was left, so where one engine is all there is, or all others were tried, one that connects slowly was suspected and its tries used up. Ruled out: patience by engine (many engines are connected to too seldom to know). Change: a try is hurried while the service has an engine that this round has not tried.

--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -209,14 +209,18 @@
     def _wait_for_room(self) -> None:
         """Wait a moment when every engine has refused: slots come free all the time."""
         progress = self._progress
-        engines = self._fleet.engines(self._request.service)
-        if any(one.life not in progress.tried for one in engines):
+        if self._others_left():
             return
         pause = min(MAX_REFUSED_PAUSE, REFUSED_PAUSE * 2**progress.refused_rounds)
         progress.refused_rounds += 1
         progress.tried.clear()
         gevent.sleep(pause)
 
+    def _others_left(self) -> bool:
+        """Whether the service has engines that were not tried in this round."""
+        engines = self._fleet.engines(self._request.service)
+        return any(one.life not in self._progress.tried for one in engines)
+
     def _check_time(self) -> None:
         if self._client_gone:
             raise ClientGoneError("the client left")
@@ -259,7 +263,7 @@
             request.deadline,
             wanted=lambda: self._fleet.takes_work(engine.life),
             fresh=self._progress.unanswered,
-            hurried=self._progress.tries <= HURRIED_TRIES,
+            hurried=self._progress.tries <= HURRIED_TRIES and self._others_left(),
         )
         self._answer = answer
         answer.read_head(self._patience(HEAD_SILENCE))
