--- a/tests/test_zoned_limits.py
+++ b/tests/test_zoned_limits.py
@@ -3,7 +3,8 @@
 import itertools
 import unittest
 
-from postvalve.core.admission.fleet_limits import FleetLimits, LimitBounds, LimitTerms
+from postvalve.core.admission.fleet_limits import FleetLimits, Lending, LimitBounds, LimitTerms
+from postvalve.core.membership.ownership import rank_owners
 from tests.limit_model import STEP, allowed
 from tests.test_fleet_limits import FAULTS, flood, settle
 from tests.zoned_limit_model import ZonedLimitModel
@@ -55,6 +56,45 @@
             self.assertLessEqual(model.worst, allowed(terms), (seed, terms))
 
 
+class PartTimeTest(unittest.TestCase):
+    """What a node could not lend, as others did it, is not credit that it has afterwards."""
+
+    def test_a_flood_moves_from_one_side_of_a_cut_to_the_other_as_it_heals(self):
+        for zones, terms in itertools.product((2, 3), (SMALL, LARGE, LimitTerms(10.0, 50.0))):
+            model = ZonedLimitModel(0, zones, NODES, terms)
+            settle(model)
+            first = next(iter(model.nodes.values())).limits.choices("t")[0]
+            model.cut_zone(model.zones[first], 9.0)
+            flood(model, 8, 0, faults=False)
+            others = [one for one in model.nodes if model.zones[one] != model.zones[first]]
+            flood(model, 8, 7 * terms.rate + 250, faults=False, at=others)
+            self.assertLessEqual(model.worst, allowed(terms), (zones, terms))
+
+    def limits(self, share_at):
+        """A lender that heard so many of eight nodes, by when."""
+        names = [f"n{number}" for number in range(8)]
+        limits = FleetLimits("n0", 0.0)
+        limits.choices = lambda tenant: ["n0"]
+        for now, heard in share_at:
+            limits.look(names, 8, now, names, names[:heard])
+        return limits
+
+    def lent(self, limits, now):
+        return sum(not limits.lend("t", SMALL, now).wait for _ in range(99))
+
+    def test_a_bucket_that_nobody_asked_for_held_its_part_only(self):
+        full = int(LimitBounds().capacity(SMALL))
+        looks = [(step * 0.5, 2 if 20 <= step < 30 else 8) for step in range(1, 31)]
+        unasked, asked = self.limits(looks), self.limits(looks[:10])
+        self.assertEqual(self.lent(asked, 5.0), full)
+        self.assertLessEqual(self.lent(unasked, 15.0), full / 4 + 1)
+
+    def test_a_node_that_starts_has_no_credit_for_the_time_before_it_heard_the_fleet(self):
+        limits = self.limits([(0.1, 1), (0.6, 1), (1.2, 8)])
+        self.assertEqual(self.lent(limits, 1.2), 0)
+        self.assertEqual(self.lent(limits, 1.2 + 1.2 / SMALL.rate), 1)
+
+
 class CutZoneTest(unittest.TestCase):
     """Requests at a third of a small tenant's limit in a zone that is cut off.
 
@@ -121,6 +161,17 @@
             self.assertEqual(self.limits("n7", far).choices(tenant)[0], first)
             self.assertIn(self.limits("n7", far).choices(tenant)[1], far)
 
+    def test_who_is_replaced_as_second_choice_begins_anew_when_it_is_one_again(self):
+        """The other one has lent meanwhile, and may be full when it ends."""
+        tenant = next(one for one in map(str, range(999)) if rank_owners(one, "abc") == [*"abc"])
+        limits = FleetLimits("c", 0.0)
+        for step in range(1, 100):
+            live = "ac" if step < 60 else "abc" if step < 98 else "ac"
+            limits.look(live, 2, step * 0.5)
+            if step == 50:
+                self.assertEqual(limits.lend(tenant, LARGE, 25.0).lending, Lending.LENT)
+        self.assertEqual(limits.lend(tenant, LARGE, 49.6).lending, Lending.OVER)
+
     def test_all_second_choices_together_lend_no_more_than_one(self):
         bounds, terms = LimitBounds(), LimitTerms(0.001, 0.0)
         tenant = next(
