--- a/postvalve/core/admission/engine_use.py
+++ b/postvalve/core/admission/engine_use.py
@@ -15,6 +15,7 @@
 
 import xxhash
 
+from postvalve.core.admission.online_means import OnlineMeans
 from postvalve.core.membership.engine_life import EngineLife
 
 _ENTRY = struct.Struct("!IHHHH")
@@ -72,6 +73,7 @@
         self._reports: dict[str, bytes] = {}
         """What each peer told last."""
         self._totals: dict[int, UseCount] = {}
+        self.means = OnlineMeans()
 
     def enter(self, life: EngineLife, *, batch: bool, unread: int = 0, memory: int = 0) -> None:
         """Count one request in.
@@ -105,6 +107,8 @@
                 count.batch += difference
             else:
                 count.online += difference
+        if not batch:
+            self.means.note(key, self._total(key).online)
 
     def _total(self, key: int) -> UseCount:
         total = self._totals.get(key)
@@ -133,7 +137,8 @@
         if self._reports.get(node_id) == report:
             return
         self._reports[node_id] = report
-        self._subtract(self._peers.get(node_id, {}))
+        former = self._peers.get(node_id, {})
+        self._subtract(former)
         counts: dict[int, UseCount] = {}
         whole = len(report) - len(report) % _ENTRY.size
         for key, online, batch, unread, memory in _ENTRY.iter_unpack(report[:whole]):
@@ -144,11 +149,19 @@
             total.unread += count.unread
             total.memory += count.memory
         self._peers[node_id] = counts
+        # A report leaves out engines where nothing of the peer runs any more.
+        self._note_online(former.keys() | counts.keys())
 
     def forget(self, node_id: str) -> None:
         """Drop the counts of a peer that is gone."""
         self._reports.pop(node_id, None)
-        self._subtract(self._peers.pop(node_id, {}))
+        former = self._peers.pop(node_id, {})
+        self._subtract(former)
+        self._note_online(former)
+
+    def _note_online(self, keys: Iterable[int]) -> None:
+        for key in keys:
+            self.means.note(key, self._total(key).online)
 
     def _subtract(self, counts: dict[int, UseCount]) -> None:
         for key, count in counts.items():
@@ -170,10 +183,14 @@
         """Batch items that may be added; negative when there are more than should start.
 
         Items fill the gaps between the heaps of online work, and give way when one comes. Those
-        that have time leave more room, so that fewer have to.
+        that have time leave more room, so that fewer have to. A slot that a heap leaves free just
+        now is no room: see `online_means`.
         """
         fraction = RESERVED_FRACTION if pressing else RELAXED_FRACTION
-        return slots - math.ceil(slots * fraction) - self.total(life).total
+        total = self.total(life)
+        mean = math.ceil(self.means.at(engine_hash(life)))
+        beside_heap = slots - math.ceil(slots * RESERVED_FRACTION) - mean - total.batch
+        return min(slots - math.ceil(slots * fraction) - total.total, beside_heap)
 
     def excess(self, life: EngineLife, slots: int) -> int:
         """Batch items that should give way: the engine's queue has grown too long."""
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from types import MappingProxyType
 
 from postvalve.core.batch.giving_way import encode_zone_running
-from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups
+from postvalve.core.batch.item_order import decode_groups, encode_groups, merge_groups, merge_paces
 from postvalve.core.membership.extensions import (
     OWN_FEATURES,
     Extension,
+    Extensions,
     features_of,
     pack_features,
 )
@@ -22,6 +24,7 @@
 from postvalve.core.membership.peers import STORE_SILENT_AFTER, Peer
 from postvalve.core.membership.report_pace import FAR_RATE
 from postvalve.core.membership.zone_digest import ZoneDigest, ZoneMember, members_version
+from postvalve.core.scheduling.waiting_order import merge_news
 
 DIGEST_INTERVAL = 0.25
 """Seconds between two digests of a zone at the least."""
@@ -46,6 +49,9 @@
 """Due times of waiting items that a digest tells."""
 
 
+EMPTY: Extensions = MappingProxyType({})
+
+
 def tells_by_digest(far_peers: int) -> bool:
     """Whether so many nodes of other zones are told of a zone by its digest."""
     return far_peers > DIRECT_PEERS
@@ -89,7 +95,12 @@
         return now - self._sent_at >= interval
 
     def make(
-        self, own: LoadReport, neighbours: Sequence[Peer], engine_use: bytes, now: float
+        self,
+        own: LoadReport,
+        neighbours: Sequence[Peer],
+        engine_use: bytes,
+        now: float,
+        told: Extensions = EMPTY,
     ) -> bytes:
         """The next digest, packed.
 
@@ -98,6 +109,7 @@
             neighbours: The other nodes of the zone.
             engine_use: Counts of all of them together.
             now: Monotonic seconds.
+            told: Parts that nodes tell in turns, which the last reports don't hold whole.
         """
         reports = sorted([own, *(peer.report for peer in neighbours)], key=lambda one: one.node_id)
         members = tuple(map(_member, reports))
@@ -120,7 +132,7 @@
             members_version=version,
             members=members if listed else None,
             running=[item for one in reports for item in one.running],
-            extensions=merge_extensions(reports),
+            extensions={**merge_extensions(reports), **told},
         )
         data = digest.pack()
         self._size = len(data) if not listed or not self._size else self._size
@@ -133,7 +145,14 @@
     features = OWN_FEATURES
     for report in reports:
         features &= features_of(report.extensions)
-    return {Extension.FEATURES: pack_features(features)}
+    parts: dict[int, bytes] = {Extension.FEATURES: pack_features(features)}
+    told = [one.extensions.get(Extension.ITEM_PACE, b"") for one in reports]
+    if pace := merge_paces(told):
+        parts[Extension.ITEM_PACE] = pace
+    shares = merge_news(one.extensions.get(Extension.SHARE_CLOCK, b"") for one in reports)
+    if shares:
+        parts[Extension.SHARE_CLOCK] = shares
+    return parts
 
 
 def _waiting(own: LoadReport, neighbours: Sequence[Peer]) -> list[tuple[int, int]]:
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -48,7 +48,18 @@
     TENANT_OVER_LIMIT = (226, "info", "request not run: its tenant is over its limit")
     LIMIT_UNKNOWN = (227, "warning", "request not run: nobody told whether its tenant has credit")
     CREDIT_NOT_TOLD = (228, "info", "a peer did not tell whether a tenant has credit")
+    LINE_SILENT = (240, "info", "the keeper of a line does not answer")
+    LINE_ANSWERS = (241, "info", "the keeper of a line answers again")
+    LINE_GRANTED = (242, "debug", "slots granted to requests that wait at a node")
     QUARANTINE_NOT_LEARNT = (224, "warning", "requests under which engines ended were not told")
+    TENANTS_SERVED = (230, "info", "what tenants asked for and got lately")
+    CLIENT_LAGS = (280, "info", "client reads slowly: its answer is read on ahead of it")
+    SLOW_CLIENT_CUT = (281, "warning", "slow client given up: too much was held for it")
+    BODY_TOO_SLOW = (282, "info", "request not run: its body came too slowly")
+    ENGINE_LOAD_UNREADABLE = (320, "warning", "engine tells a load that cannot be read")
+    ENGINE_DIFFERS = (321, "info", "engine is faster or slower than the others of its service")
+    ENGINE_DIFFERS_NO_MORE = (322, "info", "engine is like the others of its service again")
+    PLACED_BY_PACE = (323, "info", "engines among which a late request was placed")
     CONFIGURATION_IN_FORCE = (300, "info", "configuration revision in force")
     CONFIGURATION_UNREADABLE = (301, "error", "accepted configuration cannot be read")
     CONFIGURATION_FROM_PEER = (302, "info", "configuration revision taken from a peer")
@@ -93,6 +104,8 @@
     ROUTED_ITEM_ENDED = (516, "info", "batch item ended")
     ROUTED_ITEM_PREEMPTED = (517, "info", "batch item gave way")
     ITEM_TOLD_TO_GIVE_WAY = (521, "info", "batch item of a node told to give way")
+    ITEM_STARTED = (525, "info", "batch item started")
+    ITEM_ORDER = (526, "info", "order of batch items has changed")
     ROUTED_JOB_ENDED = (518, "info", "batch job ended")
     ROUTED_JOBS_PURGED = (519, "info", "old batch jobs dropped from the store")
     ROUTED_JOB_RESTORED = (
@@ -119,6 +132,8 @@
         "a peer knew more of the engines; they were read beside the read under way",
     )
     LOG_RECORD_INVALID = (601, "error", "log record cannot be read")
+    FEATURES_CHANGED = (630, "info", "what takes all nodes is on or off")
+    MESSAGES_NOT_KNOWN = (631, "info", "messages that only another build knows were passed over")
 
     @property
     def number(self) -> int:
--- a/postvalve/gateway/engines/engine_connections.py
+++ b/postvalve/gateway/engines/engine_connections.py
@@ -17,12 +17,21 @@
 
 from postvalve.clock import Clock
 from postvalve.core.admission.connection_share import MAX_RESTING
+from postvalve.core.routing.connect_patience import ConnectPatience
+from postvalve.core.serving.transfer_pace import TransferPace
 from postvalve.exceptions import AttemptError, EngineCutError, Verdict
 from postvalve.gateway.interfaces import Headers
 from postvalve.sockets import send_at_once
 
 CONNECT_TIMEOUT = 0.6
 """Seconds to open a connection to an engine."""
+SEND_PATIENCE = 2.0
+"""Seconds that an engine may fall behind in reading a request."""
+MIN_SEND_RATE = 125_000
+"""Bytes a second that an engine must read at over that: a hundredth of the links of an engine's
+machine, which it shares."""
+MIN_SEND_WAIT = 0.05
+"""Seconds that a send waits at least, however late it is."""
 SEND_TIMEOUT_MS = 1_500
 """Milliseconds that sent bytes may stay unacknowledged."""
 READ_BLOCK = 32 * 1024
@@ -221,6 +230,7 @@
         self.clock = clock
         self._engines: dict[str, _Engine] = defaultdict(_Engine)
         self._resting_limit = MAX_RESTING
+        self._patience = ConnectPatience()
         self.opened = 0
         """Connections opened since the start."""
 
@@ -232,6 +242,7 @@
         *,
         wanted: Callable[[], bool],
         fresh: bool = False,
+        hurried: bool = False,
     ) -> EngineAnswer:
         """Send a request; returns its answer, of which nothing was read yet.
 
@@ -243,25 +254,40 @@
                 have left while one was opened.
             fresh: Whether it takes a connection of its own: many that rest may have fallen
                 silent at the same time.
+            hurried: Whether another engine may have the request where a connection does not come
+                up as soon as they do.
 
         Raises:
             AttemptError: NOT_RUN when nothing was sent, else MAY_HAVE_RUN.
         """
         resting = None if fresh else self._take(address)
-        connection = resting or self._open(address, deadline)
+        connection = resting or self._open(address, deadline, hurried)
         if not wanted():
             connection.close()
             raise AttemptError("the engine takes no work any more", Verdict.NOT_RUN)
         answer = EngineAnswer(self, address, connection, deadline)
         try:
-            connection.settimeout(max(0.05, min(2.0, deadline - self.clock.monotonic())))
-            connection.sendall(request)
+            self._send(connection, request, deadline)
         except OSError as error:
             connection.close()
             kind = AttemptError if isinstance(error, TimeoutError) else EngineCutError
             raise kind(f"sending failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
         return answer
 
+    def _send(self, connection: Any, request: bytes, deadline: float) -> None:
+        """Send a request to an engine that reads it in time; mostly its socket takes it at once."""
+        now = self.clock.monotonic()
+        pace = TransferPace(MIN_SEND_RATE, SEND_PATIENCE, now)
+        rest = memoryview(request)
+        while rest:
+            connection.settimeout(max(MIN_SEND_WAIT, min(pace.left(now), deadline - now)))
+            sent = connection.send(rest)
+            rest = rest[sent:]
+            now = self.clock.monotonic()
+            pace.went(sent, now)
+            if rest and (pace.left(now) <= 0 or now >= deadline):
+                raise TimeoutError("the engine reads too slowly")
+
     def _take(self, address: str) -> Any | None:
         resting = self._engines[address].resting
         now = self.clock.monotonic()
@@ -272,9 +298,11 @@
             one.connection.close()
         return None
 
-    def _open(self, address: str, deadline: float) -> Any:
+    def _open(self, address: str, deadline: float, hurried: bool) -> Any:
         host, _, port = address.rpartition(":")
-        patience = min(CONNECT_TIMEOUT, deadline - self.clock.monotonic())
+        started_at = self.clock.monotonic()
+        longest = self._patience.seconds(CONNECT_TIMEOUT) if hurried else CONNECT_TIMEOUT
+        patience = min(longest, deadline - started_at)
         if patience <= 0:
             raise AttemptError("the deadline passed", Verdict.NOT_RUN)
         connection = gevent_socket.socket(sockets.AF_INET, sockets.SOCK_STREAM)
@@ -286,6 +314,7 @@
         except OSError as error:
             connection.close()
             raise AttemptError(f"connecting failed: {error!r}", Verdict.NOT_RUN) from error
+        self._patience.note(self.clock.monotonic() - started_at)
         self.opened += 1
         return connection
 
--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -1,62 +1,38 @@
-"""Engines and other nodes as this node sees them."""
+"""Where requests and batch items go: the load of each engine, and what has room there."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
-from gevent.event import Event as GeventEvent
-
 from postvalve.clock import Clock
-from postvalve.core.admission.engine_use import EngineUse, UseCount, relaxed_slots
-from postvalve.core.admission.holding import EngineRoom, expected_first
+from postvalve.core.admission.engine_use import EngineUse, relaxed_slots
 from postvalve.core.admission.service_pace import ServicePace
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.randomness import RandomSource
-from postvalve.core.routing.engine_choice import AFFINITY_TOKENS, EngineChooser, EngineOption
-from postvalve.events import Event, EventLog
+from postvalve.core.routing.engine_choice import (
+    AFFINITY_TOKENS,
+    DRAWN,
+    EngineChooser,
+    EngineOption,
+)
+from postvalve.core.routing.engine_pace import EVEN
+from postvalve.core.routing.expectation import EngineRoom, expected_first, timely
+from postvalve.events import EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
-from postvalve.gateway.fleet.engine_standing import EngineStandings
-from postvalve.gateway.fleet.usable_engines import UsableEngines
-from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
+from postvalve.gateway.fleet.listed_engines import ListedEngines
+from postvalve.gateway.fleet.placement import ConsideredEngine, Placement
+from postvalve.gateway.fleet.service_rooms import EVEN_ROOMS, ServiceRooms, UnevenRooms
+from postvalve.gateway.interfaces import EngineEntry, RequestTerms
 from postvalve.settings.routes import ServiceSpec
 
 USABLE_MEMORY = 0.95
 """Share of an engine's memory that requests may fill by their own words."""
-SETTLE_LOOK = 0.1
-"""Seconds between looks whether the directory is still unsettled."""
 START_UNREAD = 2_500
 """Prompt tokens that an engine has to read up to which one more batch item starts there, so
 that items which start after a heap don't hold online work up by reading their prompts."""
 
 
-@dataclass(slots=True)
-class Placement:
-    """An engine chosen for one attempt, counted as used until it is left."""
-
-    engine: EngineEntry
-    batch: bool
-    online_seen: int = 0
-    """Online requests of all nodes at the engine, as this node knew before."""
-    batch_seen: int = 0
-    """Batch items likewise."""
-    unread_seen: int = 0
-    """Prompt tokens that the engine had to read before, likewise."""
-    unread: int = 0
-    """Prompt tokens of this attempt; 0 once its first token came."""
-    memory: int = 0
-    """Tokens that this attempt may need in the engine's memory."""
-    to_read: int = 0
-    """Prompt tokens that the engine had to read until this attempt's first event."""
-    expected: float = 0.0
-    """Seconds to the first event, as this node expected."""
-
-    @property
-    def found_slot(self) -> bool:
-        """Whether a slot was free, as far as this node knew."""
-        return self.online_seen + self.batch_seen < self.engine.slots
-
-
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     """An engine that may take an online request, as this node sees it now."""
@@ -66,10 +42,6 @@
     room: EngineRoom
 
 
-def _room_of(entry: EngineEntry, count: UseCount) -> EngineRoom:
-    return EngineRoom(entry.slots, count.online, count.batch, count.unread)
-
-
 def _memory_short(used: int, tokens: int, memory_tokens: int) -> int:
     """Tokens by which an engine's memory is too small for one more request.
 
@@ -87,17 +59,15 @@
 def _timely(
     candidates: list[_Candidate], pace: ServicePace, tokens: int, left: float
 ) -> list[EngineOption]:
-    """Engines by which a request can be in time; else those with a free slot; else all."""
-    timely = [
-        one.option
-        for one in candidates
-        if pace.known and expected_first(one.room, tokens, pace) + pace.margin <= left
-    ]
-    free = [one.option for one in candidates if one.room.online < one.room.slots]
-    return timely or free or [one.option for one in candidates]
+    """Engines by which a request can be in time; else those with a free place; else all."""
+    in_time = timely((one.room for one in candidates), tokens, pace, left)
+    found = [one.option for one, is_so in zip(candidates, in_time, strict=True) if is_so]
+    if not found:
+        found = [one.option for one in candidates if one.room.has_place(pace)]
+    return found or [one.option for one in candidates]
 
 
-class EngineFleet:
+class EngineFleet(ListedEngines):
     """Engines of the directory, with the load and standing of each."""
 
     def __init__(
@@ -108,26 +78,13 @@
         pool: ConnectionPool,
         generator: RandomSource,
     ) -> None:
-        self._zone = zone
-        self._clock = clock
-        self._events = events
-        self._pool = pool
+        super().__init__(zone, clock, events, pool)
         self._chooser = EngineChooser(zone, generator)
         self._random = generator
-        self._engines: dict[EngineLife, EngineEntry] = {}
-        self._usable: dict[str, UsableEngines] = {}
-        """Those that take new work, by service; worked out anew after each change."""
-        self._updated = GeventEvent()
-        """Set, and replaced, when the directory was taken in."""
-        self.directory_unsettled: Callable[[], bool] = bool
-        """Tells whether engines may live that the directory does not list at the moment."""
-        self.directory_age: Callable[[], float] = float
-        """Gives the seconds of which this node does not know how the directory changed."""
-        self._standings = EngineStandings(clock)
-        self._warm_at: dict[EngineLife, float] = {}
-        """Monotonic seconds at which engines that told to be cold are warm."""
         self.use = EngineUse()
-        self._paces: dict[str, ServicePace] = {}
+        self.paces.counted = lambda life: self.use.total(life).total
+        self.pause_aim: Callable[[str], float | None] = lambda service: None
+        """Gives the seconds between events that callers of a service bear; None for no bound."""
         self.service_named: Callable[[str], ServiceSpec | None] = lambda name: None
         """Gives a service of the configuration in force."""
         self.watched: Callable[[], Collection[EngineLife]] = tuple
@@ -139,117 +96,27 @@
         self.on_crowded: Callable[[EngineLife], None] = lambda life: None
         """Called when an online request was sent to an engine where batch must give way."""
 
-    def update(self, entries: Iterable[EngineEntry]) -> None:
-        """Take the directory's present list in."""
-        engines = {entry.life: entry for entry in entries}
-        for life, former in self._engines.items():
-            if life not in engines:
-                self._pool.drop(former.address)
-                self._events.emit(
-                    Event.ENGINE_GONE, engine=life, within=round(self.directory_age(), 3)
-                )
-        self._standings.keep(engines)
-        self._note_cold(engines)
-        for life, entry in engines.items():
-            known = self._engines.get(life)
-            if known is None or known.state is not entry.state:
-                self._events.emit(
-                    Event.ENGINE_LISTED,
-                    engine=life,
-                    state=entry.state.value,
-                    service=entry.service,
-                    engine_zone=entry.zone,
-                    within=round(self.directory_age(), 3),
-                )
-        self._engines = engines
-        self._usable = {}
-        updated, self._updated = self._updated, GeventEvent()
-        updated.set()
-
-    def _note_cold(self, engines: dict[EngineLife, EngineEntry]) -> None:
-        now = self._clock.monotonic()
-        known = {key: at for key, at in self._warm_at.items() if key in engines and at > now}
-        for life, entry in engines.items():
-            # An entry that stands as it was told nothing new.
-            if entry.warm_in > 0 and entry != self._engines.get(life):
-                known[life] = now + entry.warm_in
-        self._warm_at = known
-
-    def await_engines(self, service: str, patience: float) -> bool:
-        """Wait for an engine of a service where the directory may be about to list one.
-
-        Args:
-            service: The service.
-            patience: Seconds.
-
-        Returns:
-            Whether there is one.
-        """
-        deadline = self._clock.monotonic() + patience
-        while not self.engines(service):
-            left = deadline - self._clock.monotonic()
-            if left <= 0 or not self.directory_unsettled():
-                return False
-            self._updated.wait(min(left, SETTLE_LOOK))
-        return True
-
-    def engines(self, service: str) -> Sequence[EngineEntry]:
-        """Engines of a service that take new work; callers only read the list."""
-        return self._usable_of(service).all
-
-    def _usable_of(self, service: str) -> UsableEngines:
-        # Asked for at each look for room: some fifty times a second at a node with batch items.
-        found = self._usable.get(service)
-        if found is None:
-            entries = [
-                entry
-                for entry in self._engines.values()
-                if entry.service == service and self.takes_work(entry.life)
-            ]
-            found = self._usable[service] = UsableEngines(entries, self._zone)
-        return found
-
-    def takes_work(self, life: EngineLife) -> bool:
-        """Whether an engine is listed, does not leave, and was not replaced."""
-        entry = self._engines.get(life)
-        return (
-            entry is not None
-            and entry.state is EngineState.READY
-            and not self._standings.is_replaced(life)
-        )
-
-    def is_listed(self, life: EngineLife) -> bool:
-        """Whether the directory lists this life of an engine."""
-        return life in self._engines
-
-    def listed_engines(self) -> list[EngineEntry]:
-        """All engines of the directory."""
-        return list(self._engines.values())
-
-    def state_of(self, entry: EngineEntry) -> str:
-        """An engine's state in one word, for operators."""
-        if self._standings.is_replaced(entry.life):
-            return "replaced"
-        return "suspect" if self._standings.is_suspect(entry.life) else entry.state.value
-
     def _memory_of(self, service: str) -> int:
         """Tokens that an engine of a service holds; 0 where it is not known."""
         spec = self.service_named(service)
         return spec.memory_tokens if spec is not None else 0
 
-    def _is_cold(self, life: EngineLife) -> bool:
-        if not self._warm_at:
-            return False
-        return self._warm_at.get(life, 0.0) > self._clock.monotonic()
-
     def pace(self, service: str) -> ServicePace:
         """What this node has learnt of a service's engines."""
-        return self._paces.setdefault(service, ServicePace())
+        return self.paces.service(service)
+
+    def _rooms_of(self, service: str) -> ServiceRooms:
+        """The rooms of a service's engines as they are now."""
+        if not self.paces.uneven(service):
+            return EVEN_ROOMS
+        now = self._clock.monotonic()
+        return UnevenRooms(service, self.paces, self.pace(service), self.pause_aim(service), now)
 
     def rooms(self, service: str) -> list[EngineRoom]:
         """Load of each sound engine of a service; of all where none is sound."""
         entries = self._sound(self.engines(service))
-        return [_room_of(entry, self.use.total(entry.life)) for entry in entries]
+        rooms = self._rooms_of(service)
+        return [rooms.room(entry, self.use.total(entry.life)) for entry in entries]
 
     def has_room(self, service: str) -> bool:
         """Whether a sound engine has a slot that no online work needs, or there is no engine.
@@ -257,24 +124,18 @@
         The answer that `rooms` would give too, by the first engine that has one.
         """
         entries = self.engines(service)
+        rooms = self._rooms_of(service)
         any_sound = False
         for one in entries:
             if self._standings.is_suspect(one.life):
                 continue
             any_sound = True
-            if self._has_slot(one):
+            if rooms.has_place(one, self.use.total(one.life)):
                 return True
         # Where none is sound, all count.
-        return not entries or (not any_sound and any(map(self._has_slot, entries)))
-
-    def _has_slot(self, entry: EngineEntry) -> bool:
-        return self.use.total(entry.life).online < entry.slots
-
-    def _sound(self, entries: Sequence[EngineEntry]) -> Sequence[EngineEntry]:
-        """Those that did not fail a moment ago; all where each of them did."""
-        if not self._standings.any_suspect:
-            return entries
-        return [one for one in entries if not self._standings.is_suspect(one.life)] or entries
+        return not entries or (
+            not any_sound and any(rooms.has_place(one, self.use.total(one.life)) for one in entries)
+        )
 
     def place_online(
         self, service: str, terms: RequestTerms, excluded: Iterable[EngineLife], left: float
@@ -289,13 +150,13 @@
         """
         memory = terms.shared_tokens + terms.own_tokens + terms.output_tokens
         memory_tokens = self._memory_of(service)
+        pace, rooms = self.pace(service), self._rooms_of(service)
         candidates = [
-            self._candidate(entry, memory, memory_tokens)
+            self._candidate(entry, memory, memory_tokens, rooms, terms.own_tokens)
             for entry in self._looked_at(service, terms, set(excluded))
         ]
         if not candidates:
             return None
-        pace = self.pace(service)
         options = _timely(candidates, pace, terms.own_tokens, left)
         best = self._chooser.choose(options, terms.prefix_key, terms.shared_tokens, self.watched())
         chosen = next(one for one in candidates if one.option.life == best.life)
@@ -303,6 +164,10 @@
         expected = expected_first(chosen.room, unread, pace)
         placement = self._enter(chosen.entry, False, unread, memory)
         placement.expected = expected
+        if rooms is not EVEN_ROOMS:
+            placement.considered = [
+                ConsideredEngine(one.option.life, one.room) for one in candidates
+            ]
         if self.excess(best.life):
             self.on_crowded(best.life)
         return placement
@@ -340,19 +205,28 @@
         unread = terms.shared_tokens + terms.own_tokens
         return self._enter(entry, False, unread, unread + terms.output_tokens)
 
-    def _candidate(self, entry: EngineEntry, memory: int, memory_tokens: int) -> _Candidate:
+    def _candidate(
+        self,
+        entry: EngineEntry,
+        memory: int,
+        memory_tokens: int,
+        rooms: ServiceRooms,
+        tokens: int,
+    ) -> _Candidate:
         count = self.use.total(entry.life)
+        room = rooms.room(entry, count)
         option = EngineOption(
             entry.life,
             entry.zone,
             entry.slots,
-            count.total,
+            room.online + count.batch,
             count.batch,
             count.unread,
             self._is_cold(entry.life),
             _memory_short(count.memory, memory, memory_tokens),
+            0.0 if room.factors is EVEN else rooms.extra_places(room, tokens),
         )
-        return _Candidate(entry, option, _room_of(entry, count))
+        return _Candidate(entry, option, room)
 
     def batch_room(self, service: str, *, pressing: bool) -> int:
         """Batch items that the service's engines have room for now."""
@@ -383,7 +257,9 @@
             return 0
         if not pressing and self._is_cold(entry.life):
             return 0
-        return self.use.batch_room(entry.life, entry.slots, pressing=pressing)
+        rooms = self._rooms_of(entry.service)
+        places = rooms.places(entry, self.use.total(entry.life))
+        return self.use.batch_room(entry.life, places, pressing=pressing)
 
     def place_batch(
         self,
@@ -394,7 +270,10 @@
         *,
         pressing: bool,
     ) -> Placement | None:
-        """Choose the engine with the most room for a batch item and count it in.
+        """Choose an engine with room for a batch item and count it in.
+
+        It is the better one of two that are drawn: nodes that take the best of one view all fill
+        the same engine, and items that just began are cut there.
 
         Args:
             service: The item's service.
@@ -405,9 +284,11 @@
         """
         skipped = set(excluded)
         memory_tokens = self._memory_of(service)
+        held = self._held_factors(service)
         rooms = [
             (
-                self._room(entry, pressing),
+                # One that has to start soon goes where it ends soon.
+                self._room(entry, pressing) / (held(entry) if pressing else 1.0),
                 entry.zone == self._zone,
                 self._random.uniform(0, 1),
                 entry,
@@ -420,9 +301,17 @@
         if not free:
             return None
         near = [one for one in free if one[1]] or free
-        chosen = max(near, key=lambda one: one[:3])[3]
+        drawn = self._random.sample(near, min(DRAWN, len(near)))
+        chosen = max(drawn, key=lambda one: one[:3])[3]
         return self._enter(chosen, True, prompt, prompt + output)
 
+    def _held_factors(self, service: str) -> Callable[[EngineEntry], float]:
+        """Gives how many times as long as usual each engine of a service holds a slot."""
+        rooms = self._rooms_of(service)
+        if rooms is EVEN_ROOMS:
+            return lambda entry: 1.0
+        return lambda entry: rooms.room(entry, self.use.total(entry.life)).factors.held
+
     def excess(self, life: EngineLife) -> int:
         """Batch items of all nodes that should give way at an engine."""
         entry = self._engines.get(life)
@@ -463,21 +352,3 @@
             self.use.note_read(placement.engine.life, placement.unread)
             placement.unread = 0
             self.on_change()
-
-    def note_success(self, life: EngineLife) -> None:
-        """An attempt went well."""
-        self._standings.note_success(life)
-
-    def note_failure(self, life: EngineLife, reason: str) -> None:
-        """An attempt failed for a cause that lies at the engine."""
-        pause = self._standings.note_failure(life)
-        self._events.emit(Event.ENGINE_SUSPECT, engine=life, seconds=pause, reason=reason)
-
-    def note_replaced(self, life: EngineLife) -> None:
-        """Another engine lives at its address: it takes no more work."""
-        self._standings.note_replaced(life)
-        self._usable = {}
-        entry = self._engines.get(life)
-        if entry is not None:
-            self._pool.drop(entry.address)
-        self._events.emit(Event.ENGINE_REPLACED, engine=life)
--- a/postvalve/gateway/fleet/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -37,10 +37,12 @@
     FrameError,
     Message,
     PackedReport,
+    UnknownKindError,
     decode_datagram,
     encode_frame,
 )
 from postvalve.messages.generated import gateway
+from postvalve.node.passed_over import PassedOver
 
 TARGETS_AGE = 0.5
 """Seconds between looks at who the peers are, and which of them are silent."""
@@ -59,6 +61,7 @@
         self._transport = services.transport
         self._fleet = services.fleet
         self._peers = services.peers
+        self._passed_over = PassedOver(services.events)
         self._near = ReportPace(NEAR_RATE)
         self._far = ReportPace(FAR_RATE)
         self._sequence = 0
@@ -84,11 +87,13 @@
         self.zones = ZoneDigests(services, self.items)
         self.zones.own_report = self._report
         self.watch = EngineWatch(services, self.items)
-        self.watch.own_report = self._next
+        self.watch.own_report = self.next_report
         self.on_report: Callable[[LoadReport], None] = lambda report: None
         self.on_quarantine_news: Callable[[gateway.QuarantineNews, str], None] = (
             lambda msg, address: None
         )
+        self.on_line_state: Callable[[gateway.LineState, str], None] = lambda msg, address: None
+        self.on_line_grant: Callable[[gateway.LineGrant, str], None] = lambda msg, address: None
         self._fleet.on_change = self._changed.set
 
     def changed(self) -> None:
@@ -105,7 +110,7 @@
         self._looked_at = float("-inf")
         self._changed.set()
 
-    def _next(self) -> bytes:
+    def next_report(self) -> bytes:
         """The next report, as a datagram."""
         self._sequence += 1
         return encode_frame(PackedReport(self._report().pack()), 0)
@@ -133,6 +138,7 @@
         if now - self._looked_at >= TARGETS_AGE:
             self._looked_at = now
             self._expire(now)
+            self._fleet.paces.look()
             self.on_look()
             self._targets = self._find_targets()
         if self._changed.is_set():
@@ -146,7 +152,7 @@
         ]
         if not due:
             return
-        data = self._next()
+        data = self.next_report()
         for addresses in due:
             for address in addresses:
                 self._transport.send(address, data)
@@ -194,10 +200,20 @@
         parts = {number: tell() for number, tell in self.extensions.items()}
         return {number: data for number, data in parts.items() if data}
 
+    def tell_pace(self) -> None:
+        """Tell peers how fast engines are, too."""
+        self.extensions[Extension.ENGINE_PACE] = self._engine_pace
+        self.zones.engine_pace = self._fleet.paces.tell_zone
+
+    def _engine_pace(self) -> bytes:
+        return self._fleet.paces.tell(sum(map(len, self._targets)))
+
     def receive(self, data: bytes, address: str) -> None:
         """Take a datagram."""
         try:
             self._take(decode_datagram(data), address)
+        except UnknownKindError as unknown:
+            self._passed_over.note(unknown.header.kind, address, self._clock.monotonic())
         except (FrameError, LoadReportError) as exc:
             self._events.emit(Event.PEER_MESSAGE_INVALID, peer=address, error=str(exc))
 
@@ -217,6 +233,14 @@
     def _(self, msg: gateway.GiveWay, address: str) -> None:
         self.watch.on_give_way(msg.engine, msg.urgency)
 
+    @_take.register
+    def _(self, msg: gateway.LineState, address: str) -> None:
+        self.on_line_state(msg, address)
+
+    @_take.register
+    def _(self, msg: gateway.LineGrant, address: str) -> None:
+        self.on_line_grant(msg, address)
+
     @_take.register
     def _(self, msg: PackedReport, address: str) -> None:
         report = unpack_report(msg.data)
@@ -225,6 +249,7 @@
         if not self._peers.observe(report, now):
             return
         self._fleet.use.observe(report.node_id, report.engine_use)
+        self._fleet.paces.hear(report.node_id, report.extensions.get(Extension.ENGINE_PACE, b""))
         self.items.observe(report.node_id, report.items_running)
         if first:
             self.look_again()
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -17,12 +17,15 @@
 from postvalve.core.admission.connection_share import resting_limit
 from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.membership.extensions import Extension, Extensions
 from postvalve.core.membership.load_report import LoadReport
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
+from postvalve.core.serving.read_ahead import MemoryBudget
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
+from postvalve.gateway.fleet.builds import Builds
 from postvalve.gateway.fleet.directory_reader import DirectoryParser, DirectoryReader
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.load_reports import MAX_SILENCE, LoadReports
@@ -52,8 +55,12 @@
 from postvalve.gateway.knowledge.topic_follower import TopicFollower
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.application import GatewayApplication
+from postvalve.gateway.serving.caller_accounts import CallerAccounts
+from postvalve.gateway.serving.fair_shares import FairShares
 from postvalve.gateway.serving.http_calls import JobCalls
 from postvalve.gateway.serving.http_server import GatewayServer, plain_server
+from postvalve.gateway.serving.line import ZoneLine
+from postvalve.gateway.serving.read_ahead import SlowClients
 from postvalve.gateway.serving.routed_run import RunServices
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.gateway.serving.waiting_room import WaitingRoom
@@ -128,6 +135,7 @@
         self._pool = ConnectionPool(clock)
         self._fleet = EngineFleet(settings.zone, clock, events, self._pool, generator)
         self.peers = PeerView(settings.node_id)
+        self._builds = Builds(self.peers, clock, events)
         self._transport = NetworkTransport(settings.peer_listen, events)
         self.configuration = ConfigurationHolder(
             platform.configuration_key, platform.parse_configuration, events
@@ -188,11 +196,25 @@
             self._route_named,
             self._quarantine,
         )
+        self._shares = FairShares(lambda: self.configuration.table)
         self._limits = TenantCredit(
-            peer_services, lambda: self.configuration.revision, settings.limit_bounds
+            peer_services,
+            lambda: self.configuration.revision,
+            settings.limit_bounds,
+            self._shares,
         )
+        self._accounts = CallerAccounts(clock, events)
+        self._runner.ends.accounts = self._accounts.accounts
+        self._metrics.tell_tenants(self._accounts.rows)
         waiting_room = WaitingRoom(clock, events, self._fleet, generator, self._metrics)
+        waiting_room.holders = self._accounts.holders
         waiting_room.nodes = lambda: self.peers.count() + 1
+        waiting_room.on_served = self._shares.clock.note_served
+        self._shares.first_waiting = waiting_room.first_waiting
+        self._waiting_room = waiting_room
+        self._line = waiting_room.line = ZoneLine(peer_services)
+        budget = MemoryBudget(settings.slow_client_bytes)
+        self.slow_clients = SlowClients(budget, clock, events, self._metrics)
         self.application = GatewayApplication(
             RunServices(
                 clock,
@@ -209,6 +231,8 @@
             lambda: self.configuration.table,
             self._usable,
             generator,
+            self._accounts,
+            self.slow_clients,
         )
         self._server = GatewayServer(settings.listen, self.application)
         self._ready_server = plain_server(settings.ready_listen, self._readiness)
@@ -227,6 +251,7 @@
     def _connect(self) -> None:
         self.configuration.listen(self._configuration_changed)
         self._fleet.service_named = self._service_named
+        self._fleet.pause_aim = self._pause_aim
         self._claims.heard_all = self._reports.zones.heard_all
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
@@ -235,6 +260,12 @@
         self._reports.store_failing = lambda: self._topics.failing
         self._reports.directory = self._directory.state
         self._reports.on_look = self._look
+        self._reports.on_line_state = self._line.hear_state
+        self._reports.on_line_grant = self._line.hear_grant
+        self._line.own_report = self._reports.next_report
+        self._line.on_granted = self._waiting_room.look
+        self._reports.extensions[Extension.SHARE_CLOCK] = self._shares.pack
+        self._reports.tell_pace()
         self._reports.on_quarantine_news = self._sharing.receive
         self._sharing.on_learned = self._note_usable
         self._topics.on_change = self._reports.changed
@@ -253,6 +284,7 @@
         self._quarantine.confirm(self._fleet.is_listed, known_at)
         self._sharing.look()
         self._limits.look()
+        self._builds.look()
 
     def _nodes_known(self) -> None:
         self._reports.look_again()
@@ -358,10 +390,15 @@
             "store_away": self._directory.store_away,
             "store_silence": round(min(MAX_SILENCE, self._log.silence()), 2),
             "nodes": peer_rows(self.peers, self._clock.monotonic()),
-            "engines": engine_rows(self._fleet),
+            "engines": engine_rows(self._fleet, self._clock.monotonic()),
             "jobs": job_rows(self._log.board),
             "quarantine": quarantine_rows(self._quarantine, self._clock.monotonic()),
             "limits": self._limits.fields(),
+            "tenants": self._accounts.documents(),
+            "waiting": self._waiting_room.rows(),
+            "builds": self._builds.fields(),
+            "line": self._shares.fields() | self._line.fields(),
+            "readers": self.slow_clients.rows(),
         }
 
     def _tell(self, path: str) -> tuple[str, bytes]:
@@ -375,6 +412,8 @@
         self._metrics.revision_age.set(knowledge.revision_age)
         self._metrics.connections.set(self._pool.opened)
         self._metrics.quarantined.set(len(self._quarantine))
+        self._metrics.held_bytes.set(self.slow_clients.budget.held)
+        self._metrics.lagging.set(len(self.slow_clients))
         self._metrics.dropped_log_lines.set(self._events.dropped)
         return "200 OK", self._metrics.exposition()
 
@@ -396,6 +435,8 @@
     def _configuration_changed(self, table: RouteTable) -> None:
         idle = table.configuration.limits.idle_timeout * IDLE_FACTOR
         self._server.set_idle_timeout(max(60.0, idle))
+        self._runner.urgency.configure(table)
+        self._server.set_head_timeout(table.configuration.limits.header_timeout)
         self._note_usable()
         self._reports.changed()
 
@@ -411,19 +452,31 @@
         table = self.configuration.table
         return table.service(name) if table else None
 
+    def _pause_aim(self, service: str) -> float | None:
+        table = self.configuration.table
+        return table.pause_aim(service) if table else None
+
     def _follow_jobs(self) -> None:
         self._usable.wait(JOBS_PATIENCE)
         self._log.follower.run()
 
     # What peers tell
 
+    def _hear_shares(self, teller: str, parts: Extensions) -> None:
+        news = self._shares.hear(parts.get(Extension.SHARE_CLOCK, b""))
+        if news is not None:
+            self._waiting_room.peer_places.hear(teller, news)
+
     def _peer_reported(self, report: LoadReport) -> None:
+        self._hear_shares(report.node_id, report.extensions)
+        self._line.hear_report(report)
         self._revisions.consider(report.revision, report.node_id, report.peer_address)
         if report.directory is not None:
             self._directory.hear(report.directory, report.node_id)
         self._runner.note_peers()
 
     def _zone_reported(self, digest: ZoneDigest) -> None:
+        self._hear_shares(digest.key, digest.extensions)
         self._revisions.consider(digest.revision, digest.reporter, digest.peer_address)
         self._runner.note_peers()
 
@@ -439,6 +492,7 @@
             bounds = (one.max_connections for one in services)
             self._pool.limit_resting(resting_limit(bounds, self.peers.count() + 1))
             self._pool.expire()
+            self._accounts.tell()
 
     def _purge(self) -> None:
         """Drop jobs that nobody may ask for any more from the store."""
@@ -487,6 +541,7 @@
         self._claims.draining = True
         self._reports.leaving = True
         self._limits.leaving = True
+        self._line.leaving = True
         gevent.spawn(self._progress.save)
         self._reports.changed()
         self._events.emit(
--- a/postvalve/gateway/jobs/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, field
 
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.attempt_times import AttemptTimes
 from postvalve.gateway.engines.engine_connections import EngineAnswer
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import Placement
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.jobs.item_progress import Chain
 
 
@@ -33,8 +34,12 @@
     preempted: bool = False
     told_to_go: bool = False
     """Whether a peer has told this node to stop its present attempt."""
+    stopped_by: str = ""
+    """Who found that its attempt must give way: "look" of this node, or "told" by a peer."""
     answer: EngineAnswer | None = None
     placement: Placement | None = None
+    times: AttemptTimes = field(default_factory=lambda: AttemptTimes(0.0))
+    """Of its present attempt's events."""
     started_at: float = 0.0
     run_seconds: float = 0.0
     """Seconds that its former attempts ran."""
--- a/postvalve/gateway/serving/http_calls.py
+++ b/postvalve/gateway/serving/http_calls.py
@@ -36,6 +36,15 @@
         """The query, undecoded."""
         return self.target.partition("?")[2]
 
+    @property
+    def header_bytes(self) -> int:
+        """Bytes of its headers, never more than came: a client at the limit must not be refused.
+
+        Blanks at values count for nothing, nor does the request's line, which has a limit of the
+        server's own; a line's end may be one byte.
+        """
+        return sum(len(name) + len(value) + len(":\n") for name, value in self.headers)
+
     def header(self, name: str) -> str | None:
         """One header, by its name in any case."""
         wanted = name.lower()
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from dataclasses import dataclass, field
 
 import gevent
@@ -12,13 +12,25 @@
 from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.events import Event, EventLog
-from postvalve.exceptions import AttemptError, PostvalveError, RefusedError, Verdict
+from postvalve.exceptions import (
+    AttemptError,
+    ClientGoneError,
+    GivenUpError,
+    PostvalveError,
+    RefusedError,
+    TimeOverError,
+    Verdict,
+)
 from postvalve.gateway.engines.engine_connections import ConnectionPool, EngineAnswer, request_bytes
 from postvalve.gateway.engines.event_stream import event_id_of
 from postvalve.gateway.engines.request_guard import RequestGuard
-from postvalve.gateway.fleet.engine_fleet import EngineFleet, Placement
+from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.load_reading import read_load
+from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
+from postvalve.gateway.serving.caller_accounts import RequestAccount
+from postvalve.gateway.serving.fair_shares import RequestShare
 from postvalve.gateway.serving.pace_observer import Attempts, PaceObserver
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.gateway.serving.waiting_room import WaitingRoom
@@ -30,6 +42,9 @@
 """Seconds without a byte between events until an engine counts as failed."""
 MAX_TRIES = 4
 """Engines that one request may be sent to, those that refused it not counted."""
+HURRIED_TRIES = 2
+"""Engines of these whose connection is given up early where it does not come up. The others get all
+their time: where none comes up, it is rather this node that is slow."""
 REFUSED_PAUSE = 0.04
 """Seconds until an engine is asked again when all have refused, doubled for each round."""
 MAX_REFUSED_PAUSE = 0.32
@@ -40,23 +55,6 @@
 """Seconds told to a client when no engine takes its request."""
 
 
-class GivenUpError(PostvalveError):
-    """The request's time is over."""
-
-    code = "deadline_exceeded"
-    error_type = "timeout_error"
-    http_status = 504
-    verdict = Verdict.MAY_HAVE_RUN
-
-
-class ClientGoneError(PostvalveError):
-    """The client closed its connection."""
-
-    code = "client_gone"
-    http_status = 499
-    verdict = Verdict.MAY_HAVE_RUN
-
-
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
     """A request as a client sent it."""
@@ -75,6 +73,7 @@
     arrived_at: float
     deadline: float
     """Monotonic seconds; the client's or the route's, whichever comes first."""
+    account: RequestAccount
 
 
 @dataclass(slots=True)
@@ -126,6 +125,8 @@
                 request.headers,
             ),
         )
+        self._share: RequestShare | None = None
+        """What it costs its tenant, where tenants have shares."""
         self._placement: Placement | None = None
         self._answer: EngineAnswer | None = None
         self._client_gone = False
@@ -161,7 +162,7 @@
         request = self._request
         try:
             self._guard.check()
-            self._services.limits.admit(request.caller, request.terms.request_id)
+            tag = self._enter_shares()
             self._services.waiting_room.admit(
                 request.route,
                 request.service,
@@ -170,12 +171,29 @@
                 request.arrived_at,
                 request.deadline,
                 lambda: self._client_gone,
+                request.caller.name,
+                tag,
             )
             return self._open()
         except PostvalveError as error:
             self.finish(error.code)
             raise
 
+    def _enter_shares(self) -> float | None:
+        """Check the tenant's limit; returns the start tag where tenants have shares."""
+        limits, caller = self._services.limits, self._request.caller
+        cost = self._fleet.pace(self._request.service).held
+        work = limits.shares.work(caller.name, cost)
+        try:
+            told = limits.admit(
+                caller, self._request.terms.request_id, work, self._request.deadline
+            )
+        except PostvalveError:
+            limits.shares.note_end(caller.name, work.correction)
+            raise
+        self._share = limits.shares.enter(caller.name, work, told)
+        return self._share.tag if self._share else None
+
     def _open(self) -> EngineAnswer:
         while True:
             self._check_time()
@@ -191,14 +209,18 @@
     def _wait_for_room(self) -> None:
         """Wait a moment when every engine has refused: slots come free all the time."""
         progress = self._progress
-        engines = self._fleet.engines(self._request.service)
-        if any(one.life not in progress.tried for one in engines):
+        if self._others_left():
             return
         pause = min(MAX_REFUSED_PAUSE, REFUSED_PAUSE * 2**progress.refused_rounds)
         progress.refused_rounds += 1
         progress.tried.clear()
         gevent.sleep(pause)
 
+    def _others_left(self) -> bool:
+        """Whether the service has engines that were not tried in this round."""
+        engines = self._fleet.engines(self._request.service)
+        return any(one.life not in self._progress.tried for one in engines)
+
     def _check_time(self) -> None:
         if self._client_gone:
             raise ClientGoneError("the client left")
@@ -208,7 +230,7 @@
     def _given_up(self) -> PostvalveError:
         if self.may_have_run:
             return GivenUpError("the time is over")
-        return RefusedError("the time is over", retry_after=OVERLOAD_RETRY_AFTER)
+        return TimeOverError("the time is over", retry_after=OVERLOAD_RETRY_AFTER)
 
     def _attempt(self) -> EngineAnswer:
         request = self._request
@@ -222,6 +244,9 @@
         self._progress.tried.add(placement.engine.life)
         now = self._clock.monotonic()
         self._pace.note_placed(now)
+        request.account.placed(now)
+        if self._share is not None:
+            self._share.enter(now)
         headers = self._services.dialect.attempt_headers(
             request.headers,
             request.caller.name,
@@ -238,6 +263,7 @@
             request.deadline,
             wanted=lambda: self._fleet.takes_work(engine.life),
             fresh=self._progress.unanswered,
+            hurried=self._progress.tries <= HURRIED_TRIES and self._others_left(),
         )
         self._answer = answer
         answer.read_head(self._patience(HEAD_SILENCE))
@@ -291,6 +317,7 @@
         terms = self._request.terms
         judge = self._services.dialect.judge
         judgement = judge(terms.request_id, answer.status, answer.headers)
+        self._note_load(judgement, answer)
         life = self._life
         if judgement is Judgement.REFUSED:
             raise AttemptError(f"the engine refused: {answer.status}", Verdict.NOT_RUN)
@@ -309,6 +336,12 @@
             self._guard.note_engine_failed()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
+    def _note_load(self, judgement: Judgement, answer: EngineAnswer) -> None:
+        placement = self._placement
+        if placement is not None:
+            dialect, paces = self._services.dialect, self._fleet.paces
+            read_load(dialect, self._clock, paces, placement, judgement, answer.headers)
+
     def _passes_on(self, judgement: Judgement) -> bool:
         """Whether the client gets an engine's failure: the last one, while it has no head.
 
@@ -325,7 +358,9 @@
 
     def _fail_attempt(self, error: AttemptError) -> None:
         answer, life = self._answer, self._life
-        if error.verdict is not Verdict.NOT_RUN:
+        if error.verdict is Verdict.NOT_RUN:
+            self._request.account.not_run()
+        else:
             self._progress.runs += 1
             self._progress.unanswered = True
         judged = answer is not None and answer.status > 0 and error.verdict is Verdict.NOT_RUN
@@ -395,7 +430,7 @@
             return AttemptError(error.message, Verdict.MAY_HAVE_RUN)
         return RefusedError(error.message, retry_after=OVERLOAD_RETRY_AFTER)
 
-    def events(self) -> Iterator[bytes]:
+    def events(self) -> Generator[bytes]:
         """Yield whole events; a cut stream goes on elsewhere where that is allowed.
 
         Raises:
@@ -427,6 +462,7 @@
         assert answer is not None
         while True:
             silence = EVENT_SILENCE if self._progress.events else HEAD_SILENCE
+            self._pace.note_asked()
             event = answer.read_event(self._patience(silence))
             if not event:
                 rest = answer.rest_of_body()
@@ -445,14 +481,17 @@
             self._guard.note_engine_failed()
         else:
             self._guard.note_answered()
+            self._request.account.whole()
 
     def _note_event(self, event: bytes) -> None:
         progress = self._progress
+        self._pace.note_event()
         self._guard.note_event()
         if self._placement is not None:
             self._fleet.note_read(self._placement)
         if not progress.events:
             self._pace.note_first_event(self._placement, progress)
+            self._request.account.first_event()
         progress.events += 1
         number = event_id_of(event)
         if number is not None:
@@ -505,6 +544,9 @@
         if self._placement is not None:
             self._fleet.leave(self._placement)
             self._placement = None
+            self._request.account.released()
+        if self._share is not None:
+            self._share.leave(self._clock.monotonic())
 
     def finish(self, outcome: str) -> None:
         """Give everything back; only the first call counts."""
@@ -513,4 +555,6 @@
         self._finished = True
         self._guard.end()
         self._release()
+        if self._share is not None:
+            self._share.end()
         self._services.metrics.requests.labels(outcome).inc()
--- a/postvalve/settings/routes.py
+++ b/postvalve/settings/routes.py
@@ -51,6 +51,9 @@
     repeat: RepeatPolicy = RepeatPolicy.ONCE
     timeout: float = Field(gt=0, description="seconds a request may be held")
     target_latency: float = Field(1.0, gt=0, description="seconds to an answer or first event")
+    pause_aim: float | None = Field(
+        None, gt=0, description="seconds between events that callers bear; none: no bound"
+    )
     max_attempts: int = Field(1, ge=1, description="engines that one request may go to")
     priority: int = Field(0, ge=0, description="0 is the most urgent")
     batch: BatchTerms | None = None
@@ -79,7 +82,7 @@
 class EdgeLimits(StrictModel):
     """What clients may send and how long they may take."""
 
-    header_bytes: int = Field(16_384, gt=0, description="bytes of a request's head")
+    header_bytes: int = Field(16_384, gt=0, description="bytes of a request's headers")
     body_bytes: int = Field(4 * 1024 * 1024, gt=0, description="bytes of a request's body")
     header_timeout: float = Field(3.0, gt=0, description="seconds until a head is whole")
     idle_timeout: float = Field(15.0, gt=0, description="seconds a connection may rest")
--- /dev/null
+++ b/tests/test_online_means.py
@@ -0,0 +1,92 @@
+"""Room for batch items by what online work had a moment ago."""
+
+import unittest
+
+from postvalve.core.admission.engine_use import EngineUse, engine_hash
+from postvalve.core.admission.online_means import KEPT_WINDOWS, WINDOW, OnlineMeans
+
+
+class OnlineMeansTest(unittest.TestCase):
+    def test_the_mean_is_that_of_the_window_before(self):
+        means = OnlineMeans()
+        for online in (2, 4, 6):
+            means.note(1, online)
+        self.assertEqual(means.at(1), 0.0)
+        means.roll(WINDOW)
+        means.note(1, 8)
+        self.assertEqual(means.at(1), 4.0)
+        means.roll(2 * WINDOW)
+        self.assertEqual(means.at(1), 8.0)
+
+    def test_what_did_not_change_has_stayed(self):
+        means = OnlineMeans()
+        for online in (9, 3):
+            means.note(1, online)
+        means.roll(5 * WINDOW)
+        self.assertEqual(means.at(1), 3.0)
+
+    def test_engines_without_online_work_are_forgotten(self):
+        means = OnlineMeans()
+        for engine in range(100):
+            means.note(engine, 1)
+            means.note(engine, 0)
+        means.note(7, 1)
+        means.roll(WINDOW * (KEPT_WINDOWS + 1))
+        self.assertEqual(list(means._engines), [7])
+
+
+class RoomInAHeapTest(unittest.TestCase):
+    def use(self, before, now):
+        use = EngineUse()
+        for _ in range(before):
+            use.enter("e", batch=False)
+        use.means.roll(WINDOW)
+        use.means.roll(2 * WINDOW)
+        for _ in range(before - now):
+            use.leave("e", batch=False)
+        return use
+
+    def test_a_slot_that_is_free_for_a_moment_is_no_room(self):
+        self.assertEqual(self.use(7, 5).batch_room("e", 8), 0)
+        self.assertEqual(self.use(3, 0).batch_room("e", 8), 4)
+
+    def test_there_is_room_again_when_the_heap_is_over(self):
+        use = self.use(7, 0)
+        use.means.roll(4 * WINDOW)
+        self.assertEqual(use.batch_room("e", 8), 7)
+
+    def test_work_of_peers_that_has_ended_leaves_the_room_it_took(self):
+        """A report names only engines where something runs, and a peer that is gone tells nothing:
+        items would never start at an engine where no other online request comes."""
+        for drop in (lambda use: use.observe("n1", b""), lambda use: use.forget("n1")):
+            peer, use = EngineUse(), EngineUse()
+            for _ in range(8):
+                peer.enter("e", batch=False)
+            use.observe("n1", peer.report())
+            use.means.roll(WINDOW)
+            drop(use)
+            use.means.roll(3 * WINDOW)
+            self.assertEqual(use.batch_room("e", 8), 7)
+            use.means.roll(WINDOW * (KEPT_WINDOWS + 3))
+            self.assertEqual(len(use.means._engines), 0)
+
+    def test_each_report_of_a_peer_is_one_count(self):
+        """The one between taking its former counts off and adding the new ones is no count."""
+        peer, use = EngineUse(), EngineUse()
+        for _ in range(4):
+            peer.enter("e", batch=False)
+            use.observe("n1", peer.report())
+        use.means.roll(WINDOW)
+        self.assertEqual(use.means.at(engine_hash("e")), 2.5)
+
+    def test_steady_work_changes_nothing(self):
+        for pressing in (True, False):
+            steady, fresh = self.use(3, 3), EngineUse()
+            for _ in range(3):
+                fresh.enter("e", batch=False)
+            rooms = [one.batch_room("e", 8, pressing=pressing) for one in (steady, fresh)]
+            self.assertEqual(rooms[0], rooms[1])
+
+
+if __name__ == "__main__":
+    unittest.main()
