--- a/tests/test_engine_load.py
+++ b/tests/test_engine_load.py
@@ -53,8 +53,9 @@
         for value in (
             "", "x", "3", "3,0", "-1,0,8", "3,0,8,-5", "3,0,8,0", "3,0,8,nan", "3,0,8,1e9",
             "3,0,8,100,7", "3,0,0,100", "3,,8,100", "9" * 40 + ",0,8", "3,0,8," + "9" * 40,
+            "3,0,\u00b2", "\u0663,0,8", "3,0,8,\u00b9\u00b9", "9" * 5_000 + ",0,8",
         ):  # fmt: skip
-            with self.subTest(value=value), self.assertRaises(EngineLoadError):
+            with self.subTest(value=value[:20]), self.assertRaises(EngineLoadError):
                 read(value)
 
     @given(st.text(max_size=300))
--- a/tests/test_expectation.py
+++ b/tests/test_expectation.py
@@ -22,6 +22,7 @@
     EngineChooser,
     EngineOption,
 )
+from postvalve.core.routing.engine_load import EngineLoad
 from postvalve.core.routing.engine_pace import Aspect, PaceFactors
 from postvalve.core.routing.expectation import (
     GIVE_WAY_TIME,
@@ -31,8 +32,10 @@
     places_within,
     queue_wait,
 )
+from postvalve.core.scheduling.turning_away import QUEUED_PLACES
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import EngineEntry, EngineState, RequestTerms
+from postvalve.gateway.serving.line import ZoneLine
 from tests.gateway_support import QuietLog
 
 SLOTS = 8
@@ -200,6 +203,30 @@
         counts = {life: sum(one.engine.life == life for one in placed) for life in self.lives}
         self.assertGreaterEqual(counts[self.lives[0]], SLOTS // 2)
 
+    def test_the_line_grants_no_more_than_there_are_places(self):
+        """What it grants goes to an engine at once, whether `has_room` says so or not."""
+        self.fleet.pause_aim = lambda service: 0.15
+        for life in self.lives:
+            self.show(life, 2.5)
+        line = ZoneLine(mock.Mock(fleet=self.fleet, identity=mock.Mock(zone="z")))
+        while self.fleet.has_room(SERVICE):
+            self.place()
+        online = sum(self.fleet.use.total(life).online for life in self.lives)
+        self.assertLess(online, len(self.lives) * SLOTS)
+        self.assertLessEqual(line._free(SERVICE), len(self.lives) * QUEUED_PLACES)
+
+    def test_what_comes_late_of_an_engine_that_is_gone_teaches_nothing(self):
+        placement = self.place()
+        others = [life for life in self.lives if life != placement.engine.life]
+        self.fleet.update(
+            EngineEntry(life, SERVICE, f"{life}:1", "z", SLOTS, EngineState.READY)
+            for life in others
+        )
+        self.fleet.paces.note_load(placement, EngineLoad(100.0, 3, 0, SLOTS, 2.5))
+        self.fleet.paces.note_bad_load(placement.engine.life, "x")
+        self.assertFalse(self.fleet.paces.uneven(SERVICE))
+        self.assertEqual(self.log.written[-1][0].name, "ENGINE_GONE")
+
     def test_one_that_is_said_to_differ_is_logged_once(self):
         self.show(self.lives[0], 2.5)
         self.show(self.lives[0], 2.5)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -150,6 +150,8 @@
         self.assertEqual((terms.prefix_key, terms.shared_tokens), ("5c1e,91bd", 1210))
         self.assertEqual(terms.own_tokens, 250)
         self.assertEqual(terms.output_tokens, 80)
+        for nonsense in ("\u00b2", "\u0663", "9" * 5_000, "9" * 400):
+            self.assertIsNone(self.dialect.read_terms([("Deadline-Ms", nonsense)]).allowed)
         empty = self.dialect.read_terms([])
         self.assertEqual((empty.request_id, empty.allowed, empty.shared_tokens), ("", None, 0))
 
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -18,6 +18,7 @@
     finds_room,
     rule,
 )
+from postvalve.core.routing.engine_pace import PaceFactors
 from postvalve.core.scheduling.fair_share import ShareClock, TagBook, Work
 from postvalve.core.scheduling.turning_away import (
     QUEUED_PLACES,
@@ -39,6 +40,7 @@
 from postvalve.gateway.serving.peer_places import NEWS_AGE
 from postvalve.gateway.serving.waiting_room import WaitingRoom
 from tests.gateway_support import QuietLog
+from tests.test_expectation import learnt as learnt_by_pauses
 from tests.test_fair_share import heaps, skewed
 from tests.test_holding import AIM, DEADLINE, learnt, request, room
 
@@ -60,6 +62,16 @@
         self.assertIs(self.rule(rooms, ahead=places - 1), Ruling.START)
         self.assertIs(self.rule(rooms, ahead=places), Ruling.HOLD)
 
+    def test_an_engine_takes_no_more_than_its_places(self):
+        """Those that would make its streams pause longer than callers bear wait in order."""
+        slow = EngineRoom(SLOTS, 0, 0, 0, PaceFactors(2.0, 2.0, 2.0), 0.41)
+        pace = learnt_by_pauses(longest=0.4)
+        self.assertEqual(slow.places(pace), SLOTS // 2)
+        slow.online = SLOTS // 2 + QUEUED_PLACES
+        self.assertIs(rule_in_order(request(), [slow], pace, 0.0, 0), Ruling.HOLD)
+        slow.online -= 1
+        self.assertIs(rule_in_order(request(), [slow], pace, 0.0, 0), Ruling.START)
+
     def test_who_stands_too_far_behind_hears_it_at_once(self):
         self.assertIs(self.rule([room(9)], ahead=50, may_return=True), Ruling.REFUSE)
         self.assertIs(self.rule([room(9)], ahead=50), Ruling.HOLD)
