Border: numbers of headers are ASCII digits, 18 at most; late and former facts

Cause: isdigit() takes superscripts and other scripts' digits, int() raises on the first and on more than 4,300 digits; int / 1000 overflows above 308. A bad Server-Load raised through the attempt that read it, a bad Deadline-Ms through the reading of terms.

Change: `_number` takes ASCII digits, 18 at most; note_load and note_bad_load pass over lives that aren't listed; an item's times begin anew with each attempt.

--- a/postvalve/gateway/fleet/engine_paces.py
+++ b/postvalve/gateway/fleet/engine_paces.py
@@ -124,6 +124,8 @@
             return
         life = placement.engine.life
         key = engine_hash(life)
+        if not self.learnt.knows(key):
+            return
         service = placement.engine.service
         self._signals.setdefault(service, PaceSignal()).note(key, load.pace, load.at)
         self._counts.note(key, load.requests, self.counted(life), load.at)
@@ -131,7 +133,8 @@
     def note_bad_load(self, life: EngineLife, told: str) -> None:
         """An engine's figures can't be read: it is named once."""
         key = engine_hash(life)
-        if key in self._bad_loads or len(self._bad_loads) >= BAD_LOADS_TOLD:
+        known = self.learnt.knows(key)
+        if not known or key in self._bad_loads or len(self._bad_loads) >= BAD_LOADS_TOLD:
             return
         self._bad_loads.add(key)
         self._events.emit(Event.ENGINE_LOAD_UNREADABLE, engine=life, told=told)
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -78,6 +78,8 @@
     def run(self, item: RunningItem, placement: Placement) -> None:
         """Run an item that was counted in at an engine, and count it out."""
         held = True
+        # What a former attempt showed is of another engine.
+        item.times = AttemptTimes(self._clock.monotonic())
         try:
             self._attempt(item, placement)
         except PostvalveError as error:
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -29,6 +29,9 @@
 """The same for how long work takes there, where 100 is as usual."""
 MOST_TOLD = 80
 """Characters of a load that can't be read which are told of."""
+MOST_DIGITS = 18
+"""Of a number in a header: what is longer counts nothing, and costs time or raises where it is worked
+with."""
 MISDIRECTED = 421
 IMPOSSIBLE = 422
 
@@ -153,8 +156,11 @@
 
 
 def _number(text: str | None) -> int | None:
+    """A whole number; None where it is none, or has more than `MOST_DIGITS`."""
     stripped = (text or "").strip()
-    return int(stripped) if stripped.isdigit() else None
+    if len(stripped) > MOST_DIGITS or not (stripped.isascii() and stripped.isdigit()):
+        return None
+    return int(stripped)
 
 
 def _prompt_parts(text: str) -> tuple[str, int, int]:
