Places of an engine are counted in one way by the line, those who wait and batch

Cause: with pace, an engine of which callers' pauses bound the work has fewer places than slots (has_room, finds_room, placement, batch room). The line's keeper, the order's rules (free_places, line_wait, the fair chance of a slot) and the draw for a turn still counted slots - online: where shares and a pause aim meet an uneven service, has_room said no while the line granted 16 requests at 4 engines of 4 places, which then ran beside the others.

Change: these ask for EngineRoom.places; the line asks the fleet, whose room also has what an engine told of requests that nobody reports. Even engines: places are slots, so all answers are as before (their tests stand; test_line's stand-in of the fleet tells its places by the same slots and counts, free_places in test_turning_away is given the pace). least_full and the turn's draw have a test each; the latter fails with the former waiting room. Batch room looks once at what is known of a service, not once for each engine.

--- a/postvalve/core/routing/expectation.py
+++ b/postvalve/core/routing/expectation.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from postvalve.core.admission.service_pace import ServicePace
@@ -95,6 +95,11 @@
     return any(room.has_place(pace) for room in rooms)
 
 
+def least_full(rooms: Sequence[EngineRoom], pace: ServicePace) -> EngineRoom:
+    """The engine with the least online work for its places."""
+    return min(rooms, key=lambda room: room.online / max(1, room.places(pace)))
+
+
 def extra_places(room: EngineRoom, tokens: int, pace: ServicePace) -> float:
     """How much worse than an even engine of the same load one is, in places of a queue.
 
--- a/postvalve/core/scheduling/turning_away.py
+++ b/postvalve/core/scheduling/turning_away.py
@@ -31,16 +31,16 @@
 until it is turned away: one in a hundred of them would have got a slot."""
 
 
-def free_places(rooms: Sequence[EngineRoom]) -> int:
+def free_places(rooms: Sequence[EngineRoom], pace: ServicePace) -> int:
     """Requests that engines take before anybody waits at a node."""
-    return sum(max(0, one.slots + QUEUED_PLACES - one.online) for one in rooms)
+    return sum(max(0, one.places(pace) + QUEUED_PLACES - one.online) for one in rooms)
 
 
 def line_wait(ahead: int, rooms: Sequence[EngineRoom], pace: ServicePace) -> float:
     """Seconds until a slot is free for a request that `ahead` others go before."""
-    slots = sum(one.slots for one in rooms)
-    before = ahead + 1 + sum(one.online - one.slots for one in rooms)
-    return max(0, before) * pace.queue_step(slots) if slots else 0.0
+    places = sum(one.places(pace) for one in rooms)
+    before = ahead + 1 + sum(one.online for one in rooms) - places
+    return max(0, before) * pace.queue_step(places) if places else 0.0
 
 
 def held_longest(req: HeldRequest, now: float) -> bool:
@@ -64,7 +64,7 @@
         now: Monotonic seconds.
         ahead: Requests that go before it.
     """
-    if not rooms or free_places(rooms) > ahead or held_longest(req, now):
+    if not rooms or free_places(rooms, pace) > ahead or held_longest(req, now):
         return Ruling.START
     if not (pace.known and req.may_return):
         return Ruling.HOLD
@@ -80,8 +80,9 @@
     """
     if left < 0:
         return False
-    step = pace.queue_step(sum(one.slots for one in rooms))
-    before = ahead + 1 + sum(one.online - one.slots for one in rooms)
+    places = sum(one.places(pace) for one in rooms)
+    step = pace.queue_step(places)
+    before = ahead + 1 + sum(one.online for one in rooms) - places
     mean = left / step if step > 0 else math.inf
     return before <= 1 + mean + SURE_DEVIATIONS * math.sqrt(mean)
 
--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -137,6 +137,14 @@
             not any_sound and any(rooms.has_place(one, self.use.total(one.life)) for one in entries)
         )
 
+    def places_left(self, entry: EngineEntry) -> int:
+        """Places of an engine that no online work has, as `rooms` tells them; below 0 where more
+        run, or wait there, than it has places.
+        """
+        pace, count = self.pace(entry.service), self.use.total(entry.life)
+        room = self._rooms_of(entry.service).room(entry, count)
+        return room.places(pace) - room.online
+
     def place_online(
         self, service: str, terms: RequestTerms, excluded: Iterable[EngineLife], left: float
     ) -> Placement | None:
@@ -230,8 +238,8 @@
 
     def batch_room(self, service: str, *, pressing: bool) -> int:
         """Batch items that the service's engines have room for now."""
-        entries = self._batch_engines(service, pressing)
-        return sum(max(0, self._room(entry, pressing)) for entry in entries)
+        entries, rooms = self._batch_engines(service, pressing), self._rooms_of(service)
+        return sum(max(0, self._room(entry, pressing, rooms)) for entry in entries)
 
     def relaxed_slots(self, service: str) -> int:
         """Slots that batch items which have time may take, free or not; one at the least."""
@@ -250,15 +258,13 @@
         sound = any(not self._standings.is_suspect(one.life) for one in usable.near)
         return usable.near if sound else usable.all
 
-    def _room(self, entry: EngineEntry, pressing: bool) -> int:
-        if self.use.total(entry.life).unread > START_UNREAD or self._standings.is_suspect(
-            entry.life
-        ):
+    def _room(self, entry: EngineEntry, pressing: bool, rooms: ServiceRooms) -> int:
+        count = self.use.total(entry.life)
+        if count.unread > START_UNREAD or self._standings.is_suspect(entry.life):
             return 0
         if not pressing and self._is_cold(entry.life):
             return 0
-        rooms = self._rooms_of(entry.service)
-        places = rooms.places(entry, self.use.total(entry.life))
+        places = rooms.places(entry, count)
         return self.use.batch_room(entry.life, places, pressing=pressing)
 
     def place_batch(
@@ -284,11 +290,12 @@
         """
         skipped = set(excluded)
         memory_tokens = self._memory_of(service)
-        held = self._held_factors(service)
+        known = self._rooms_of(service)
+        held = self._held_factors(known)
         rooms = [
             (
                 # One that has to start soon goes where it ends soon.
-                self._room(entry, pressing) / (held(entry) if pressing else 1.0),
+                self._room(entry, pressing, known) / (held(entry) if pressing else 1.0),
                 entry.zone == self._zone,
                 self._random.uniform(0, 1),
                 entry,
@@ -305,9 +312,8 @@
         chosen = max(drawn, key=lambda one: one[:3])[3]
         return self._enter(chosen, True, prompt, prompt + output)
 
-    def _held_factors(self, service: str) -> Callable[[EngineEntry], float]:
+    def _held_factors(self, rooms: ServiceRooms) -> Callable[[EngineEntry], float]:
         """Gives how many times as long as usual each engine of a service holds a slot."""
-        rooms = self._rooms_of(service)
         if rooms is EVEN_ROOMS:
             return lambda entry: 1.0
         return lambda entry: rooms.room(entry, self.use.total(entry.life)).factors.held
--- a/postvalve/gateway/serving/line.py
+++ b/postvalve/gateway/serving/line.py
@@ -320,7 +320,7 @@
         sound = [one for one in entries if self._fleet.state_of(one) != "suspect"] or entries
         near = far = 0
         for entry in sound:
-            left = entry.slots - self._fleet.use.total(entry.life).online
+            left = self._fleet.places_left(entry)
             if entry.zone == self._identity.zone:
                 near += max(0, left + QUEUED_PLACES)
             else:
--- a/postvalve/gateway/serving/waiting_room.py
+++ b/postvalve/gateway/serving/waiting_room.py
@@ -17,7 +17,6 @@
 from postvalve.clock import Clock
 from postvalve.core.admission.holding import (
     FRESH_SHARE,
-    EngineRoom,
     HeldRequest,
     OverloadEpisodes,
     Ruling,
@@ -25,6 +24,7 @@
     rule,
 )
 from postvalve.core.randomness import RandomSource
+from postvalve.core.routing.expectation import EngineRoom, least_full
 from postvalve.core.scheduling.turning_away import (
     free_places,
     held_longest,
@@ -242,9 +242,10 @@
 
     def _rule_in_order(self, entry: _Waiting, rooms: list[EngineRoom], ahead: int) -> Ruling:
         now = self._clock.monotonic()
-        if rooms and not free_places(rooms):
+        pace = self._fleet.pace(entry.service)
+        if rooms and not free_places(rooms, pace):
             self._episode(entry.service).note_full(now)
-        return rule_in_order(entry.held, rooms, self._fleet.pace(entry.service), now, ahead)
+        return rule_in_order(entry.held, rooms, pace, now, ahead)
 
     def _episode(self, service: str) -> OverloadEpisodes:
         return self._episodes.setdefault(service, OverloadEpisodes())
@@ -288,7 +289,7 @@
                 entry.decided.set(ruling)
             if ruling is Ruling.START and queue.rooms:
                 # It will be counted when its attempt starts; the next ones must know now.
-                min(queue.rooms, key=lambda room: room.online / max(1, room.slots)).online += 1
+                least_full(queue.rooms, self._fleet.pace(entry.service)).online += 1
             queue.held += ruling is Ruling.HOLD
 
     def _show(self, waiting: list[_Waiting]) -> None:
@@ -323,7 +324,8 @@
 
         Each takes one with the chance that gives all of them together as many as there are.
         """
-        free = sum(max(0, room.slots - room.online) for room in rooms)
+        pace = self._fleet.pace(entry.service)
+        free = sum(max(0, room.places(pace) - room.online) for room in rooms)
         nodes = self.nodes()
         return not free or free >= nodes or self._random.uniform(0, 1) * nodes < free
 
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -30,8 +30,7 @@
 MOST_TOLD = 80
 """Characters of a load that can't be read which are told of."""
 MOST_DIGITS = 18
-"""Of a number in a header: what is longer counts nothing, and costs time or raises where it is worked
-with."""
+"""Of a number in a header: a longer one is taken for none, since sums with it may raise."""
 MISDIRECTED = 421
 IMPOSSIBLE = 422
 
--- a/tests/test_expectation.py
+++ b/tests/test_expectation.py
@@ -29,6 +29,7 @@
     EngineRoom,
     expected_first,
     extra_places,
+    least_full,
     places_within,
     queue_wait,
 )
@@ -145,6 +146,12 @@
         self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW, 0.8).places(pace), SLOTS)
         self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW, 0.41).places(pace), SLOTS // 2)
 
+    def test_the_least_full_engine_is_so_by_its_places(self):
+        pace = learnt(longest=0.4)
+        slow = EngineRoom(SLOTS, 3, 0, 0, SLOW, 0.41)
+        even = EngineRoom(SLOTS, 5, 0, 0)
+        self.assertIs(least_full([slow, even], pace), even)
+
     def test_a_slow_one_still_gets_something(self):
         self.assertEqual(EngineRoom(SLOTS, 0, 0, 0, SLOW, 1e-6).places(learnt()), 1)
 
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -171,6 +171,7 @@
         use = SimpleNamespace(total=lambda life: SimpleNamespace(online=network.online))
         entry = SimpleNamespace(life="e", slots=network.slots, zone="z", service="s")
         fleet = mock.Mock(use=use, engines=lambda s: [entry], listed_engines=lambda: [entry])
+        fleet.places_left = lambda entry: entry.slots - use.total(entry.life).online
         fleet.state_of = lambda entry: network.states.get(entry.life, "ready")
         transport = SimpleNamespace(send=lambda address, data: network.send(name, address, data))
         identity = gateway.NodeStarted(name, 1, name, "z")
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -58,7 +58,7 @@
 
     def test_the_first_in_order_get_as_many_slots_as_there_are(self):
         rooms = [room(8 + QUEUED_PLACES), room(6)]
-        places = free_places(rooms)
+        places = free_places(rooms, learnt())
         self.assertIs(self.rule(rooms, ahead=places - 1), Ruling.START)
         self.assertIs(self.rule(rooms, ahead=places), Ruling.HOLD)
 
@@ -286,6 +286,16 @@
         self.room.peer_places.hear(peer, ShareNews(1.0, {service_hash("s"): Place((0, 0), tag)}))
 
 
+class TurnTest(RoomCase):
+    def test_slots_beyond_its_places_are_nobodys_turn(self):
+        """Else nodes would draw for slots that no request may have."""
+        self.pace = learnt_by_pauses(longest=0.4)
+        slow = EngineRoom(SLOTS, SLOTS // 2, 0, 0, PaceFactors(2.0, 2.0, 2.0), 0.41)
+        self.room.nodes = lambda: 100
+        entry = mock.Mock(service="s")
+        self.assertTrue(all(self.room._is_turn(entry, [slow]) for _ in range(50)))
+
+
 class OrderTest(RoomCase):
     def test_priority_goes_before_share_and_share_before_time_left(self):
         self.send("late", 5.0)
