Pace is told to all peers in turns, not with each report that is made

Cause: the part was made with every report: for the watchers of an engine after each placement, for the line's keeper, and for this node's entry in its own digest, which drops it. What one peer or none got was noted as told, so others heard of a life after TELL_AGAIN at the earliest, if that one wasn't taken likewise.

Change: only reports to whole groups in their turn carry the part, the zone's and that of other zones each by a teller of its own; where there is nothing to tell, one datagram goes to both as before, and a report out of turn costs no look at the pace.

--- a/postvalve/gateway/fleet/engine_paces.py
+++ b/postvalve/gateway/fleet/engine_paces.py
@@ -58,7 +58,11 @@
         self._signals: dict[str, PaceSignal] = {}
         self._counts = CountCorrection()
         self._near = PaceTeller()
+        """To the zone."""
         self._far = PaceTeller()
+        """To other zones' nodes that are told directly."""
+        self._zone = PaceTeller()
+        """To other zones, for all nodes of this one."""
         self._bad_loads: set[int] = set()
         self._looked_at = float("-inf")
         self.counted: Callable[[EngineLife], int] = lambda life: 0
@@ -183,10 +187,11 @@
 
     # What peers tell
 
-    def tell(self, peers: int) -> bytes:
-        """The part of a report to so many peers of the zone."""
+    def tell(self, peers: int, *, far: bool = False) -> bytes:
+        """The part of a report where so many peers are told, for all of the zone or all beyond."""
         now = self._clock.monotonic()
-        return self._near.part(
+        teller = self._far if far else self._near
+        return teller.part(
             self._worth_telling(self.learnt.own_newest()),
             lambda life: self.learnt.own(life, now),
             self._readings(lambda peer: not peer),
@@ -198,7 +203,7 @@
         """The part of a digest of this node and these peers, to so many zones."""
         now = self._clock.monotonic()
         names = set(peers)
-        return self._far.part(
+        return self._zone.part(
             self._worth_telling(self.learnt.newest()),
             lambda life: self.learnt.sum_of(life, names, now),
             self._readings(lambda peer: not peer or peer in names),
--- a/postvalve/gateway/fleet/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatchmethod
 
 import gevent
@@ -50,6 +51,11 @@
 """Seconds; longer silences of the store are told as this."""
 
 
+def _packed(report: LoadReport) -> bytes:
+    """A report as a datagram."""
+    return encode_frame(PackedReport(report.pack()), 0)
+
+
 class LoadReports:
     """Sends this node's report and takes those of the others."""
 
@@ -81,6 +87,10 @@
             Extension.FEATURES: lambda: pack_features(OWN_FEATURES)
         }
         """Gives each part of a report beyond its fixed layout."""
+        self.turn_parts: Callable[[bool, int], dict[int, bytes]] = lambda far, peers: {}
+        """Gives parts that are told once, to all peers of a group: whether it is that of the other
+        zones, and how many nodes tell each peer. A report to a single peer must not use them up.
+        """
         self.on_look: Callable[[], None] = lambda: None
         """Called about every `TARGETS_AGE` seconds."""
         self.items = RunningItems()
@@ -111,9 +121,9 @@
         self._changed.set()
 
     def next_report(self) -> bytes:
-        """The next report, as a datagram."""
+        """The next report, as a datagram for any peer, out of turn."""
         self._sequence += 1
-        return encode_frame(PackedReport(self._report().pack()), 0)
+        return _packed(self._report())
 
     def run(self) -> None:
         """Report for ever."""
@@ -145,15 +155,24 @@
             self._changed.clear()
             self._near.note_change()
             self._far.note_change()
+        groups = zip((self._near, self._far), self._targets, (False, True), strict=True)
         due = [
-            addresses
-            for pace, addresses in zip((self._near, self._far), self._targets, strict=True)
+            (far, addresses)
+            for pace, addresses, far in groups
             if pace.take_turn(len(addresses), now) and addresses
         ]
-        if not due:
-            return
-        data = self.next_report()
-        for addresses in due:
+        if due:
+            self._send(due)
+
+    def _send(self, due: list[tuple[bool, list[str]]]) -> None:
+        """Send the next report to groups, with the parts that it is each one's turn to hear."""
+        self._sequence += 1
+        report = self._report()
+        usual = _packed(report)
+        for far, addresses in due:
+            parts = self.turn_parts(far, sum(map(len, self._targets)))
+            told = replace(report, extensions={**report.extensions, **parts})
+            data = _packed(told) if parts else usual
             for address in addresses:
                 self._transport.send(address, data)
 
@@ -202,11 +221,12 @@
 
     def tell_pace(self) -> None:
         """Tell peers how fast engines are, too."""
-        self.extensions[Extension.ENGINE_PACE] = self._engine_pace
+        self.turn_parts = self._engine_pace
         self.zones.engine_pace = self._fleet.paces.tell_zone
 
-    def _engine_pace(self) -> bytes:
-        return self._fleet.paces.tell(sum(map(len, self._targets)))
+    def _engine_pace(self, far: bool, peers: int) -> dict[int, bytes]:
+        pace = self._fleet.paces.tell(peers, far=far)
+        return {Extension.ENGINE_PACE: pace} if pace else {}
 
     def receive(self, data: bytes, address: str) -> None:
         """Take a datagram."""
