--- a/tests/test_item_attempts.py
+++ b/tests/test_item_pace.py
@@ -1,4 +1,4 @@
-"""What one attempt of an item tells of its engine."""
+"""What an attempt of an item shows of its engine's pace."""
 
 import unittest
 from unittest import mock
