Samples: a configuration is compared by its fields, as all else is

Cause: version_samples.plain knows data classes, not the configuration's models, and took their text; so GoldenTest.test_this_build_reads_them_alike failed on the join: the route's new pause_aim stands in the text of this build. `same` allows more fields, and a document of the platform without one reads as before, so the comparison was at fault.

Stricter than the text in nothing less: every field of production is compared.

--- a/tests/version_samples.py
+++ b/tests/version_samples.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import betterproto
+from pydantic import BaseModel
 
 from postvalve.core.batch.item_end import ItemEnd, ItemState
 from postvalve.core.batch.job_board import JOB_FORM, JobBoard, RecordKind, record_key
@@ -41,6 +42,8 @@
     if dataclasses.is_dataclass(value):
         fields = dataclasses.fields(value)
         return {one.name: plain(getattr(value, one.name)) for one in fields}
+    if isinstance(value, BaseModel):
+        return {name: plain(getattr(value, name)) for name in type(value).model_fields}
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, bytes):
