--- a/tests/test_uneven_engines.py
+++ b/tests/test_uneven_engines.py
@@ -176,6 +176,14 @@
             fair = speed / sum(SPEEDS)
             self.assertTrue(fair * 0.6 <= one <= fair * 1.3, (speed, one, fair))
 
+    def test_engines_that_tell_no_pace_are_taken_for_alike(self):
+        """What attempts show in heaps makes equal engines look as if they differed."""
+        session = play(EVEN_SPEEDS, NOISE, tells=False)
+        for fleet in session.nodes:
+            self.assertFalse(fleet.paces.uneven(SERVICE))
+            self.assertEqual(fleet.paces.tell(NODES - 1), b"")
+            self.assertFalse([one for one in fleet._events.written if "DIFFERS" in one[0].name])
+
 
 if __name__ == "__main__":
     unittest.main()
