Engines that tell no pace are taken for alike, as before they were learnt

Cause: a life counted as different beyond three errors of the mean of its samples, reckoned as if each were independent; those of one heap at one engine are not.

Change: what was learnt is used, told and logged only for services whose engines tell a fourth figure; deployments with three figures or none choose by slots and counts as before. Learning goes on beside it, for the status page and for when a figure comes.

--- a/postvalve/gateway/fleet/engine_paces.py
+++ b/postvalve/gateway/fleet/engine_paces.py
@@ -85,9 +85,13 @@
             signal.keep(lives)
 
     def uneven(self, service: str) -> bool:
-        """Whether engines of a service tell their pace, or differ by what they showed."""
+        """Whether engines of a service tell their pace; others are taken for alike.
+
+        Attempts of one heap are slow together, so that equal engines often look as if they
+        differed; without their own word that costs more than it brings.
+        """
         signal = self._signals.get(service)
-        return self.learnt.differs(service) or (signal is not None and signal.told)
+        return signal is not None and signal.told
 
     def factors(self, service: str, life: EngineLife, now: float) -> PaceFactors:
         """How much longer than usual for its service an engine takes now."""
@@ -212,7 +216,7 @@
         )
 
     def _worth_telling(self, lives: Iterator[tuple[int, float]]) -> Iterator[tuple[int, float]]:
-        """Lives of services whose engines tell their pace, or of which one differs."""
+        """Lives of services whose engines tell their pace."""
         return (one for one in lives if self.uneven(self.learnt.service_of(one[0])))
 
     def _readings(self, heard_from: Callable[[str], bool]) -> Iterator[tuple[int, PaceReading]]:
@@ -251,7 +255,11 @@
         if now - self._looked_at < LOOK_INTERVAL:
             return
         self._looked_at = now
-        changes = self.learnt.look(now)
+        changes = [
+            one
+            for one in self.learnt.look(now)
+            if self.uneven(self.learnt.service_of(engine_hash(one.life)))
+        ]
         for change in changes[:CHANGES_TOLD]:
             self._events.emit(
                 Event.ENGINE_DIFFERS if change.differs else Event.ENGINE_DIFFERS_NO_MORE,
--- a/tests/test_pace_reports.py
+++ b/tests/test_pace_reports.py
@@ -4,6 +4,7 @@
 
 from postvalve.core.admission.engine_use import engine_hash
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.engine_load import EngineLoad
 from postvalve.core.routing.engine_pace import Aspect
 from postvalve.core.routing.pace_telling import TELL_AGAIN, unpack_told
 from postvalve.gateway.fleet.engine_paces import EnginePaces
@@ -21,6 +22,9 @@
         for node in self.nodes:
             paces = EnginePaces(self.clock, QuietLog())
             paces.keep({SLOW: SERVICE, OTHER: SERVICE})
+            told = EngineLoad(self.clock.now, 0, 0, 8, 1.0)
+            for life in (SLOW, OTHER):
+                paces.note_load(mock.Mock(engine=mock.Mock(life=life, service=SERVICE)), told)
             node.reports._fleet.paces = paces
             heard = self.heard[node.name] = set()
             paces.hear = mock.Mock(side_effect=lambda _, data, heard=heard: self.take(data, heard))
