--- a/tests/test_expectation.py
+++ b/tests/test_expectation.py
@@ -223,7 +223,8 @@
         self.fleet.pause_aim = lambda service: 0.15
         for life in self.lives:
             self.show(life, 2.5)
-        line = ZoneLine(mock.Mock(fleet=self.fleet, identity=mock.Mock(zone="z")))
+        identity = mock.Mock(zone="z")
+        line = ZoneLine(mock.Mock(fleet=self.fleet, identity=identity, clock=self.clock))
         while self.fleet.has_room(SERVICE):
             self.place()
         online = sum(self.fleet.use.total(life).online for life in self.lives)
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -19,8 +19,10 @@
 
 
 class BodyCase(unittest.TestCase):
+    patience_ms = PATIENCE_MS
+
     def setUp(self):
-        limits = {"headerTimeoutMs": PATIENCE_MS, "maxBodyBytes": LARGEST}
+        limits = {"headerTimeoutMs": self.patience_ms, "maxBodyBytes": LARGEST}
         self.fleet = GatewayFleet(nodes=1, engines=1, limits=limits)
         self.addCleanup(self.fleet.stop)
         self.node = self.fleet.nodes["n0"]
@@ -139,6 +141,77 @@
         answer = parse_answer(read_answer_head(connection))
         self.assertEqual(answer.status, 413)
 
+
+class BodyBudgetTest(BodyCase):
+    """Of bodies that come together, those that keep up are never given up for others."""
+
+    patience_ms = 3_000
+    """Longer than a body may lag before it counts."""
+
+    def test_bodies_that_keep_up_are_read_whatever_they_hold(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        for framing in ("Content-Length: 6000", "Transfer-Encoding: chunked"):
+            with self.subTest(framing):
+                chunked = "chunked" in framing
+                connections = [self.begin(framing) for _ in range(3)]
+                for _ in range(3):
+                    for connection in connections:
+                        connection.sendall(b"7d0\r\n" * chunked + b"x" * 2_000 + b"\r\n" * chunked)
+                    gevent.sleep(0.02)
+                for connection in connections:
+                    connection.sendall(b"0\r\n\r\n" * chunked)
+                answers = [read_answer(connection).status for connection in connections]
+                self.assertEqual(answers, [200] * 3)
+                self.assertEqual(self.engine.bodies["r1"], b"x" * 6_000)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+
+    def test_a_node_that_stood_still_counts_no_body_for_it(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        connections = [self.begin("Content-Length: 6000") for _ in range(3)]
+        for connection in connections:
+            connection.sendall(b"x" * 3_000)
+        gevent.sleep(0.1)
+        for connection in connections:
+            connection.sendall(b"x" * 2_000)
+        time.sleep(1.0)
+        gevent.sleep(0.02)
+        for connection in connections:
+            connection.sendall(b"x" * 1_000)
+        self.assertEqual([read_answer(connection).status for connection in connections], [200] * 3)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+
+    def test_a_node_that_is_busy_counts_no_body_for_it(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        connections = [self.begin("Content-Length: 6000") for _ in range(3)]
+        gevent.sleep(0.02)
+        for _ in range(15):
+            for connection in connections:
+                connection.sendall(b"x" * 400)
+            # Nothing else is done meanwhile, as by other requests that take the node's time.
+            time.sleep(0.06)
+            gevent.sleep(0.001)
+        self.assertEqual([read_answer(connection).status for connection in connections], [200] * 3)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+
+    def test_one_that_lags_gives_way_and_those_that_keep_up_do_not(self):
+        budget = self.node.slow_clients.budget
+        budget.limit = 5_000
+        slow = self.begin("Content-Length: 10000")
+        slow.sendall(b"x" * 3_000)
+        wait_until(lambda: budget.held == 3_000)
+        quick = self.begin("Content-Length: 9000")
+        for _ in range(3):
+            quick.sendall(b"x" * 3_000)
+            gevent.sleep(0.02)
+        self.assertEqual(read_answer(quick).status, 200)
+        self.assertEqual(self.events(Event.SLOW_CLIENT_CUT), [])
+        slow.sendall(b"x" * 2_500)
+        self.engine.runs.clear()
+        self.assert_too_slow(slow)
+
     def test_bodies_that_come_slowly_count_in_the_budget(self):
         budget = self.node.slow_clients.budget
         budget.limit = 5_000
@@ -190,6 +263,38 @@
         self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
 
 
+class StandstillTest(BodyCase):
+    """A node that stands still for longer than a client may lag tells no client so for that."""
+
+    REST = {
+        "Content-Length: 8": (b"some", b"body"),
+        "Transfer-Encoding: chunked": (b"4\r\nsome\r\n", b"4\r\nbody\r\n0\r\n\r\n"),
+    }
+
+    def stand_still_before_the_rest(self, connection, rest):
+        """The rest comes while the node stands still."""
+        gevent.sleep(0.05)
+        connection.sendall(rest)
+        time.sleep(2 * PATIENCE_MS / 1000)
+
+    def test_a_body_that_came_meanwhile_is_served(self):
+        for framing, (first, rest) in self.REST.items():
+            with self.subTest(framing):
+                connection = self.begin(framing)
+                connection.sendall(first)
+                self.stand_still_before_the_rest(connection, rest)
+                self.assertEqual(read_answer(connection).status, 200)
+                self.assertEqual(self.engine.bodies["r1"], b"somebody")
+
+    def test_a_head_that_came_meanwhile_is_served(self):
+        connection = self.fleet.connect("n0")
+        self.addCleanup(connection.close)
+        connection.sendall(f"POST {ONCE_PATH} HTTP/1.1\r\nHost: ".encode())
+        rest = f"{HOST}\r\nRequest-Id: r1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        self.stand_still_before_the_rest(connection, rest.encode())
+        self.assertEqual(read_answer(connection).status, 200)
+
+
 def read_answer_head(connection):
     """What comes until the connection ends, or breaks off."""
     connection.settimeout(3.0)
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -85,6 +85,10 @@
             ruling = self.rule([room(30)], 500, now)
             self.assertIs(ruling is Ruling.START, now >= AIM * HOLD_SHARE, now)
 
+    def test_no_time_told_is_below_nothing(self):
+        for left in (-2.0, 0.0, 0.1):
+            self.assertGreaterEqual(return_time(1.0, left, 0.5), 0.0)
+
     def test_the_time_told_follows_the_line_and_fits_the_client(self):
         self.assertEqual(return_time(0.0, 60.0, 0.0), LEAST_RETURN)
         self.assertEqual(return_time(2.0, 60.0, 0.0), 2.0)
@@ -358,6 +362,32 @@
         self.assertFalse(set(kept) & set(self.refused))
 
 
+class LookerTest(RoomCase):
+    def test_one_that_comes_while_the_line_is_told_that_nobody_waits_is_looked_at(self):
+        """A datagram may wait for room in the socket, and others go on meanwhile."""
+        self.room._looker = None
+        told = []
+
+        def show(waiting):
+            told.append(waiting)
+            # The look that finds nobody, then that the looker ends.
+            if told[-2:] == [{}, {}] and self.started == ["first"]:
+                self.online = 9
+                self.send("second", 2.0)
+                self.online = 7
+
+        self.room.line = mock.Mock(
+            stands=lambda service: False,
+            granted=lambda service, number: False,
+            ahead=lambda service, number: None,
+            show=show,
+        )
+        self.send("first", 1.0)
+        self.online = 7
+        gevent.sleep(0.3)
+        self.assertEqual(self.started, ["first", "second"])
+
+
 class WithoutSharesTest(RoomCase):
     """Without tags the way is by priority, age, rule and draw: a plain copy of it decides alike."""
 
--- a/tests/version_samples.py
+++ b/tests/version_samples.py
@@ -14,7 +14,6 @@
 from pathlib import Path
 
 import betterproto
-from pydantic import BaseModel
 
 from postvalve.core.batch.item_end import ItemEnd, ItemState
 from postvalve.core.batch.job_board import JOB_FORM, JobBoard, RecordKind, record_key
@@ -42,8 +41,9 @@
     if dataclasses.is_dataclass(value):
         fields = dataclasses.fields(value)
         return {one.name: plain(getattr(value, one.name)) for one in fields}
-    if isinstance(value, BaseModel):
-        return {name: plain(getattr(value, name)) for name in type(value).model_fields}
+    if hasattr(value, "model_dump"):
+        # Settings: field by field, so that one that only a later build has changes no other.
+        return plain(value.model_dump())
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, bytes):
