--- a/postvalve/gateway/fleet/engine_paces.py
+++ b/postvalve/gateway/fleet/engine_paces.py
@@ -58,7 +58,11 @@
         self._signals: dict[str, PaceSignal] = {}
         self._counts = CountCorrection()
         self._near = PaceTeller()
+        """To the zone."""
         self._far = PaceTeller()
+        """To other zones' nodes that are told directly."""
+        self._zone = PaceTeller()
+        """To other zones, for all nodes of this one."""
         self._bad_loads: set[int] = set()
         self._looked_at = float("-inf")
         self.counted: Callable[[EngineLife], int] = lambda life: 0
@@ -81,9 +85,13 @@
             signal.keep(lives)
 
     def uneven(self, service: str) -> bool:
-        """Whether engines of a service tell their pace, or differ by what they showed."""
+        """Whether engines of a service tell their pace; others are taken for alike.
+
+        Attempts of one heap are slow together, so that equal engines often look as if they
+        differed; without their own word that costs more than it brings.
+        """
         signal = self._signals.get(service)
-        return self.learnt.differs(service) or (signal is not None and signal.told)
+        return signal is not None and signal.told
 
     def factors(self, service: str, life: EngineLife, now: float) -> PaceFactors:
         """How much longer than usual for its service an engine takes now."""
@@ -124,6 +132,8 @@
             return
         life = placement.engine.life
         key = engine_hash(life)
+        if not self.learnt.knows(key):
+            return
         service = placement.engine.service
         self._signals.setdefault(service, PaceSignal()).note(key, load.pace, load.at)
         self._counts.note(key, load.requests, self.counted(life), load.at)
@@ -131,7 +141,8 @@
     def note_bad_load(self, life: EngineLife, told: str) -> None:
         """An engine's figures can't be read: it is named once."""
         key = engine_hash(life)
-        if key in self._bad_loads or len(self._bad_loads) >= BAD_LOADS_TOLD:
+        known = self.learnt.knows(key)
+        if not known or key in self._bad_loads or len(self._bad_loads) >= BAD_LOADS_TOLD:
             return
         self._bad_loads.add(key)
         self._events.emit(Event.ENGINE_LOAD_UNREADABLE, engine=life, told=told)
@@ -180,10 +191,11 @@
 
     # What peers tell
 
-    def tell(self, peers: int) -> bytes:
-        """The part of a report to so many peers of the zone."""
+    def tell(self, peers: int, *, far: bool = False) -> bytes:
+        """The part of a report where so many peers are told, for all of the zone or all beyond."""
         now = self._clock.monotonic()
-        return self._near.part(
+        teller = self._far if far else self._near
+        return teller.part(
             self._worth_telling(self.learnt.own_newest()),
             lambda life: self.learnt.own(life, now),
             self._readings(lambda peer: not peer),
@@ -195,7 +207,7 @@
         """The part of a digest of this node and these peers, to so many zones."""
         now = self._clock.monotonic()
         names = set(peers)
-        return self._far.part(
+        return self._zone.part(
             self._worth_telling(self.learnt.newest()),
             lambda life: self.learnt.sum_of(life, names, now),
             self._readings(lambda peer: not peer or peer in names),
@@ -204,7 +216,7 @@
         )
 
     def _worth_telling(self, lives: Iterator[tuple[int, float]]) -> Iterator[tuple[int, float]]:
-        """Lives of services whose engines tell their pace, or of which one differs."""
+        """Lives of services whose engines tell their pace."""
         return (one for one in lives if self.uneven(self.learnt.service_of(one[0])))
 
     def _readings(self, heard_from: Callable[[str], bool]) -> Iterator[tuple[int, PaceReading]]:
@@ -243,7 +255,11 @@
         if now - self._looked_at < LOOK_INTERVAL:
             return
         self._looked_at = now
-        changes = self.learnt.look(now)
+        changes = [
+            one
+            for one in self.learnt.look(now)
+            if self.uneven(self.learnt.service_of(engine_hash(one.life)))
+        ]
         for change in changes[:CHANGES_TOLD]:
             self._events.emit(
                 Event.ENGINE_DIFFERS if change.differs else Event.ENGINE_DIFFERS_NO_MORE,
