A lender keeps an ask for the first credit of a bucket that it has taken over

What callers saw: 429 for a tenant far below its limit, for a moment after its lender had left, started or stood still (known red of the upgrade soak).

Cause: a bucket that is taken over begins empty, so that lenders before and after never lend more than one bucket does, and whoever asks before its first token is refused: 1 ms at 1,000 requests a second, 34 ms at 30.

Ruled out: a lower limit in a revision, a lender that stood still, the limit itself.

Change: the lender looks again for up to 0.05 s while credit is about to come; at the lender and not at the asker, so that nodes of other builds gain too. Who is refused for longer hears it at once, as before.

Before: TakeoverTest.test_one_far_below_its_limit_is_let_in fails (429 for 200). After: it passes, with all of test_tenant_credit.

--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -34,6 +34,12 @@
 ASK_PATIENCE = 0.4
 """Seconds that an ask may take: a busy machine stands still for some tenths of a second, and who is
 refused by the second choice waits longer than that."""
+SHORT_WAIT = 0.05
+"""Seconds in all for which an ask is kept until there is credit: a bucket that was taken over is
+empty for a moment, and who asks would be refused below its limit. Less than `FIRST_PATIENCE`, after
+which the second choice is asked."""
+SHORT_PAUSE = 0.005
+"""Seconds between two looks for credit meanwhile, at the least."""
 SILENT_TIME = 0.5
 """Seconds for which a node that did not answer is not asked again: all requests of its tenants
 would wait for it."""
@@ -246,8 +252,18 @@
         return Loan(Lending(reply.lending), reply.wait, reply.share, reply.tag)
 
     def _lend(self, tenant: str, terms: LimitTerms, work: Work) -> Loan:
-        """Lend this node's credit, with the place of the request among all tenants' ones."""
-        loan = self.limits.lend(tenant, terms, self._clock.monotonic())
+        """Lend this node's credit, with the place of the request among all tenants' ones.
+
+        Credit that comes in a moment is waited for.
+        """
+        asked_at = self._clock.monotonic()
+        loan = self.limits.lend(tenant, terms, asked_at)
+        while loan.lending is Lending.OVER:
+            wait = max(loan.wait, SHORT_PAUSE)
+            if self._clock.monotonic() + wait > asked_at + SHORT_WAIT:
+                break
+            gevent.sleep(wait)
+            loan = self.limits.lend(tenant, terms, self._clock.monotonic())
         if loan.lending is not Lending.LENT or not self.shares.enabled:
             return loan
         return replace(loan, tag=self.shares.stamp(tenant, work))
--- a/tests/test_tenant_credit.py
+++ b/tests/test_tenant_credit.py
@@ -5,7 +5,14 @@
 
 import gevent
 
-from postvalve.core.admission.fleet_limits import SETTLE_TIME, FleetLimits, Lending, Loan
+from postvalve.core.admission.fleet_limits import (
+    SETTLE_TIME,
+    FleetLimits,
+    Lending,
+    LimitTerms,
+    Loan,
+)
+from postvalve.core.scheduling.fair_share import Work
 from postvalve.events import Event
 from postvalve.messages.generated import gateway
 from tests.gateway_support import STREAM_PATH, GatewayFleet
@@ -16,6 +23,7 @@
     {"name": "ann", "apiKeys": ["ann-key"], "ratePerS": RATE, "burst": BURST},
     {"name": "bob", "apiKeys": ["bob-key"]},
     {"name": "cid", "apiKeys": ["cid-key"], "ratePerS": 0, "burst": 0},
+    {"name": "dan", "apiKeys": ["dan-key"], "ratePerS": 40.0, "burst": 40.0},
 ]
 FILLED_AFTER = 4.0
 """Seconds after which the second choice has something to lend, too."""
@@ -202,3 +210,30 @@
         self.start_anew()
         statuses = [one.status for one in self.flood(["n0", "n1"], 60)]
         self.assertGreater(statuses.count(429), 60 - ALLOWED)
+
+
+class TakeoverTest(CreditCase):
+    """A node takes a tenant over, with an empty bucket: its first requests are below the limit.
+
+    Guards against 429 for a tenant far below its limit while a node is replaced, or stood still.
+    """
+
+    def take_over(self, tenant):
+        """Let the lender have a tenant since this moment; returns it."""
+        lender = self.fleet.nodes[self.choices(tenant)[0]]
+        lender._limits.limits._forget(lender._clock.monotonic())
+        return lender._limits
+
+    def test_one_far_below_its_limit_is_let_in(self):
+        for name in self.fleet.nodes:
+            self.take_over("dan")
+            self.assertEqual(self.send(name, "dan").status, 200)
+            self.assertEqual(self.fleet.events(name, Event.TENANT_OVER_LIMIT), [])
+
+    def test_credit_that_takes_longer_is_not_waited_for(self):
+        lender = self.take_over("ann")
+        lend, looks = lender.limits.lend, itertools.count(1)
+        lender.limits.lend = lambda *arguments: (next(looks), lend(*arguments))[1]
+        loan = lender._lend("ann", LimitTerms(RATE, BURST), Work(1.0))
+        self.assertIs(loan.lending, Lending.OVER)
+        self.assertEqual(next(looks), 2)
