Each process of tests and fleets draws ports from a block of its own

What was seen: 'the fleet does not start' in 60 s, five times in whole test runs, and 'Address already in use' once; never when run again.

Cause: ports are drawn free and bound a second later. Within one test run scripts.fleet draws at random from 14,000 to 32,000, soaks draw from ranges in there, and all other tests of all clones from 4,000 ports below.

Ruled out: the load (the same in both).

Change: a process takes a block of 500 ports and keeps its first one bound while it lives; whoever finds that taken looks at the next block.

Before: test_ports' first test with the old drawing: 2,249 different ports of 2,400 drawn by 8 processes. After: 2,400; the soak beside the disturbing process starts and holds.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import argparse
-import contextlib
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -24,13 +22,13 @@
 from pathlib import Path
 from typing import Any
 
+from scripts.ports import HOST, free_port
+
 ROOT = Path(__file__).resolve().parent.parent
 START_PATIENCE = 30.0
 """Seconds until a fleet that is not ready counts as failed."""
 STOP_PATIENCE = 5.0
 """Seconds that a process has to end before it is killed."""
-FIRST_PORT, LAST_PORT = 14_000, 32_000
-"""Ports of a fleet; one that the system chose may be chosen for somebody else before it is used."""
 DEMO_KEY_PREFIX = "sk-demo-"
 
 
@@ -263,12 +261,8 @@
 
 
 def free_address() -> str:
-    """A free address on loopback, below the ports that the system chooses for other sockets."""
-    while True:
-        address = ("127.0.0.1", random.randrange(FIRST_PORT, LAST_PORT))
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(address)
-            return f"{address[0]}:{address[1]}"
+    """A free address on loopback that no other fleet takes."""
+    return f"{HOST}:{free_port()}"
 
 
 def is_listening(address: str) -> bool:
