Due time decides among batch items until most of them are late

Cause: the fleet gets done about as much as is sent there, so half of the items end 14 to 16 s after they were sent, due after 18, in any order. By due time all wait alike and most are in time; by shares those of large tenants wait longer and are late.

Change: shares decide from when most items that were due in the last 10 s were late until less than a quarter are; the log tells all nodes the same. Priority of tenants goes first as before.

Before: the one on items in time fails. After: all pass.

--- a/postvalve/core/batch/item_order.py
+++ b/postvalve/core/batch/item_order.py
@@ -120,8 +120,8 @@
     """Of its tenant or route; 0 is the most urgent."""
     tag: int
     """In tokens: see `item_shares`."""
-    begun: bool = False
-    """Whether it has given something: its tenant's share let it start, and counts no more."""
+    by_due: bool = False
+    """Whether its share counts no more, or not now: it has begun, or items mostly end in time."""
     nearly_ended: bool = False
     """Whether it runs and nearly ends: it goes before the others, and gives way last."""
 
@@ -131,14 +131,14 @@
 
     Those that would end too late come last, as in `urgency`; then priority, the tenant's share, and
     between equals the due time. All of a priority that nearly end go before the others of it, then
-    those that have begun, by due time: what was cut for another tenant's item would mostly end too
-    late, and all that it has run be lost. One that is late for long stands with the others again:
-    it would never start while they keep coming.
+    those that have begun: what was cut for another tenant's item would mostly end too late, and all
+    that it has run be lost. One that is late for long stands with the others again: it would never
+    start while they keep coming.
     """
     late = now_ms + seconds_left * 1000 > due_at_ms
     hopeless = late and now_ms < due_at_ms + HOPELESS_PENALTY_MS
     priority = min(rank.priority, (1 << _PRIORITY_BITS) - 1)
-    step = 0 if rank.begun else min(rank.tag // TAG_STEP + 1, (1 << _TAG_BITS) - 1)
+    step = 0 if rank.by_due else min(rank.tag // TAG_STEP + 1, (1 << _TAG_BITS) - 1)
     due = due_at_ms // _DUE_STEP_MS % (1 << _DUE_BITS)
     key = int(hopeless) << _PRIORITY_BITS | priority
     key = key << 1 | int(not rank.nearly_ended)
--- a/postvalve/core/batch/item_shares.py
+++ b/postvalve/core/batch/item_shares.py
@@ -55,6 +55,15 @@
         return items
 
 
+@dataclass(slots=True)
+class DueCount:
+    """Items that are due in the same second; those of jobs that were ended don't count."""
+
+    items: int = 0
+    left: int = 0
+    """Of them, that have no result."""
+
+
 class ItemShares:
     """Tags of all items without a result."""
 
@@ -66,6 +75,8 @@
         self._tenants: dict[str, str] = {}
         """Tenant by job."""
         self._clock = 0.0
+        self.due: dict[int, DueCount] = {}
+        """By seconds of the epoch."""
 
     @property
     def clock(self) -> int:
@@ -98,6 +109,8 @@
         in_order = not line.items or line.items[-1].due_at_ms <= due_at_ms
         new = [_Item(job_id, index, due_at_ms, count, clock) for index, count in enumerate(tokens)]
         self._items.update((item.key, item) for item in new)
+        for item in new:
+            self._count(item, 1, 1)
         if in_order:
             self._lay(tenant, line, new)
         else:
@@ -109,6 +122,7 @@
         if item is None:
             return
         self._lines[self._tenants[job_id]].items.remove(item)
+        self._count(item, 0 if ran else -1, -1)
         if ran:
             self._clock = max(self._clock, item.tag)
 
@@ -123,6 +137,7 @@
             return
         for item in gone:
             del self._items[item.key]
+            self._count(item, -1, -1)
         items = line.take_back()
         self._lay(tenant, line, [one for one in items if one.job_id != job_id])
 
@@ -136,6 +151,16 @@
             items, line.items, line.end = line.items, [], self._clock
             self._lay(tenant, line, items)
 
+    def forget_due(self, before: int) -> None:
+        """Drop the counts of items that were due before a second of the epoch."""
+        for second in [one for one in self.due if one < before]:
+            del self.due[second]
+
+    def _count(self, item: _Item, items: int, left: int) -> None:
+        count = self.due.setdefault(item.due_at_ms // 1000, DueCount())
+        count.items += items
+        count.left += left
+
     def _lay_by_due(self, tenant: str, line: _Line, new: Sequence[_Item]) -> None:
         """Let all items of a tenant stand by due time; what it has been given stays."""
         items = sorted([*line.take_back(), *new], key=lambda one: one.due_at_ms)
--- a/postvalve/gateway/jobs/item_urgency.py
+++ b/postvalve/gateway/jobs/item_urgency.py
@@ -13,6 +13,7 @@
     share_urgency,
     urgency,
 )
+from postvalve.core.batch.lateness import WINDOW, Lateness
 from postvalve.core.membership.extensions import Extension, Feature
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.routing.route_table import RouteTable
@@ -45,7 +46,9 @@
         self._tenants: dict[str, RoutedTenant] = {}
         self._route_priorities: dict[str, int] = {}
         self._by_shares = False
+        self._order = "due time"
         self._looked_at = float("-inf")
+        self._lateness = Lateness()
 
     def configure(self, table: RouteTable) -> None:
         """Take the tenants and routes of a configuration."""
@@ -72,11 +75,25 @@
         self._looked_at = now
         self._estimate.hear(self._peers.extension_parts(Extension.ITEM_PACE))
         compete = len(self._tenants) >= 2
-        by_shares = compete and Feature.BATCH_SHARES in self._peers.features()
-        if by_shares != self._by_shares:
-            self._by_shares = by_shares
-            order = "shares" if by_shares else "due time"
-            self._events.emit(Event.ITEM_ORDER, order=order, tenants=len(self._tenants))
+        self._look_for_late()
+        able = Feature.BATCH_SHARES in self._peers.features()
+        self._by_shares = compete and able
+        order = "shares" if self._by_shares and self._lateness.mostly else "due time"
+        if order != self._order:
+            self._order = order
+            self._events.emit(
+                Event.ITEM_ORDER,
+                order=order,
+                tenants=len(self._tenants),
+                able=able,
+                due=self._lateness.items,
+                late=self._lateness.late,
+            )
+
+    def _look_for_late(self) -> None:
+        shares, now = self._log.board.shares, self._clock.wall()
+        self._lateness.look(shares.due, now)
+        shares.forget_due(int(now) - WINDOW)
 
     def of(self, item: RunningItem) -> int:
         """How urgent an item is; the lowest first."""
@@ -103,7 +120,8 @@
         own = tenant.priority if tenant is not None else None
         priority = self._route_priorities.get(job.accepted.route, 0) if own is None else own
         tag = self._log.board.shares.tag(item.job_id, item.index)
-        return ShareRank(priority, tag, bool(item.events), ends_soon)
+        by_due = bool(item.events) or not self._lateness.mostly
+        return ShareRank(priority, tag, by_due, ends_soon)
 
     def seconds_left(self, item: RunningItem) -> float:
         """Seconds that an item still needs, its present run counted; 0 while nothing is known."""
--- a/tests/test_item_urgency.py
+++ b/tests/test_item_urgency.py
@@ -16,6 +16,10 @@
 """Seconds that an item of so many tokens runs."""
 
 
+DUE_LATELY = 20
+"""Items that were due a moment ago."""
+
+
 class UrgencyTest(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
@@ -32,6 +36,15 @@
         configuration = mock.Mock(tenants=tenants or None, routes=routes)
         self.urgency.configure(mock.Mock(configuration=configuration))
 
+    def let_items_be_late(self, late=DUE_LATELY, due=DUE_LATELY):
+        """So many of the items that were due in the last second have no result."""
+        shares = self.log.board.shares
+        self.urgency.of(self.item("any"))
+        shares.accepted("due", "ann", 0, int(self.now * 1000) + 500, [1] * due)
+        for idx in range(due - late):
+            shares.ended("due", idx, ran=True)
+        self.now += 1.0
+
     def item(self, job_id="j", due=200.0, tenant="ann", **how):
         accepted = mock.Mock(tenant=tenant, route="r")
         self.log.board.jobs[job_id] = mock.Mock(accepted=accepted)
@@ -54,20 +67,34 @@
 
     def test_shares_count_where_all_nodes_can_and_a_change_is_told(self):
         self.configure(RoutedTenant(name="ann"), RoutedTenant(name="bob"))
+        self.let_items_be_late()
+        self.log.board.shares.accepted("a", "ann", 0, 0, [1])
         self.log.board.shares.accepted("b", "bob", 10**6, 0, [1])
         late, soon = self.item("a", 200.0), self.item("b", 150.0, "bob")
-        self.log.board.shares.accepted("a", "ann", 0, 0, [1])
         self.assertTrue(self.goes_before(late, soon))
         self.features = Feature.NONE
         self.now += LOOK_AGE
         self.assertTrue(self.goes_before(soon, late))
         orders = [one.kwargs["order"] for one in self.events.emit.call_args_list]
         self.assertEqual(orders, ["shares", "due time"])
-        self.events.emit.assert_called_with(Event.ITEM_ORDER, order="due time", tenants=2)
+        self.events.emit.assert_called_with(
+            Event.ITEM_ORDER, order="due time", tenants=2, able=False, due=20, late=20
+        )
+
+    def test_due_time_counts_while_most_items_end_in_time(self):
+        """Guards against late items of large tenants where by due time all wait alike."""
+        self.configure(RoutedTenant(name="ann"), RoutedTenant(name="bob"))
+        self.log.board.shares.accepted("a", "ann", 0, 0, [1])
+        self.log.board.shares.accepted("b", "bob", 10**6, 0, [1])
+        late, soon = self.item("a", 200.0), self.item("b", 150.0, "bob")
+        self.assertTrue(self.goes_before(soon, late))
+        self.let_items_be_late(late=DUE_LATELY // 2)
+        self.assertTrue(self.goes_before(soon, late))
 
     def test_what_has_begun_goes_before_what_another_tenants_share_would_start(self):
         """Guards against runs that are lost: what was cut for such an item ends too late."""
         self.configure(RoutedTenant(name="ann"), RoutedTenant(name="bob"))
+        self.let_items_be_late()
         self.log.board.shares.accepted("a", "ann", 0, 0, [1])
         self.log.board.shares.accepted("b", "bob", 10**6, 0, [1])
         new, begun = self.item("a", 150.0), self.item("b", 150.0, "bob", events=[b"one"])
