A tenant's priority decides among batch items when shares do

Cause: where tenants compete the order was priority, then share, then due time. Priorities of tenants differ on that site, so with about as much work as gets done all the wait falls on the least urgent ones. Before shares came, batch items went by due time only.

Change: while most items end in time due time alone decides; after that priority, then shares. A node that doesn't hear the log stays with the order that it had: without results everything would seem late to it.

Before: test_a_tenants_priority_makes_nothing_late_that_is_in_time fails, and the one on the log. test_a_tenants_priority_goes_before_its_share lets items be late first, since priority decides then. After: all pass.

--- a/postvalve/gateway/jobs/item_urgency.py
+++ b/postvalve/gateway/jobs/item_urgency.py
@@ -21,6 +21,7 @@
 from postvalve.events import Event, EventLog
 from postvalve.gateway.jobs.job_log import JobLog
 from postvalve.gateway.jobs.running_item import RunningItem
+from postvalve.gateway.knowledge.topic_follower import OLD_AFTER
 from postvalve.settings.routes import RoutedTenant
 
 LOOK_AGE = 0.5
@@ -91,6 +92,9 @@
             )
 
     def _look_for_late(self) -> None:
+        if self._log.follower.age > OLD_AFTER:
+            # Results are missing that came meanwhile: everything would seem late.
+            return
         shares, now = self._log.board.shares, self._clock.wall()
         self._lateness.look(shares.due, now)
         shares.forget_due(int(now) - WINDOW)
@@ -116,12 +120,13 @@
         job = self._log.board.jobs.get(item.job_id)
         if job is None:
             return None
+        if not self._lateness.mostly:
+            return ShareRank(0, 0, True, ends_soon)
         tenant = self._tenants.get(job.accepted.tenant)
         own = tenant.priority if tenant is not None else None
         priority = self._route_priorities.get(job.accepted.route, 0) if own is None else own
         tag = self._log.board.shares.tag(item.job_id, item.index)
-        by_due = bool(item.events) or not self._lateness.mostly
-        return ShareRank(priority, tag, by_due, ends_soon)
+        return ShareRank(priority, tag, bool(item.events), ends_soon)
 
     def seconds_left(self, item: RunningItem) -> float:
         """Seconds that an item still needs, its present run counted; 0 while nothing is known."""
--- a/tests/test_item_urgency.py
+++ b/tests/test_item_urgency.py
@@ -26,6 +26,7 @@
         self.features = Feature.BATCH_SHARES
         self.events = mock.Mock()
         self.log = mock.Mock(board=JobBoard())
+        self.log.follower.age = 0.1
         clock = mock.Mock(monotonic=lambda: self.now, wall=lambda: self.now)
         peers = mock.Mock(features=lambda: self.features, extension_parts=lambda number: [])
         estimate = DurationEstimate()
@@ -91,6 +92,20 @@
         self.let_items_be_late(late=DUE_LATELY // 2)
         self.assertTrue(self.goes_before(soon, late))
 
+    def test_a_tenants_priority_makes_nothing_late_that_is_in_time(self):
+        """Guards against items of the less urgent tenants that all end late."""
+        self.configure(RoutedTenant(name="ann", priority=1), RoutedTenant(name="bob", priority=0))
+        soon, late = self.item("a", 150.0), self.item("b", 200.0, tenant="bob")
+        self.assertTrue(self.goes_before(soon, late))
+
+    def test_a_node_that_does_not_hear_the_log_takes_nothing_for_late(self):
+        """It misses the results, and would order by shares where all others go by due time."""
+        self.configure(RoutedTenant(name="ann"), RoutedTenant(name="bob"))
+        self.log.follower.age = 3.0
+        self.let_items_be_late()
+        self.urgency.of(self.item())
+        self.events.emit.assert_not_called()
+
     def test_what_has_begun_goes_before_what_another_tenants_share_would_start(self):
         """Guards against runs that are lost: what was cut for such an item ends too late."""
         self.configure(RoutedTenant(name="ann"), RoutedTenant(name="bob"))
@@ -102,6 +117,7 @@
 
     def test_a_tenants_priority_goes_before_its_share(self):
         self.configure(RoutedTenant(name="ann", priority=1), RoutedTenant(name="bob", priority=0))
+        self.let_items_be_late()
         self.log.board.shares.accepted("b", "bob", 10**6, 0, [1])
         ann, bob = self.item("a"), self.item("b", tenant="bob")
         self.assertTrue(self.goes_before(bob, ann))
