Two tests bear a process that stands still

What was seen: test_gateway_online's test of a late first event told two slow events instead of one; test_silent_connections' further attempt timed out; each now and then in whole runs beside load 26 to 48.

Cause, reproduced: a process that is stopped for 0.25 s at random moments (a trial: SIGSTOP every 0.02 to 0.25 s) fails each of them once in ten runs, with the same errors ('too many values to unpack', 'timed out'). The first one's target was 50 ms, so any request may be late; the second waited 0.2 s for answers that come.

Change: target 600 ms and an engine that thinks for 1.2 s; 2 s for answers that come, 0.2 s as before for the silent connection.

--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -186,16 +186,17 @@
         self.assertEqual(len(self.runs()), 1)
 
     def test_a_late_first_event_is_told_with_what_the_node_believed(self):
-        self.fleet.configure(targetLatencyMs=50)
+        # Longer than a busy machine makes a process stand still, which makes any request late.
+        self.fleet.configure(targetLatencyMs=600)
         holder = self.fleet.nodes["n0"].configuration
-        wait_until(lambda: holder.table.route_named("stream").target_latency == 0.05)
-        self.plan(Behaviour(thinks=0.2))
+        wait_until(lambda: holder.table.route_named("stream").target_latency == 0.6)
+        self.plan(Behaviour(thinks=1.2))
         headers = [("Prompt-Prefix", "aa:100,bb:40")]
         self.assertTrue(self.fleet.request("n0", STREAM_PATH, headers=headers).whole)
         self.fleet.request("n0", STREAM_PATH, request_id="r2")
         (late,) = self.fleet.events("n0", Event.ROUTED_REQUEST_SLOW)
         self.assertEqual((late["request"], late["online"], late["unread"]), ("r1", 0, 0))
-        self.assertGreater(late["waited"], 0.1)
+        self.assertGreater(late["waited"], 0.6)
         use = self.fleet.nodes["n0"]._fleet.use
         self.assertEqual([use.total(one.engine_id).unread for one in self.fleet.engines], [0, 0])
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -139,7 +139,8 @@
         self.addCleanup(self.proxy.stop)
         self.pool = ConnectionPool(SystemClock())
 
-    def send(self, **options):
+    def send(self, patience=2.0, **options):
+        """Send one; it may take as long as the machine is busy, but where it finds silence."""
         request = (
             b"POST /x HTTP/1.1\r\nRequest-Id: r\r\nExpect-Instance: e0\r\nContent-Length: 0\r\n\r\n"
         )
@@ -147,8 +148,8 @@
         address = f"127.0.0.1:{self.proxy.port}"
         answer = self.pool.start(address, request, deadline, wanted=lambda: True, **options)
         try:
-            answer.read_head(0.2)
-            while answer.read_event(0.2):
+            answer.read_head(patience)
+            while answer.read_event(patience):
                 pass
         except AttemptError:
             answer.abort()
@@ -162,7 +163,7 @@
         self.assertEqual(self.proxy.accepted, 1)
         self.proxy.silence()
         with self.assertRaises(AttemptError):
-            self.send()
+            self.send(patience=0.2)
         self.send()
         self.send(fresh=True)
         self.assertEqual(self.proxy.accepted, 3)
