Counts of due items are bounded at nodes that work on none

Cause: counts by due second, added with the order by due time, are dropped by a node that looks at them, which only one with items does: any other keeps an entry for each second of its life (found by reading the diff; not seen).

Change: beyond 1,024 seconds the oldest one without open items goes. Open ones are as many as there are items in memory at the most.

After: 1,024.

--- a/postvalve/core/batch/item_shares.py
+++ b/postvalve/core/batch/item_shares.py
@@ -17,6 +17,9 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+MAX_DUE_SECONDS = 1_024
+"""Seconds whose due items are counted, beside those with items that have no result: a node that
+works on no item looks at none of them."""
 EQUAL_WEIGHT = 1.0
 """Of a tenant that the configuration doesn't name."""
 
@@ -160,6 +163,10 @@
         count = self.due.setdefault(item.due_at_ms // 1000, DueCount())
         count.items += items
         count.left += left
+        if len(self.due) > MAX_DUE_SECONDS:
+            done = [second for second, one in self.due.items() if one.left <= 0]
+            if done:
+                del self.due[min(done)]
 
     def _lay_by_due(self, tenant: str, line: _Line, new: Sequence[_Item]) -> None:
         """Let all items of a tenant stand by due time; what it has been given stays."""
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from postvalve.core.batch.item_shares import DueCount, ItemShares
+from postvalve.core.batch.item_shares import MAX_DUE_SECONDS, DueCount, ItemShares
 from postvalve.core.batch.lateness import LEAST_ITEMS, WINDOW, Lateness
 
 
@@ -62,6 +62,15 @@
         shares.forget_due(9)
         self.assertEqual(shares.due, {9: DueCount(1, 1)})
 
+    def test_a_node_that_never_looks_keeps_a_bounded_number(self):
+        shares = ItemShares({})
+        for second in range(2 * MAX_DUE_SECONDS):
+            shares.accepted(str(second), "ann", 0, second * 1000, [1])
+        for second in range(2 * MAX_DUE_SECONDS):
+            shares.ended(str(second), 0, ran=True)
+        self.assertEqual(len(shares.due), MAX_DUE_SECONDS)
+        self.assertEqual(min(shares.due), MAX_DUE_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
