A call that began before an answered one no longer counts as a failure to reach the store

Cause: calls that hang since an outage time out up to 2.5 s after the store's return.

Change: StoreReachability.record takes the start of a call; a failure counts only if no later call was answered.

test_calls_that_fail_after_a_later_one_was_answered_begin_no_outage failed before (failing was True).

--- a/postvalve/core/membership/store_reachability.py
+++ b/postvalve/core/membership/store_reachability.py
@@ -34,6 +34,8 @@
 
     def __init__(self) -> None:
         self._failures = 0
+        self._answered_start = float("-inf")
+        """Start of the latest of the calls that were answered, in monotonic seconds."""
         self._probed_at = float("-inf")
 
     @property
@@ -41,10 +43,20 @@
         """Whether the store is unreachable from this node."""
         return self._failures >= FAILING_AFTER
 
-    def record(self, answered: bool) -> bool:
-        """Record the outcome of a direct call; returns whether `failing` has changed."""
+    def record(self, answered: bool, started: float) -> bool:
+        """Record the outcome of a direct call that began at monotonic time `started`.
+
+        The failure of a call that began before an answered one is out of date.
+
+        Returns:
+            Whether `failing` has changed.
+        """
         before = self.failing
-        self._failures = 0 if answered else self._failures + 1
+        if answered:
+            self._failures = 0
+            self._answered_start = max(self._answered_start, started)
+        elif started >= self._answered_start:
+            self._failures += 1
         return self.failing is not before
 
     def use_direct(self, now: float) -> bool:
--- a/postvalve/gateway/knowledge/relayed_topics.py
+++ b/postvalve/gateway/knowledge/relayed_topics.py
@@ -144,18 +144,19 @@
         return result(self._relayed(relay, call, wait))
 
     def _call_directly(self, kind: str, direct: Callable[[], Result]) -> Result:
+        started = self._clock.monotonic()
         try:
             answer = direct()
         except StoreUnavailableError as exc:
             self._metrics.store_calls.labels(kind, "failed").inc()
-            self._record(False, exc.message)
+            self._record(False, started, exc.message)
             raise
         except (HistoryGoneError, PositionTakenError):
             self._metrics.store_calls.labels(kind, "answered").inc()
-            self._record(True)
+            self._record(True, started)
             raise
         self._metrics.store_calls.labels(kind, "answered").inc()
-        self._record(True)
+        self._record(True, started)
         return answer
 
     def _probe_if_due(self) -> None:
@@ -177,8 +178,8 @@
         finally:
             self._probing = False
 
-    def _record(self, answered: bool, error: str = "") -> None:
-        if not self._reachability.record(answered):
+    def _record(self, answered: bool, started: float, error: str = "") -> None:
+        if not self._reachability.record(answered, started):
             return
         event = Event.STORE_REACHED if answered else Event.STORE_OUT_OF_REACH
         self._events.emit(event, error=error, relay=self._relay() or "")
--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -51,21 +51,21 @@
 class StoreReachabilityTest(unittest.TestCase):
     def test_a_single_failure_changes_nothing(self):
         path = StoreReachability()
-        changes = [path.record(answered) for answered in (False, True, False, True)]
+        changes = [path.record(answered, 0.0) for answered in (False, True, False, True)]
         self.assertEqual((changes, path.failing), ([False] * 4, False))
 
     def test_consecutive_failures_and_one_answer_change_the_state(self):
         path = StoreReachability()
-        changes = [path.record(False) for _ in range(FAILING_AFTER + 1)]
+        changes = [path.record(False, 0.0) for _ in range(FAILING_AFTER + 1)]
         self.assertEqual(changes.count(True), 1)
         self.assertTrue(path.failing)
-        self.assertTrue(path.record(True))
+        self.assertTrue(path.record(True, 0.0))
         self.assertFalse(path.failing)
 
     def test_an_unreachable_store_is_probed_periodically(self):
         path = StoreReachability()
         for _ in range(FAILING_AFTER):
-            path.record(False)
+            path.record(False, 0.0)
         tried = [path.use_direct(number * PROBE_INTERVAL / 4) for number in range(9)]
         self.assertEqual(tried, [True, False, False, False] * 2 + [True])
 
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -158,5 +158,24 @@
         run_virtual(session)
 
 
+class LateFailureTest(unittest.TestCase):
+    def test_calls_that_fail_after_a_later_one_was_answered_begin_no_outage(self):
+        def session(loop):
+            followed = FollowedStore(loop)
+            followed.running.kill()
+            gevent.spawn(followed.store.fall_silent, 0.5)
+            gevent.sleep(0.1)
+            late = [gevent.spawn(followed.topics.newest, "t", 0) for _ in range(3)]
+            gevent.sleep(0.5)
+            followed.topics.newest("t", 0)
+            gevent.joinall(late)
+            failed = [type(one.exception) for one in late]
+            return failed, followed.topics.failing
+
+        failed, failing = run_virtual(session)
+        self.assertEqual(failed, [StoreUnavailableError] * 3)
+        self.assertFalse(failing)
+
+
 if __name__ == "__main__":
     unittest.main()
