A follower in doubt reads as soon as the store answers another call of its node

Change: RelayedTopics tells each answer of a direct call; a follower whose read has failed or is overdue then starts another one at once (0.1 s after its last one at the earliest, since only a part of the store may answer), also if three are pending.

--- a/postvalve/core/membership/read_pacing.py
+++ b/postvalve/core/membership/read_pacing.py
@@ -19,7 +19,8 @@
 """Least seconds between reads that other calls' answers cause: only a part of the store may
 answer."""
 MAX_PENDING = 3
-"""Most reads of one follower that are pending at the same time."""
+"""Most reads of one follower that are pending at the same time, but for one more when another call
+of the node was answered since the last of them began."""
 
 
 class ReadPacing:
@@ -30,6 +31,7 @@
         self._started_at = now
         self._due_at = now + wait + OVERDUE_AFTER
         self._failed = False
+        self._answered_elsewhere = False
         self.further_reads = 0
         """Reads of this turn after its first one."""
 
@@ -38,6 +40,11 @@
         """Whether the first read has failed or is overdue."""
         return self._failed or self.further_reads > 0
 
+    @property
+    def max_pending(self) -> int:
+        """Most reads of the follower that may be pending now."""
+        return MAX_PENDING + self._answered_elsewhere
+
     def seconds_to_next(self, now: float) -> float:
         """Return the seconds until the next read is due; 0 or less if it is due."""
         return self._due_at - now
@@ -45,6 +52,7 @@
     def record_start(self, now: float) -> None:
         """Record that a further read was started."""
         self.further_reads += 1
+        self._answered_elsewhere = False
         self._started_at = now
         self._due_at = now + RETRY_INTERVAL
 
@@ -57,4 +65,5 @@
     def record_answer_elsewhere(self) -> None:
         """Record that the store has answered another call of this node."""
         if self.in_doubt:
+            self._answered_elsewhere = True
             self._due_at = min(self._due_at, self._started_at + MIN_INTERVAL)
--- a/postvalve/gateway/fleet/directory_reader.py
+++ b/postvalve/gateway/fleet/directory_reader.py
@@ -55,17 +55,17 @@
         self._is_catching_up = False
         self.on_change: Callable[[], None] = lambda: None
         """Called after the fleet has been updated."""
-        self._follower = TopicFollower(
+        self.follower = TopicFollower(
             topics, clock, events, topic, self._observe, wait=READ_WAIT, pause=READ_PAUSE
         )
-        self._follower.on_lost = self._entries.store_lost
-        self._follower.on_regained = self._store_regained
+        self.follower.on_lost = self._entries.store_lost
+        self.follower.on_regained = self._store_regained
         fleet.directory_unsettled = lambda: self._entries.unsettled(clock.monotonic())
-        fleet.directory_age = lambda: self._follower.age
+        fleet.directory_age = lambda: self.follower.age
 
     def run(self) -> None:
         """Follow the directory; never returns."""
-        self._follower.run()
+        self.follower.run()
 
     @property
     def store_unreachable(self) -> bool:
@@ -74,29 +74,29 @@
 
     def state(self) -> DirectoryState | None:
         """Return the directory state for load reports; None before the directory was first read."""
-        if not self._follower.loaded:
+        if not self.follower.loaded:
             return None
-        return DirectoryState(self._follower.next_offset, milliseconds(self._follower.age))
+        return DirectoryState(self.follower.next_offset, milliseconds(self.follower.age))
 
     def update_age(self) -> None:
         """Record the age of this node's copy; called a few times a second."""
-        self._record_fresh(self._follower.fresh_at)
+        self._record_fresh(self.follower.fresh_at)
 
     def receive(self, state: DirectoryState, peer: str) -> None:
         """Record the age of a peer's copy; start an extra read if the peer is ahead."""
         self._record_fresh(self._clock.monotonic() - state.age_ms / 1000)
-        behind = self._follower.loaded and self._follower.next_offset < state.offset
+        behind = self.follower.loaded and self.follower.next_offset < state.offset
         if behind and not self._is_catching_up:
             self._is_catching_up = True
             gevent.spawn_later(CATCH_UP_DELAY, self._catch_up, state.offset, peer)
 
     def _catch_up(self, offset: int, peer: str) -> None:
         """Read beside the pending read, unless that has caught up with the peer meanwhile."""
-        known, error = self._follower.next_offset, ""
+        known, error = self.follower.next_offset, ""
         try:
             if known >= offset:
                 return
-            self._follower.catch_up()
+            self.follower.catch_up()
         except PlatformError as exc:
             error = exc.message
         finally:
@@ -114,12 +114,12 @@
 
     def _store_regained(self) -> None:
         """Handle the first answer of the store after an outage."""
-        self._record_fresh(self._follower.answered_start)
+        self._record_fresh(self.follower.answered_start)
         self._entries.store_back(self._clock.monotonic())
 
     def log_if_stale(self) -> None:
         """Log, once for each outage, that this node's copy of the directory is stale."""
-        self._follower.log_if_stale()
+        self.follower.log_if_stale()
 
     def _observe(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         changes = self._entries_of(records)
@@ -129,7 +129,7 @@
                 Event.ENGINES_LAPSED,
                 engines=missing,
                 seconds=round(self._entries.seconds_to_expiry(self._clock.monotonic()) or 0.0, 3),
-                age=round(self._follower.age, 3),
+                age=round(self.follower.age, 3),
             )
             gevent.spawn(self._drop_lapsed)
         self._update_fleet()
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -272,6 +272,7 @@
         self._reports.on_quarantine_update = self._quarantine_gossip.receive
         self._quarantine_gossip.on_learned = self._update_usable
         self._topics.on_change = self._reports.schedule_report
+        self._topics.on_answered = self._store_answered
         self._transport.gather_time = self._reports.gather_time
         self._nodes.on_change = self._nodes_changed
         self._fleet.on_overload = self._engine_overloaded
@@ -433,6 +434,11 @@
 
     # Changes read from the store
 
+    def _store_answered(self) -> None:
+        followers = (self._configuration_follower, self._directory.follower, self._log.follower)
+        for follower in followers:
+            follower.record_answer_elsewhere()
+
     def _directory_changed(self) -> None:
         self._update_usable()
         self._runner.wake()
--- a/postvalve/gateway/knowledge/relayed_topics.py
+++ b/postvalve/gateway/knowledge/relayed_topics.py
@@ -73,6 +73,8 @@
         """Topic, partition and offset of the last read, which probes repeat."""
         self.on_change: Callable[[], None] = lambda: None
         """Called when the store becomes reachable or unreachable for this node."""
+        self.on_answered: Callable[[], None] = lambda: None
+        """Called when the store has answered a direct call."""
 
     @property
     def failing(self) -> bool:
@@ -179,7 +181,10 @@
             self._probing = False
 
     def _record(self, answered: bool, started: float, error: str = "") -> None:
-        if not self._reachability.record(answered, started):
+        changed = self._reachability.record(answered, started)
+        if answered:
+            self.on_answered()
+        if not changed:
             return
         event = Event.STORE_REACHED if answered else Event.STORE_OUT_OF_REACH
         self._events.emit(event, error=error, relay=self._relay() or "")
--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -13,7 +13,7 @@
 from gevent.lock import RLock
 
 from postvalve.clock import Clock
-from postvalve.core.membership.read_pacing import MAX_PENDING, ReadPacing
+from postvalve.core.membership.read_pacing import ReadPacing
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PlatformError
 from postvalve.gateway.interfaces import HistoryGoneError, KeyedRecord, KeyedTopics
@@ -127,8 +127,9 @@
 
     def record_answer_elsewhere(self) -> None:
         """Read soon if reads are unanswered: the store has answered another call of this node."""
-        self._pacing.record_answer_elsewhere()
-        self._wake.set()
+        if self._pacing.in_doubt:
+            self._pacing.record_answer_elsewhere()
+            self._wake.set()
 
     def _run_turn(self) -> None:
         """Read until a read of this turn is answered.
@@ -160,7 +161,7 @@
                 raise defect
             left = self._pacing.seconds_to_next(self._clock.monotonic())
             # Pages of the first read may be many and large, so they are read only once.
-            may_start = len(self._reads) < (MAX_PENDING if self.loaded else 1)
+            may_start = len(self._reads) < (self._pacing.max_pending if self.loaded else 1)
             if left <= 0 and may_start:
                 return False
             self._wake.clear()
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -1,11 +1,12 @@
 """A node learns of acknowledged changes in time after the store was silent, whenever it returns."""
 
+import contextlib
 import unittest
 
 import gevent
 
 from postvalve.core.membership.peers import PeerView
-from postvalve.core.membership.read_pacing import MAX_PENDING, RETRY_INTERVAL
+from postvalve.core.membership.read_pacing import MAX_PENDING, MIN_INTERVAL, RETRY_INTERVAL
 from postvalve.emulator.keyed_topics import MemoryTopics
 from postvalve.emulator.virtual_time import VirtualClock, run_virtual
 from postvalve.events import Event
@@ -76,6 +77,11 @@
     def append(self, key):
         self.store.append("t", 0, [KeyedRecord(key, b"v")])
 
+    def try_other_call(self):
+        """Make a call that has nothing to do with the follower; it may fail."""
+        with contextlib.suppress(StoreUnavailableError):
+            self.topics.newest("u", 0)
+
     def delay_of(self, key, since):
         """Wait until the follower has a record; return the seconds from `since` until then."""
         while key not in self.seen_at:
@@ -177,5 +183,37 @@
         self.assertFalse(failing)
 
 
+class AnswerElsewhereTest(unittest.TestCase):
+    def delay_beside_answered_calls(self, seconds):
+        """Return the delay of a change of the store's return, if other calls are made all the time.
+
+        Another call begins every 0.1 s, and its answer shows that the store is back.
+        """
+
+        def session(loop):
+            followed = FollowedStore(loop)
+            followed.topics.on_answered = followed.follower.record_answer_elsewhere
+            gevent.sleep(OUTAGE_START)
+            gevent.spawn(followed.store.fall_silent, seconds)
+            gevent.sleep(0)
+            while followed.store.silent:
+                gevent.spawn(followed.try_other_call)
+                gevent.sleep(0.1)
+            returned_at = followed.clock.monotonic()
+            followed.append("k")
+            followed.try_other_call()
+            return followed.delay_of("k", returned_at)
+
+        return run_virtual(session)
+
+    def test_a_follower_reads_once_another_call_is_answered(self):
+        delays = {
+            tenths / 10: round(self.delay_beside_answered_calls(tenths / 10), 2)
+            for tenths in range(20, 90)
+        }
+        late = {silent: delay for silent, delay in delays.items() if delay > 2 * MIN_INTERVAL}
+        self.assertEqual(late, {})
+
+
 if __name__ == "__main__":
     unittest.main()
