A node whose relay does not answer gives the next call to another peer

Cause: a peer was avoided only once a call to it had timed out, up to 2.5 s after it began. Further reads of a follower that hangs at such a peer went to the same one.

Change: a peer with a call that is pending for 0.5 s beyond its wait is asked only if no other can be. An answer makes it usable as before; nothing is given up earlier.

test_the_next_call_goes_to_another_peer failed before: both calls went to the same peer.

--- a/postvalve/core/membership/store_reachability.py
+++ b/postvalve/core/membership/store_reachability.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+import itertools
+from collections.abc import Container, Set
 
 from postvalve.core.membership.ownership import preferred_owner
 from postvalve.core.membership.peers import PeerView
@@ -100,12 +101,35 @@
         """Avoid a peer for `AVOID_TIME`, from monotonic time `now` on."""
         self._until[address] = now + AVOID_TIME
 
-    def at(self, now: float) -> Container[str]:
+    def at(self, now: float) -> Set[str]:
         """Return the addresses that are avoided now."""
         self._until = {one: until for one, until in self._until.items() if now < until}
         return self._until.keys()
 
 
+class PendingRelays:
+    """Calls that peers are relaying for this node."""
+
+    def __init__(self) -> None:
+        self._started: dict[int, tuple[str, float]] = {}
+        self._ids = itertools.count()
+
+    def start(self, address: str, now: float) -> int:
+        """Record a call to a peer at monotonic time `now`; returns its id."""
+        call_id = next(self._ids)
+        self._started[call_id] = (address, now)
+        return call_id
+
+    def end(self, call_id: int) -> None:
+        """Record that a call was answered or given up."""
+        del self._started[call_id]
+
+    def overdue(self, now: float) -> set[str]:
+        """Return the addresses of peers with a call that is pending for `MIN_RELAY_TIMEOUT`."""
+        calls = self._started.values()
+        return {address for address, started in calls if now - started >= MIN_RELAY_TIMEOUT}
+
+
 def relay_address(
     peers: PeerView, zone: str, now: float, avoided: Container[str] = ()
 ) -> str | None:
--- a/postvalve/gateway/knowledge/relayed_topics.py
+++ b/postvalve/gateway/knowledge/relayed_topics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 from functools import singledispatchmethod
 from typing import TypeVar
 
@@ -14,6 +14,7 @@
 from postvalve.core.membership.store_reachability import (
     MAX_RELAY_TIMEOUT,
     AvoidedPeers,
+    PendingRelays,
     RelayTimeout,
     StoreReachability,
     relay_address,
@@ -68,6 +69,7 @@
         self._reachability = StoreReachability()
         self._relay_timeout = RelayTimeout()
         self._avoided = AvoidedPeers()
+        self._pending = PendingRelays()
         self._probing = False
         self._last_read = ("", 0, 0)
         """Topic, partition and offset of the last read, which probes repeat."""
@@ -192,17 +194,26 @@
 
     def _relay(self) -> str | None:
         now = self._clock.monotonic()
-        return relay_address(self._peers, self._zone, now, self._avoided.at(now))
+        avoided = self._avoided.at(now)
+        overdue = self._pending.overdue(now)
+        # A peer that has not answered yet may still do so, and is better than none.
+        return self._relay_except(avoided | overdue) or self._relay_except(avoided)
+
+    def _relay_except(self, avoided: Set[str]) -> str | None:
+        return relay_address(self._peers, self._zone, self._clock.monotonic(), avoided)
 
     def _relayed(self, address: str, call: betterproto.Message, wait: float) -> gateway.StoreReply:
         self._metrics.store_calls.labels(type(call).__name__, "by a peer").inc()
         timeout = self._relay_timeout.seconds if wait else MAX_RELAY_TIMEOUT
+        call_id = self._pending.start(address, self._clock.monotonic() + wait)
         try:
             reply = self._transport.call(address, Channel.BATCH, call, wait + timeout)
         except PeerUnavailableError as exc:
             self._avoided.add(address, self._clock.monotonic())
             self._relay_timeout.record(False)
             raise StoreUnavailableError(f"relay {address}: {exc.message}", exc.verdict) from exc
+        finally:
+            self._pending.end(call_id)
         self._relay_timeout.record(True)
         if not isinstance(reply, gateway.StoreReply):
             # An acknowledgement: the peer's build does not know the call and has not made it.
--- a/tests/test_relayed_topics.py
+++ b/tests/test_relayed_topics.py
@@ -1,5 +1,6 @@
 """A node that can't reach the store uses it through a peer that can."""
 
+import contextlib
 import json
 import unittest
 
@@ -12,6 +13,7 @@
 from postvalve.core.membership.store_reachability import (
     AVOID_TIME,
     FAILING_AFTER,
+    MIN_RELAY_TIMEOUT,
     PROBE_INTERVAL,
     RECENT_REPORT_AGE,
     AvoidedPeers,
@@ -20,6 +22,7 @@
     relay_address,
 )
 from postvalve.emulator.keyed_topics import MemoryTopics
+from postvalve.emulator.virtual_time import VirtualClock, run_virtual
 from postvalve.events import Event
 from postvalve.exceptions import PeerUnavailableError, Verdict
 from postvalve.gateway.interfaces import (
@@ -248,6 +251,58 @@
         self.assertEqual(keys, [f"k{number}" for number in range(len(outages))])
 
 
+class SilentRelayTest(unittest.TestCase):
+    """The peer that relays this node's calls does not answer."""
+
+    def relays_of_two_calls(self, names, between):
+        """Return the peers that got a call and a second one `between` seconds later."""
+
+        def session(loop):
+            asked = []
+
+            class SilentTransport:
+                def call(self, address, channel, message, timeout):
+                    asked.append(address)
+                    gevent.sleep(timeout)
+                    raise PeerUnavailableError("no answer", Verdict.MAY_HAVE_RUN)
+
+            direct = FaultyTopics(MemoryTopics())
+            direct.outage_verdict = Verdict.NOT_RUN
+            topics = RelayedTopics(
+                direct,
+                "z",
+                VirtualClock(loop),
+                RecordingEventLog(),
+                SilentTransport(),
+                view(*map(report, names)),
+                GatewayMetrics(),
+            )
+            for _ in range(FAILING_AFTER):
+                topics._reachability.record(False, 0.0)
+            for _ in range(2):
+                gevent.spawn(self.try_read, topics)
+                gevent.sleep(between)
+            return asked
+
+        return run_virtual(session)
+
+    def try_read(self, topics):
+        with contextlib.suppress(StoreUnavailableError):
+            topics.read("t", 0, 0, 0.0, 100)
+
+    def test_the_next_call_goes_to_another_peer(self):
+        first, second = self.relays_of_two_calls("ab", MIN_RELAY_TIMEOUT + 0.1)
+        self.assertNotEqual(first, second)
+
+    def test_calls_at_the_same_time_go_to_the_same_peer(self):
+        first, second = self.relays_of_two_calls("ab", MIN_RELAY_TIMEOUT - 0.1)
+        self.assertEqual(first, second)
+
+    def test_the_only_peer_is_asked_again(self):
+        first, second = self.relays_of_two_calls("a", MIN_RELAY_TIMEOUT + 0.1)
+        self.assertEqual(first, second)
+
+
 class StatusTest(JobCase):
     def test_the_status_document_shows_the_state_of_a_node(self):
         self.usual(silent=True)
