An answer of a store that is behind is not taken for its present state

And a read whose answer ends before records that are known made the copy fresh.

Change: the history is followed from the smallest end of all pages; an answer that ends before the offset asked for does not make the copy fresh. An answer that is behind, but not behind this node, can't be told from a current one: reports of peers do that.

--- a/postvalve/gateway/knowledge/snapshot_read.py
+++ b/postvalve/gateway/knowledge/snapshot_read.py
@@ -13,13 +13,14 @@
 
     The pages are not a consistent snapshot: changes made during the read lie after the offset at
     which the first page was taken, and the history is followed from that offset. So the read may
-    resume after its last page at any later time.
+    resume after its last page at any later time. A store whose reads are behind may take a later
+    page at a smaller offset, and the history is then followed from there.
     """
 
     started_at: float
     """Monotonic seconds at which the first page was requested."""
     end: int = -1
-    """End of the partition when the first page was taken; -1 before."""
+    """Smallest end of the partition that a page was taken at; -1 before the first page."""
     _found: dict[str, KeyedRecord] = field(default_factory=dict)
     _after: str = ""
 
@@ -32,7 +33,7 @@
         more = True
         while more:
             part, more = topics.newest(topic, 0, self._after)
-            self.end = part.end_offset if self.end < 0 else self.end
+            self.end = part.end_offset if self.end < 0 else min(self.end, part.end_offset)
             for record in part.records:
                 self._found[record.key] = record
                 self._after = record.key
--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -16,7 +16,7 @@
 from postvalve.core.membership.read_pacing import ReadPacing
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PlatformError
-from postvalve.gateway.interfaces import HistoryGoneError, KeyedRecord, KeyedTopics
+from postvalve.gateway.interfaces import HistoryGoneError, KeyedRecord, KeyedTopics, TopicSlice
 from postvalve.gateway.knowledge.snapshot_read import SnapshotRead
 
 READ_BYTES = 1024 * 1024
@@ -200,7 +200,7 @@
         self._record_answer(started)
         with self._lock:
             self._process(part.records, part.next_offset)
-            if part.next_offset >= part.end_offset:
+            if _is_current(part, offset):
                 self.fresh_at = max(self.fresh_at, started + part.held)
 
     def catch_up(self) -> None:
@@ -213,17 +213,18 @@
             self._load(self._clock.monotonic())
             return
         while True:
-            started = self._clock.monotonic()
+            offset, started = self.next_offset, self._clock.monotonic()
             try:
-                part = self._topics.read(self._topic, 0, self.next_offset, 0.0, READ_BYTES)
+                part = self._topics.read(self._topic, 0, offset, 0.0, READ_BYTES)
             except HistoryGoneError:
                 self._load(started)
                 return
             self._record_answer(started)
             with self._lock:
                 self._process(part.records, part.next_offset)
-                if part.next_offset >= part.end_offset:
+                if _is_current(part, offset):
                     self.fresh_at = max(self.fresh_at, started)
+                if part.next_offset >= part.end_offset:
                     return
 
     def record_own_write(self, records: Sequence[KeyedRecord], offset: int) -> bool:
@@ -306,3 +307,11 @@
             pending=len(self._reads),
             age=round(self.age, 3),
         )
+
+
+def _is_current(part: TopicSlice, offset: int) -> bool:
+    """Whether an answer to a read from `offset` covers all that was acknowledged before the read.
+
+    A store whose reads are behind may name an end before records that are known already.
+    """
+    return part.next_offset >= part.end_offset >= offset
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -155,6 +155,53 @@
         self.assertEqual([self.seen[key] for key in ("k0001", "k0899")], [b"", b""])
 
 
+class StaleAnswers(MemoryTopics):
+    """A store whose later pages, or all reads, are some records behind."""
+
+    records_behind = 0
+    stale_reads = False
+
+    def newest(self, topic, part, after=""):
+        if not after:
+            return super().newest(topic, part, after)
+        return self._behind(super().newest, topic, part, after)
+
+    def read(self, topic, part, offset, wait, limit):
+        if not self.stale_reads:
+            return super().read(topic, part, offset, wait, limit)
+        return self._behind(super().read, topic, part, offset, wait, limit)
+
+    def _behind(self, call, topic, part, *arguments):
+        partition = self.partition(topic, part)
+        log = partition.log
+        partition.log = log[: len(log) - self.records_behind]
+        try:
+            return call(topic, part, *arguments)
+        finally:
+            partition.log = log
+
+
+class StaleAnswersTest(FollowerCase):
+    topics_class = StaleAnswers
+
+    def test_a_change_that_a_stale_page_lacks_is_read_from_the_history(self):
+        self.add(*(f"k{number:04d}" for number in range(600)))
+        self.topics.append("t", 0, [KeyedRecord("k0599", b"new")])
+        self.topics.records_behind = 1
+        self.follower.catch_up()
+        self.follower.catch_up()
+        self.assertEqual(self.seen["k0599"], b"new")
+
+    def test_an_answer_that_ends_before_known_records_does_not_make_the_copy_fresh(self):
+        self.add("a", "b")
+        self.follower.catch_up()
+        fresh_at = self.follower.fresh_at
+        self.topics.records_behind, self.topics.stale_reads = 1, True
+        self.follower.catch_up()
+        self.assertEqual(self.follower.fresh_at, fresh_at)
+        self.assertEqual(self.follower.next_offset, 2)
+
+
 class AgeTest(unittest.TestCase):
     """The age of a follower's copy counts from when the store surely looked for records."""
 
