A route that is not known is not refused for good while a newer revision may have it

Callers saw: 404, which they don't try again, for a route that other nodes may have had or that the node was about to read.

Cause: 404 said that the newest revision has no such route; the node knew only that its own has none. For API keys this was told apart by the age of the copy, for routes not; for neither by what peers report.

Change: 503, not run, with Retry-After 0.3 s, if the copy is older than 2 s (the shortest bound) or a peer has reported a greater revision; the latter holds for unknown keys too. In all other cases 404 and 401 as before. It hides no late revision: the copy's age and the follower are as they are without it.

Weighed: a read before the answer (a request then waits for a store that may be silent; another node answers sooner).

--- a/postvalve/core/admission/callers.py
+++ b/postvalve/core/admission/callers.py
@@ -8,10 +8,6 @@
 from postvalve.exceptions import AuthenticationError, KeyUnknownError
 from postvalve.settings.routes import RoutedTenant, RouteSpec
 
-UNKNOWN_KEY_MAX_AGE = 2.0
-"""Age of the configuration, in seconds, up to which an unknown key is rejected with 401. Beyond it
-a newer revision may contain the key, and clients treat a 401 as final, so the answer is a retryable
-error."""
 KEY_RETRY_AFTER = 0.3
 """Retry time in seconds when this node cannot judge a key. Other nodes can judge it at once."""
 
@@ -51,7 +47,13 @@
 
 
 def identify_caller(
-    table: RouteTable, key: str | None, *, needs_key: bool, age: float, policy: KeyPolicy
+    table: RouteTable,
+    key: str | None,
+    *,
+    needs_key: bool,
+    age: float,
+    may_lack_changes: bool,
+    policy: KeyPolicy,
 ) -> Caller:
     """Return the caller of a request.
 
@@ -60,6 +62,8 @@
         key: The API key sent with the request, if any.
         needs_key: Whether the route requires a key.
         age: Seconds for which this node may have missed changes of the configuration.
+        may_lack_changes: Whether a newer revision may contain the key. Clients treat a 401 as
+            final, so the answer is then a retryable error.
         policy: What to do when the configuration is out of date.
 
     Raises:
@@ -79,6 +83,6 @@
     tenant = table.tenant_of(key)
     if tenant is not None:
         return Caller(tenant, tenants_defined=True)
-    if age > UNKNOWN_KEY_MAX_AGE:
+    if may_lack_changes:
         raise KeyUnknownError("this node may not know the API key yet", retry_after=KEY_RETRY_AFTER)
     raise AuthenticationError("the API key is not valid")
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -134,6 +134,10 @@
     """The API key cannot be checked: this node may have missed a change of the keys."""
 
 
+class RouteUnknownError(RefusedError):
+    """No route matches, but this node may have missed a change of the routes."""
+
+
 class StoreUnreachableError(RefusedError):
     """The request needs the store, which cannot be reached; it had no effect."""
 
--- a/postvalve/gateway/knowledge/state_age.py
+++ b/postvalve/gateway/knowledge/state_age.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+MAX_REVISION_AGE = 2.0
+"""Age of the configuration, in seconds, up to which it counts as current: the shortest time within
+which some deployment requires an acknowledged revision in force."""
+
 
 @dataclass(frozen=True, slots=True)
 class StateAge:
@@ -19,6 +23,12 @@
     reported_revision: int = -1
     """Greatest revision that any peer reported to have in force; -1 if there is none."""
 
+    @property
+    def may_lack_changes(self) -> bool:
+        """Whether there may be a newer revision that this node should have in force already."""
+        is_old = self.revision_age > MAX_REVISION_AGE
+        return is_old or self.reported_revision > self.revision
+
     def fields(self) -> dict[str, Any]:
         """Return the ages as fields for a log event or the status document."""
         return {
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -19,6 +19,7 @@
     NotFoundError,
     NotReadyError,
     PostvalveError,
+    RouteUnknownError,
     Verdict,
 )
 from postvalve.gateway.engines.engine_connections import EngineAnswer
@@ -49,6 +50,8 @@
 """Retry-After in seconds from a node that is draining; other nodes can serve the client at once."""
 NOT_READY_RETRY_AFTER = 0.5
 """Retry-After in seconds from a node that has no configuration yet."""
+ROUTE_RETRY_AFTER = 0.3
+"""Retry-After in seconds from a node that may not know a route yet; other nodes may know it."""
 DEADLINE_MARGIN = 0.02
 """Seconds before the route's timeout at which a request is given up, so that the error response
 still reaches the client in time."""
@@ -210,14 +213,20 @@
         route = table.match(call.host, call.path)
         if route is not None:
             return route
-        error = NotFoundError("no route leads there")
+        state_age = self.state_age()
+        error: PostvalveError = NotFoundError("no route leads there")
+        if state_age.may_lack_changes:
+            # Clients treat a 404 as final, and other nodes may have a newer revision.
+            error = RouteUnknownError(
+                "this node may not know the route yet", retry_after=ROUTE_RETRY_AFTER
+            )
         self._events.emit(
             Event.REQUEST_UNROUTED,
             request=self._services.dialect.read_terms(call.headers).request_id,
             status=error.http_status,
             host=call.host,
             path=call.path[:MAX_LOGGED_PATH],
-            **self.state_age().fields(),
+            **state_age.fields(),
         )
         raise error
 
@@ -230,6 +239,7 @@
                 key,
                 needs_key=needs_key,
                 age=state_age.revision_age,
+                may_lack_changes=state_age.may_lack_changes,
                 policy=self.key_policy,
             )
         except AuthenticationError as exc:
--- a/postvalve/gateway/serving/caller_accounts.py
+++ b/postvalve/gateway/serving/caller_accounts.py
@@ -31,6 +31,7 @@
     RateLimitedError,
     RefusedError,
     RequestExpiredError,
+    RouteUnknownError,
     StoreUnreachableError,
     Verdict,
 )
@@ -48,6 +49,7 @@
     KeyUnknownError: End.KEY_UNKNOWN,
     InvalidRequestError: End.INVALID,
     NotFoundError: End.INVALID,
+    RouteUnknownError: End.REFUSED_ELSE,
     RateLimitedError: End.OVER_LIMIT,
     LimitUnknownError: End.COUNT_UNKNOWN,
     DrainingError: End.NODE_LEAVING,
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -9,10 +9,12 @@
 
 from postvalve.events import Event
 from postvalve.gateway.interfaces import KeyedRecord
+from postvalve.gateway.knowledge.state_age import MAX_REVISION_AGE
 from postvalve.gateway.serving import routed_run
 from postvalve.platform.fleet import DIRECTORY_TOPIC
 from tests.answers import read_answer
 from tests.gateway_support import ONCE_PATH, STREAM_PATH, GatewayFleet, SlowClock
+from tests.ports import free_port
 from tests.stand_in_engine import Behaviour
 from tests.waiting import wait_until
 
@@ -253,6 +255,27 @@
         self.assertEqual((logged["revision"], logged["revision_source"]), (2, "store"))
         self.assertLess(logged["revision_age"], 2.0)
 
+    def test_no_route_is_not_final_while_a_newer_revision_may_have_one(self):
+        fleet = GatewayFleet(nodes=1, engines=1)
+        self.addCleanup(fleet.stop)
+        fleet.topics.down = True
+        wait_until(lambda: fleet.nodes["n0"]._state_age().revision_age > MAX_REVISION_AGE)
+        answer = fleet.request("n0", "/nowhere/")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        fleet.topics.down = False
+        wait_until(lambda: fleet.nodes["n0"]._state_age().revision_age < MAX_REVISION_AGE)
+        self.assertEqual(fleet.request("n0", "/nowhere/").status, 404)
+
+    def test_no_route_is_not_final_while_a_peer_has_a_newer_revision(self):
+        fleet = GatewayFleet(nodes=1, engines=1)
+        self.addCleanup(fleet.stop)
+        fleet.nodes["n0"]._revisions.consider(4, "n9", f"127.0.0.1:{free_port()}")
+        self.assertEqual(fleet.request("n0", "/nowhere/").status, 503)
+        fleet.configure()
+        wait_until(lambda: fleet.nodes["n0"].configuration.revision == 4)
+        self.assertEqual(fleet.request("n0", "/nowhere/").status, 404)
+
     def test_revisions_only_move_forward_and_come_from_peers(self):
         fleet = GatewayFleet(nodes=2, engines=1)
         self.addCleanup(fleet.stop)
