A stopped follower keeps no read in its count

Read in review, not seen at work: a read that is killed before it has begun stayed among the pending ones, so a follower that its supervisor restarts after an unexpected error would start fewer reads beside a hanging one, or none.

test_a_follower_that_is_stopped_leaves_no_read_behind failed before (1 read left).

--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -124,6 +124,8 @@
                 gevent.sleep(self._pause)
         finally:
             gevent.killall(list(self._reads), block=False)
+            # A read that is killed before it has begun does not remove itself.
+            self._reads.clear()
 
     def record_answer_elsewhere(self) -> None:
         """Read soon if reads are unanswered: the store has answered another call of this node."""
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -214,8 +214,22 @@
             gevent.spawn_later(0.1, followed.append, "k")
             with self.assertRaises(ZeroDivisionError):
                 followed.follower.run()
+            return len(followed.follower._reads)
 
-        run_virtual(session)
+        self.assertEqual(run_virtual(session), 0)
+
+    def test_a_follower_that_is_stopped_leaves_no_read_behind(self):
+        def session(loop):
+            followed = FollowedStore(loop)
+            gevent.sleep(OUTAGE_START)
+            followed.store.fall_silent()
+            gevent.sleep(3.0)
+            followed.running.kill(block=False)
+            followed.follower._start_read(0.0)
+            gevent.sleep(5.0)
+            return len(followed.follower._reads), followed.follower._long_polls
+
+        self.assertEqual(run_virtual(session), (0, 0))
 
 
 class LateFailureTest(unittest.TestCase):
