Time in which a node stood still does not count towards an outage of the store

Callers saw: a request at a node without engines waited 1.1 to 2.0 s instead of being refused at once.

Cause: 2.0 s without news of the directory are an outage for all nodes; a stall of the node itself was left out only if two updates were more than 1.5 s apart. A copy 1.0 s old and a stall of 0.9 s made an outage of 2.3 s, and requests wait for lapsed engines then.

Change: of the time between two updates only 0.5 s count, which is their interval.

test_a_node_that_stands_still_for_less_than_a_read_assumes_no_outage failed before for ten of nineteen stalls.

--- a/postvalve/core/membership/shared_freshness.py
+++ b/postvalve/core/membership/shared_freshness.py
@@ -10,8 +10,9 @@
 UNAVAILABLE_AFTER = 2.0
 """Seconds without updates at any node after which the store counts as unavailable. It is longer
 than a follower goes without updates when its path to the store breaks."""
-STALL_THRESHOLD = 1.5
-"""Seconds between two updates from which this node itself must have been suspended."""
+UPDATE_INTERVAL = 0.5
+"""Longest time in seconds between two updates of a node that runs. In what goes beyond it the node
+stood still."""
 
 
 class SharedFreshness:
@@ -33,11 +34,10 @@
     def update(self, now: float) -> None:
         """Take in the current time; called several times a second.
 
-        If this node was suspended, it has received nothing meanwhile, which says nothing about the
-        others.
+        While this node stood still it received nothing, which says nothing about the others.
         """
-        if now - self._updated_at > STALL_THRESHOLD:
-            self._fresh_at = max(self._fresh_at, now)
+        stood_still = max(0.0, now - self._updated_at - UPDATE_INTERVAL)
+        self._fresh_at += stood_still
         self._updated_at = now
         if now - self._fresh_at >= UNAVAILABLE_AFTER:
             self._unavailable = True
--- a/tests/test_engine_directory.py
+++ b/tests/test_engine_directory.py
@@ -8,8 +8,8 @@
     EngineDirectory,
 )
 from postvalve.core.membership.shared_freshness import (
-    STALL_THRESHOLD,
     UNAVAILABLE_AFTER,
+    UPDATE_INTERVAL,
     SharedFreshness,
 )
 
@@ -128,9 +128,24 @@
     def test_a_suspended_node_assumes_no_outage(self):
         shared = SharedFreshness(0.0)
         shared.record(0.0, 0.1)
-        shared.update(0.1 + STALL_THRESHOLD + 3.0)
+        shared.update(4.6)
         self.assertFalse(shared.unavailable)
 
+    def test_a_node_that_stands_still_for_less_than_a_read_assumes_no_outage(self):
+        for tenths in range(1, 20):
+            with self.subTest(stall=tenths / 10):
+                shared = SharedFreshness(0.0)
+                for now in (0.5, 1.0, 1.4):
+                    shared.update(now)
+                shared.update(1.4 + UPDATE_INTERVAL + tenths / 10)
+                self.assertFalse(shared.unavailable)
+
+    def test_updates_that_are_a_little_late_hide_no_outage(self):
+        shared = SharedFreshness(0.0)
+        for number in range(1, 7):
+            shared.update(number * (UPDATE_INTERVAL + 0.02))
+        self.assertTrue(shared.unavailable)
+
     def test_it_never_goes_back(self):
         shared = SharedFreshness(0.0)
         shared.record(1.0, 1.0)
