Reads beside unanswered ones have a module of their own

TopicFollower held twenty attributes, half of them about which reads are pending; gateway/knowledge/hedged_reads has these now.

--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -1,7 +1,7 @@
 """Follows one partition of a keyed topic by long polling.
 
 A read that hangs holds up no other one: if it is overdue or has failed, further reads start beside
-it until one is answered (`core.membership.read_pacing`).
+it until one is answered (`gateway.knowledge.hedged_reads`).
 """
 
 from __future__ import annotations
@@ -9,14 +9,13 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from gevent.event import Event as GeventEvent
 from gevent.lock import RLock
 
 from postvalve.clock import Clock
-from postvalve.core.membership.read_pacing import ReadPacing
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import PlatformError
 from postvalve.gateway.interfaces import HistoryGoneError, KeyedRecord, KeyedTopics, TopicSlice
+from postvalve.gateway.knowledge.hedged_reads import HedgedReads
 from postvalve.gateway.knowledge.snapshot_read import SnapshotRead
 
 READ_BYTES = 1024 * 1024
@@ -61,24 +60,16 @@
         self._events = events
         self._topic = topic
         self._listener = listener
-        self._wait = wait
         self._pause = pause
         self._lock = RLock()
         self._pages: SnapshotRead | None = None
         """Pages of a read that failed before its last page."""
-        self._reads: set[gevent.Greenlet] = set()
-        """Pending reads, also those of earlier turns that are still unanswered."""
-        self._long_polls = 0
-        """Pending reads that wait for records."""
-        self._turn_started_at = float("-inf")
-        self._turn_answered_start = float("-inf")
-        """Start of the latest of the turns' reads that were answered, in monotonic seconds. The
-        answer to `catch_up` ends no turn: its first read may still be waiting for records."""
-        self._pacing = ReadPacing(self._turn_started_at, 0.0)
-        self._wake = GeventEvent()
-        """Set when a read has ended, or when the next one may be due earlier."""
-        self._defect: Exception | None = None
-        """Unexpected error of a read, which `run` raises."""
+        self._reads = HedgedReads(self._read, clock, wait)
+        # Pages of the first read may be many and large, so they are read only once.
+        self._reads.is_exclusive = lambda: not self.loaded
+        self._reads.on_overdue = self._log_overdue
+        # Idle connections may be dead or all taken by calls that hang, or this node is cut off.
+        self._reads.before_further_read = topics.change_path
         self._lost = False
         self._logged_stale = False
         self.on_lost: Callable[[], None] = lambda: None
@@ -120,73 +111,22 @@
         """Follow the topic; never returns."""
         try:
             while True:
-                self._run_turn()
+                self._reads.run_turn()
                 gevent.sleep(self._pause)
         finally:
-            gevent.killall(list(self._reads), block=False)
-            # A read that is killed before it has begun does not remove itself.
-            self._reads.clear()
+            self._reads.stop()
 
     def record_answer_elsewhere(self) -> None:
         """Read soon if reads are unanswered: the store has answered another call of this node."""
-        if self._pacing.in_doubt:
-            self._pacing.record_answer_elsewhere()
-            self._wake.set()
+        self._reads.record_answer_elsewhere()
 
-    def _run_turn(self) -> None:
-        """Read until a read of this turn is answered.
-
-        Raises:
-            Exception: A read failed unexpectedly.
-        """
-        started = self._turn_started_at = self._clock.monotonic()
-        pacing = self._pacing = ReadPacing(started, self._wait)
-        self._start_read(self._wait)
-        while not self._wait_for_answer():
-            if not pacing.in_doubt:
-                self._log_overdue(started)
-            # Idle connections may be dead or all taken by calls that hang, or this node is cut off.
-            self._topics.change_path()
-            pacing.record_start(self._clock.monotonic())
-            # One read at a time waits for records: its time-out is the longest, for a slow store.
-            self._start_read(0.0 if self._long_polls else self._wait)
-
-    def _wait_for_answer(self) -> bool:
-        """Wait until a read of this turn is answered, or the next one is due and may start.
-
-        Returns:
-            Whether a read was answered.
-        """
-        while self._turn_answered_start < self._turn_started_at:
-            if self._defect is not None:
-                defect, self._defect = self._defect, None
-                raise defect
-            left = self._pacing.seconds_to_next(self._clock.monotonic())
-            # Pages of the first read may be many and large, so they are read only once.
-            may_start = len(self._reads) < (self._pacing.max_pending if self.loaded else 1)
-            if left <= 0 and may_start:
-                return False
-            self._wake.clear()
-            self._wake.wait(left if may_start else None)
-        return True
-
-    def _start_read(self, wait: float) -> None:
-        self._reads.add(gevent.spawn(self._attempt, wait))
-
-    def _attempt(self, wait: float) -> None:
+    def _read(self, wait: float) -> None:
         started = self._clock.monotonic()
-        self._long_polls += wait > 0
         try:
             self._read_once(wait, started)
-            self._turn_answered_start = max(self._turn_answered_start, started)
         except PlatformError as exc:
             self._record_failure(exc, started)
-        except Exception as exc:  # raised by `run`, whose caller logs it
-            self._defect = exc
-        finally:
-            self._long_polls -= wait > 0
-            self._reads.discard(gevent.getcurrent())
-            self._wake.set()
+            raise
 
     def _read_once(self, wait: float, started: float) -> None:
         if not self.loaded:
@@ -282,14 +222,11 @@
             )
 
     def _record_failure(self, error: PlatformError, started: float) -> None:
-        now = self._clock.monotonic()
-        if started >= self._turn_started_at:
-            self._pacing.record_failure(now)
         self._events.emit(
             Event.STORE_READ_FAILED,
             topic=self._topic,
-            seconds=round(now - started, 3),
-            pending=len(self._reads) - 1,
+            seconds=round(self._clock.monotonic() - started, 3),
+            pending=self._reads.pending - 1,
             error=error.message,
         )
         # The failure of a read that began before an answered one is out of date.
@@ -301,12 +238,12 @@
             Event.STORE_LOST, topic=self._topic, error=error.message, age=round(self.age, 3)
         )
 
-    def _log_overdue(self, started: float) -> None:
+    def _log_overdue(self, seconds: float) -> None:
         self._events.emit(
             Event.STORE_READ_OVERDUE,
             topic=self._topic,
-            seconds=round(self._clock.monotonic() - started, 3),
-            pending=len(self._reads),
+            seconds=round(seconds, 3),
+            pending=self._reads.pending,
             age=round(self.age, 3),
         )
 
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -189,7 +189,7 @@
             pending = []
             for _ in range(200):
                 gevent.sleep(0.1)
-                pending.append(len(followed.follower._reads))
+                pending.append(followed.follower._reads.pending)
             return max(pending), followed.log.count(Event.STORE_READ_FAILED)
 
         most, failed = run_virtual(session)
@@ -214,7 +214,7 @@
             gevent.spawn_later(0.1, followed.append, "k")
             with self.assertRaises(ZeroDivisionError):
                 followed.follower.run()
-            return len(followed.follower._reads)
+            return followed.follower._reads.pending
 
         self.assertEqual(run_virtual(session), 0)
 
@@ -225,9 +225,9 @@
             followed.store.fall_silent()
             gevent.sleep(3.0)
             followed.running.kill(block=False)
-            followed.follower._start_read(0.0)
+            followed.follower._reads._start(0.0)
             gevent.sleep(5.0)
-            return len(followed.follower._reads), followed.follower._long_polls
+            return followed.follower._reads.pending, followed.follower._reads._waiting
 
         self.assertEqual(run_virtual(session), (0, 0))
 
