--- a/postvalve/core/membership/store_reachability.py
+++ b/postvalve/core/membership/store_reachability.py
@@ -111,23 +111,24 @@
     """Calls that peers are relaying for this node."""
 
     def __init__(self) -> None:
-        self._started: dict[int, tuple[str, float]] = {}
+        self._due: dict[int, tuple[str, float]] = {}
+        """Peer of each call, and when its answer was due, in monotonic seconds."""
         self._ids = itertools.count()
 
-    def start(self, address: str, now: float) -> int:
-        """Record a call to a peer at monotonic time `now`; returns its id."""
+    def start(self, address: str, due_at: float) -> int:
+        """Record a call to a peer whose answer is due at a monotonic time; returns its id."""
         call_id = next(self._ids)
-        self._started[call_id] = (address, now)
+        self._due[call_id] = (address, due_at)
         return call_id
 
     def end(self, call_id: int) -> None:
         """Record that a call was answered or given up."""
-        del self._started[call_id]
+        del self._due[call_id]
 
     def overdue(self, now: float) -> set[str]:
-        """Return the addresses of peers with a call that is pending for `MIN_RELAY_TIMEOUT`."""
-        calls = self._started.values()
-        return {address for address, started in calls if now - started >= MIN_RELAY_TIMEOUT}
+        """Return the addresses of peers with a call that is overdue by `MIN_RELAY_TIMEOUT`."""
+        calls = self._due.values()
+        return {address for address, due_at in calls if now - due_at >= MIN_RELAY_TIMEOUT}
 
 
 def relay_address(
--- a/postvalve/gateway/knowledge/relayed_topics.py
+++ b/postvalve/gateway/knowledge/relayed_topics.py
@@ -133,7 +133,7 @@
         wait: float = 0.0,
     ) -> Result:
         kind, failing = type(call).__name__, self._reachability.failing
-        relay = self._relay() if failing or self._is_other_way(call, wait) else None
+        relay = self._relay() if failing or self._is_relayed_early(call, wait) else None
         if relay is not None:
             if failing:
                 self._probe_if_due()
@@ -151,8 +151,8 @@
                 raise
         return result(self._relayed(relay, call, wait))
 
-    def _is_other_way(self, call: betterproto.Message, wait: float) -> bool:
-        """Whether a call goes through a peer because direct ones before it are unanswered."""
+    def _is_relayed_early(self, call: betterproto.Message, wait: float) -> bool:
+        """Whether a call goes through a peer before the store counts as unreachable."""
         is_short_read = isinstance(call, gateway.StoreRead) and not wait
         return is_short_read and self._path_changes > 0 and self._path_changes % 2 == 0
 
@@ -215,7 +215,7 @@
     def _relayed(self, address: str, call: betterproto.Message, wait: float) -> gateway.StoreReply:
         self._metrics.store_calls.labels(type(call).__name__, "by a peer").inc()
         timeout = self._relay_timeout.seconds if wait else MAX_RELAY_TIMEOUT
-        call_id = self._pending.start(address, self._clock.monotonic() + wait)
+        call_id = self._pending.start(address, due_at=self._clock.monotonic() + wait)
         try:
             reply = self._transport.call(address, Channel.BATCH, call, wait + timeout)
         except PeerUnavailableError as exc:
--- a/postvalve/gateway/knowledge/revision_fetch.py
+++ b/postvalve/gateway/knowledge/revision_fetch.py
@@ -71,6 +71,7 @@
                 source.fetches += 1
                 gevent.spawn(self._fetch, source).join(FETCH_INTERVAL)
                 if source.revision > self._known:
+                    # The same peer is asked again after an interval, another one sooner.
                     gevent.sleep(FETCH_INTERVAL / len(self._sources))
         finally:
             self._fetching = False
