--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -32,6 +32,12 @@
 """Shortest time, in seconds, in which an engine that is leaving may still get requests."""
 CANCEL_BOUND = 3.0
 """Shortest time, in seconds, in which items of a cancelled job may still be started."""
+FOLLOWERS = {
+    "configuration": (CONFIGURATION_PAUSE, CONFIGURATION_WAIT, CHANGE_BOUND),
+    "engines": (READ_PAUSE, READ_WAIT, DRAIN_BOUND),
+    "jobs": (FOLLOW_INTERVAL, FOLLOW_POLL_TIMEOUT, CANCEL_BOUND),
+}
+"""Pause, wait and bound of each follower of a topic, in seconds."""
 ANSWER_TIME = 0.05
 """Seconds that a store without trouble takes at most to answer over a new connection."""
 OUTAGE_START = 5.0
@@ -146,11 +152,11 @@
 class StoreReturnTest(unittest.TestCase):
     """The change is appended as the store returns, so its bound begins there."""
 
-    def delay_after_an_outage(self, seconds):
+    def delay_after_an_outage(self, seconds, wait=CONFIGURATION_WAIT, pause=CONFIGURATION_PAUSE):
         """Return the seconds from the store's return until a follower has a record of then."""
 
         def session(loop):
-            followed = FollowedStore(loop)
+            followed = FollowedStore(loop, wait, pause)
             gevent.sleep(OUTAGE_START)
             followed.store.fall_silent_for(seconds)
             returned_at = followed.clock.monotonic()
@@ -167,6 +173,15 @@
         late = {silent: delay for silent, delay in delays.items() if delay >= CHANGE_BOUND}
         self.assertEqual(late, {})
 
+    def test_engines_that_leave_and_jobs_that_end_are_known_in_time_as_well(self):
+        for name in ("engines", "jobs"):
+            pause, wait, bound = FOLLOWERS[name]
+            delays = [
+                self.delay_after_an_outage(tenths / 10, wait, pause) for tenths in range(5, 90)
+            ]
+            with self.subTest(name):
+                self.assertLess(max(delays), bound)
+
 
 class PendingReadsTest(unittest.TestCase):
     def test_a_store_that_answers_is_read_once_for_each_wait(self):
@@ -251,12 +266,7 @@
     """Two reads in a row are lost, the first one begun just before a change is acknowledged."""
 
     def test_the_waits_of_each_follower_stay_within_its_bound(self):
-        followers = {
-            "configuration": (CONFIGURATION_PAUSE, CONFIGURATION_WAIT, CHANGE_BOUND),
-            "engines": (READ_PAUSE, READ_WAIT, DRAIN_BOUND),
-            "jobs": (FOLLOW_INTERVAL, FOLLOW_POLL_TIMEOUT, CANCEL_BOUND),
-        }
-        for name, (pause, wait, bound) in followers.items():
+        for name, (pause, wait, bound) in FOLLOWERS.items():
             with self.subTest(name):
                 known_after = pause + wait + OVERDUE_AFTER + RETRY_INTERVAL + ANSWER_TIME
                 self.assertLess(known_after, bound)
