--- a/postvalve/gateway/fleet/listed_engines.py
+++ b/postvalve/gateway/fleet/listed_engines.py
@@ -61,6 +61,7 @@
                     state=entry.state.value,
                     service=entry.service,
                     engine_zone=entry.zone,
+                    version=entry.version,
                     within=round(self.directory_age(), 3),
                 )
         self._engines = engines
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -36,6 +36,9 @@
     """Prompt tokens after the shared prefix."""
     output_tokens: int
     """Most tokens of the response; 0 if unknown."""
+    begun_as: str = ""
+    """Request id of the client's attempt that brought the stream's first event; empty if the client
+    names none."""
 
 
 class Judgement(enum.Enum):
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -233,6 +233,7 @@
             job=item.job_id,
             item=item.index,
             engine=placement.engine.life,
+            version=placement.engine.version,
             pressing=pressing,
             online=placement.online_seen,
             batch=placement.batch_seen,
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -54,6 +54,9 @@
 OVERLOAD_RETRY_AFTER = 0.5
 """Retry-After in seconds when no engine takes a request."""
 
+MAX_LOGGED_ID = 80
+"""Most characters of the id of an earlier attempt in a log line."""
+
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
@@ -160,6 +163,7 @@
             PostvalveError: with the verdict; all resources are released before.
         """
         request = self._request
+        self._log_taken_up()
         try:
             self._guard.check()
             tag = self._acquire_credit()
@@ -179,6 +183,16 @@
             self.finish(error.code)
             raise
 
+    def _log_taken_up(self) -> None:
+        terms = self._request.terms
+        if terms.last_event_id is not None:
+            self._services.events.emit(
+                Event.STREAM_TAKEN_UP,
+                request=terms.request_id,
+                begun_as=terms.begun_as[:MAX_LOGGED_ID],
+                after_event=terms.last_event_id,
+            )
+
     def _acquire_credit(self) -> float | None:
         """Check the tenant's rate limit.
 
@@ -378,6 +392,7 @@
             Event.ROUTED_ATTEMPT_FAILED,
             request=self._request.terms.request_id,
             engine=life,
+            version=self._placement.engine.version if self._placement else None,
             attempt=self._progress.tries,
             verdict=error.verdict.value,
             age=round(self._clock.monotonic() - self._request.arrived_at, 3),
@@ -513,6 +528,7 @@
             Event.ROUTED_STREAM_RESUMED,
             request=self._request.terms.request_id,
             engine=self._life,
+            version=self._placement.engine.version if self._placement else None,
             after_event=self._progress.last_event_id,
         )
 
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -14,6 +14,7 @@
 EXPECT_INSTANCE = "Expect-Instance"
 NOT_EXECUTED = "Not-Executed"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 PROMPT_PREFIX = "Prompt-Prefix"
 TOKEN_COUNT = "Token-Count"
 RETRY_AFTER = "Retry-After"
@@ -65,6 +66,7 @@
             shared_tokens=shared,
             own_tokens=own or max(0, (_parse_number(prompt) or 0) - shared),
             output_tokens=_parse_number(output) or 0,
+            begun_as=by_name.get(RESUMES.lower(), "").strip(),
         )
 
     def api_key(self, headers: Headers) -> str | None:
