--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -127,9 +127,12 @@
 class GatewayFleet:
     """A fleet of gateway nodes that share one store and some engines."""
 
-    def __init__(self, nodes=2, engines=2, configured=True, **configuration):
+    def __init__(self, nodes=2, engines=2, configured=True, versions=(), **configuration):
+        """Start engines and nodes; engines beyond `versions` have the usual version."""
         self.topics = MemoryTopics()
         self.engines = [StandInEngine(f"e{number}") for number in range(engines)]
+        for engine, version in zip(self.engines, versions, strict=False):
+            engine.version = version
         self.nodes = {}
         self.settings = {}
         self.logs = {}
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -48,8 +48,10 @@
 class StandInEngine:
     """An engine at a loopback address whose answers the test determines."""
 
-    def __init__(self, engine_id, port=None, born=0):
+    def __init__(self, engine_id, port=None, born=0, version="v1"):
         self.engine_id = engine_id
+        self.version = version
+        """Version of its software; each event tells it."""
         self.born = born
         """Start time in milliseconds."""
         self.expected_id = engine_id
@@ -85,7 +87,7 @@
             "service": SERVICE,
             "address": self.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": slots,
             "state": state,
             "coldRemainingMs": 0,
