A stream goes on only at engines of the version that brought its first event

Callers got events of two engine versions in one answer: when an engine broke off, the next one was chosen from all engines of the service. An engine's version was parsed from the directory and read by nobody.

The engine that brings the first event binds the stream to its version, as the placement's entry states it; later attempts, their waits for engines and the choice for a suspect request consider engines of that version only. An attempt without an event binds nothing. If none of the version is listed, and none is about to be, the answer ends at once.

--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -122,18 +122,21 @@
             service, self.paces, self.pace(service), self.pause_aim(service), now
         )
 
-    def occupancies(self, service: str) -> list[EngineOccupancy]:
-        """Return the load of each healthy engine of a service; of all if none is healthy."""
-        entries = self._healthy(self.engines(service))
+    def occupancies(self, service: str, version: str | None = None) -> list[EngineOccupancy]:
+        """Return the load of each healthy engine of a service, or of one version of it.
+
+        If none is healthy, all of them count.
+        """
+        entries = self._healthy(self.engines(service, version))
         capacity_model = self._capacity_of(service)
         return [capacity_model.occupancy(entry, self.use.total(entry.life)) for entry in entries]
 
-    def has_capacity(self, service: str) -> bool:
+    def has_capacity(self, service: str, version: str | None = None) -> bool:
         """Whether a healthy engine has a slot without online work, or no engine is listed.
 
         Agrees with `occupancies`, but stops at the first such engine.
         """
-        entries = self.engines(service)
+        entries = self.engines(service, version)
         capacity_model = self._capacity_of(service)
         any_healthy = False
         for one in entries:
@@ -158,7 +161,12 @@
         return occupancy.capacity(pace) - occupancy.online
 
     def place_online(
-        self, service: str, terms: RequestTerms, excluded: Iterable[EngineLife], left: float
+        self,
+        service: str,
+        terms: RequestTerms,
+        excluded: Iterable[EngineLife],
+        left: float,
+        version: str | None = None,
     ) -> Placement | None:
         """Choose an engine for an online attempt and add the attempt to its counts.
 
@@ -167,6 +175,7 @@
             terms: Parameters from the request's headers.
             excluded: Engines that must not be chosen.
             left: Seconds within which the first event is in time.
+            version: Version that the engine must have; None for any.
 
         Returns:
             The placement; None if no engine is left.
@@ -176,7 +185,7 @@
         pace, capacity_model = self.pace(service), self._capacity_of(service)
         candidates = [
             self._candidate(entry, memory, memory_tokens, capacity_model, terms.own_tokens)
-            for entry in self._eligible_engines(service, terms, set(excluded))
+            for entry in self._eligible_engines(service, version, terms, set(excluded))
         ]
         if not candidates:
             return None
@@ -196,10 +205,10 @@
         return placement
 
     def _eligible_engines(
-        self, service: str, terms: RequestTerms, skipped: set[EngineLife]
+        self, service: str, version: str | None, terms: RequestTerms, skipped: set[EngineLife]
     ) -> list[EngineEntry]:
         """Return the engines that a request may be sent to: healthy ones, else all."""
-        usable = self._usable_of(service)
+        usable = self._usable_of(service, version)
         shared = terms.prefix_key if terms.shared_tokens >= AFFINITY_TOKENS else ""
         drawn = usable.request_candidates(self._random, shared, self.watched())
         for entries in (drawn, usable.all):
@@ -217,10 +226,11 @@
         terms: RequestTerms,
         excluded: Iterable[EngineLife],
         choose: Callable[[Iterable[EngineLife]], str | None],
+        version: str | None = None,
     ) -> Placement | None:
         """Place an online attempt on the engine that `choose` selects among the healthy ones."""
         skipped = set(excluded)
-        entries = [one for one in self.engines(service) if one.life not in skipped]
+        entries = [one for one in self.engines(service, version) if one.life not in skipped]
         healthy = self._healthy(entries)
         chosen = choose(one.life for one in healthy)
         entry = next((one for one in healthy if one.life == chosen), None)
--- a/postvalve/gateway/fleet/listed_engines.py
+++ b/postvalve/gateway/fleet/listed_engines.py
@@ -28,8 +28,9 @@
         self._events = events
         self._pool = pool
         self._engines: dict[EngineLife, EngineEntry] = {}
-        self._usable: dict[str, UsableEngines] = {}
-        """Engines that accept new work, by service; recomputed after each change."""
+        self._usable: dict[tuple[str, str | None], UsableEngines] = {}
+        """Engines that accept new work, by service and version (None for all versions); recomputed
+        after each change."""
         self._updated = GeventEvent()
         """Set, and replaced by a new event, at each update from the directory."""
         self.directory_unsettled: Callable[[], bool] = bool
@@ -79,38 +80,44 @@
                 known[life] = now + entry.warm_in
         self._warm_at = known
 
-    def await_engines(self, service: str, timeout: float) -> bool:
+    def await_engines(self, service: str, timeout: float, version: str | None = None) -> bool:
         """Wait for an engine of a service if the directory may be about to list one.
 
         Args:
             service: Name of the service.
             timeout: Longest wait in seconds.
+            version: Version that the engine must have; None for any.
 
         Returns:
-            Whether the service has an engine.
+            Whether the service has such an engine.
         """
         deadline = self._clock.monotonic() + timeout
-        while not self.engines(service):
+        while not self.engines(service, version):
             left = deadline - self._clock.monotonic()
             if left <= 0 or not self.directory_unsettled():
                 return False
             self._updated.wait(min(left, SETTLE_CHECK_INTERVAL))
         return True
 
-    def engines(self, service: str) -> Sequence[EngineEntry]:
-        """Return the engines of a service that accept new work; the list must not be modified."""
-        return self._usable_of(service).all
+    def engines(self, service: str, version: str | None = None) -> Sequence[EngineEntry]:
+        """Return the engines of a service, or of one version, that accept new work.
 
-    def _usable_of(self, service: str) -> UsableEngines:
+        The list must not be modified.
+        """
+        return self._usable_of(service, version).all
+
+    def _usable_of(self, service: str, version: str | None = None) -> UsableEngines:
         # Cached: a node with batch items asks for it some fifty times a second.
-        found = self._usable.get(service)
+        found = self._usable.get((service, version))
         if found is None:
             entries = [
                 entry
                 for entry in self._engines.values()
-                if entry.service == service and self.takes_work(entry.life)
+                if entry.service == service
+                and version in (None, entry.version)
+                and self.takes_work(entry.life)
             ]
-            found = self._usable[service] = UsableEngines(entries, self._zone)
+            found = self._usable[service, version] = UsableEngines(entries, self._zone)
         return found
 
     def takes_work(self, life: EngineLife) -> bool:
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -88,6 +88,8 @@
     tried: set[EngineLife] = field(default_factory=set)
     last_event_id: int | None = None
     events: int = 0
+    version: str | None = None
+    """Version of the engines that may go on with the stream; None while any may begin it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,8 +236,8 @@
         gevent.sleep(pause)
 
     def _has_untried_engines(self) -> bool:
-        """Whether the service has engines that were not tried in this round."""
-        engines = self._fleet.engines(self._request.service)
+        """Whether there are engines for the request that were not tried in this round."""
+        engines = self._fleet.engines(self._request.service, self._progress.version)
         return any(one.life not in self._progress.tried for one in engines)
 
     def _check_time(self) -> None:
@@ -290,15 +292,15 @@
 
     def _place(self) -> Placement:
         request = self._request
-        place = self._fleet.place_online
+        place, version = self._fleet.place_online, self._progress.version
         left = request.arrived_at + request.route.target_latency - self._clock.monotonic()
         if self._guard.alone:
             placement = self._place_suspect()
         else:
-            placement = place(request.service, request.terms, self._progress.tried, left)
+            placement = place(request.service, request.terms, self._progress.tried, left, version)
         if placement is None and self._progress.tried:
             # An engine that failed before is better than none.
-            placement = place(request.service, request.terms, (), left)
+            placement = place(request.service, request.terms, (), left, version)
         if placement is None:
             if self.may_have_run:
                 raise GivenUpError("no engine is left")
@@ -313,19 +315,23 @@
             request.terms,
             self._progress.tried,
             lambda engines: quarantine.preferred_engine(self._guard.identity, engines),
+            self._progress.version,
         )
 
     def _await_engines(self) -> None:
         """Wait if no engine is listed at the moment and there is time for it."""
         request = self._request
         latest = request.arrived_at + (request.deadline - request.arrived_at) * MAX_WAIT_SHARE
-        if self._fleet.engines(request.service):
+        version = self._progress.version
+        if self._fleet.engines(request.service, version):
             return
-        found = self._fleet.await_engines(request.service, latest - self._clock.monotonic())
+        left = latest - self._clock.monotonic()
+        found = self._fleet.await_engines(request.service, left, version)
         self._services.events.emit(
             Event.ROUTED_REQUEST_WAITED,
             request=request.terms.request_id,
             service=request.service,
+            version=version,
             found=found,
             age=round(self._clock.monotonic() - request.arrived_at, 3),
         )
@@ -509,6 +515,7 @@
         if self._placement is not None:
             self._fleet.record_prompt_read(self._placement)
         if not progress.events:
+            self._bind_version()
             self._pace.record_first_event(self._placement, progress)
             self._request.account.first_event()
         progress.events += 1
@@ -516,6 +523,11 @@
         if number is not None:
             progress.last_event_id = number
 
+    def _bind_version(self) -> None:
+        """Let only engines of the present version go on: the output of others does not fit."""
+        if self._progress.version is None and self._placement is not None:
+            self._progress.version = self._placement.engine.version
+
     def _resume(self, error: AttemptError) -> None:
         self._progress.runs -= 1  # counted when its response headers arrived
         self._fail_attempt(error)
