A batch item goes on only at engines of the version that made its text

Texts of results held events of two engine versions: after an engine broke off, after a preemption and after a takeover an item went on at whichever engine had room, and saved progress didn't hold a version.

An item is bound by its first event. Saved segments tell the version (engine_version, has_version); a restored chain is used only if an engine of its version is listed, and the longest such chain counts. A chain of a build that told no version is left out. When no engine of the version is left and none is about to be listed, the item begins again with a new chain (527, postvalve_items_restarted). Items that wait for a version no longer keep others from slots that these can use. A chain that is given up while it is being saved is removed, and doesn't touch the next one.

--- a/postvalve/core/batch/progress.py
+++ b/postvalve/core/batch/progress.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from postvalve.messages.generated import gateway
@@ -23,6 +23,8 @@
     """Compressed data of the item's events, by segment."""
     run_ms: int
     """Milliseconds that the item has run."""
+    version: str | None = None
+    """Version of the engines that made the text; None if the build that saved it did not tell."""
 
 
 FAILURES = "failures"
@@ -37,6 +39,8 @@
     failures: dict[int, int] = field(default_factory=dict)
     """Number of failed runs by item, over all nodes that worked on the job."""
     keys: list[str] = field(default_factory=list)
+    unfit: int = 0
+    """Chains left out because of the version of their engines."""
 
 
 def job_prefix(job_id: str) -> str:
@@ -59,11 +63,15 @@
     return key.partition("/")[0]
 
 
-def assemble(records: Iterable[tuple[str, bytes]]) -> SavedJob:
+def assemble(
+    records: Iterable[tuple[str, bytes]],
+    can_continue: Callable[[str | None], bool] = lambda version: True,
+) -> SavedJob:
     """Assemble the saved segments of one job.
 
     Args:
         records: Key and value of each segment; an unreadable value ends its chain.
+        can_continue: Tells whether an engine can continue the text of a version.
     """
     saved = SavedJob()
     chains: dict[tuple[int, str], dict[int, gateway.ItemProgress]] = {}
@@ -82,6 +90,9 @@
         chains.setdefault((name, chain), {})[number] = segment
     for (index, _), segments in sorted(chains.items()):
         item = _joined(segments)
+        if item is not None and not can_continue(item.version):
+            saved.unfit += 1
+            continue
         known = saved.items.get(index)
         if item is not None and (known is None or item.last_event_id > known.last_event_id):
             saved.items[index] = item
@@ -98,7 +109,12 @@
 def _joined(segments: dict[int, gateway.ItemProgress]) -> SavedItem | None:
     texts: list[bytes] = []
     last = run_ms = 0
+    versions: list[str | None] = []
     while (segment := segments.get(len(texts))) is not None and segment.after_event_id == last:
+        version = segment.engine_version if segment.has_version else None
+        if versions and version != versions[0]:
+            break
+        versions.append(version)
         texts.append(segment.text)
         last, run_ms = segment.last_event_id, segment.run_ms
-    return SavedItem(last, tuple(texts), run_ms) if texts else None
+    return SavedItem(last, tuple(texts), run_ms, versions[0]) if texts else None
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -131,6 +131,7 @@
     ROUTED_ITEM_PREEMPTED = (517, "info", "batch item preempted")
     ITEM_TOLD_TO_GIVE_WAY = (521, "info", "node asked to preempt a batch item")
     ITEM_STARTED = (525, "info", "batch item started")
+    ITEM_RESTARTED = (527, "info", "batch item begins again: no engine can continue its text")
     ITEM_ORDER = (526, "info", "scheduling order of batch items changed")
     ROUTED_JOB_ENDED = (518, "info", "batch job ended")
     ROUTED_JOBS_PURGED = (519, "info", "old batch jobs deleted from the store")
--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -276,13 +276,15 @@
         entries = self._batch_engines(service, False)
         return max(1, sum(relaxed_slots(entry.slots) for entry in entries))
 
-    def _batch_engines(self, service: str, pressing: bool) -> Sequence[EngineEntry]:
-        """Return the engines where batch items may start.
+    def _batch_engines(
+        self, service: str, pressing: bool, version: str | None = None
+    ) -> Sequence[EngineEntry]:
+        """Return the engines where batch items may start, of one version if it is given.
 
         Non-urgent items stay in their zone while it has healthy engines: nodes of other zones
         learn late of what starts there, and together they would overfill the slots.
         """
-        usable = self._usable_of(service)
+        usable = self._usable_of(service, version)
         if pressing:
             return usable.all
         healthy = any(not self._health.is_suspect(one.life) for one in usable.near)
@@ -307,6 +309,7 @@
         excluded: Iterable[EngineLife],
         *,
         pressing: bool,
+        version: str | None = None,
     ) -> Placement | None:
         """Choose an engine with capacity for a batch item and add the item to its counts.
 
@@ -321,6 +324,7 @@
             excluded: Engines that must not be chosen.
             pressing: Whether the item must start soon; otherwise it leaves more slots to online
                 work.
+            version: Version that the engine must have; None for any.
 
         Returns:
             The placement; None if no engine has capacity.
@@ -338,7 +342,7 @@
                 self._random.uniform(0, 1),
                 entry,
             )
-            for entry in self._batch_engines(service, pressing)
+            for entry in self._batch_engines(service, pressing, version)
             if entry.life not in skipped
             and not _memory_short(self.use.total(entry.life).memory, prompt + output, memory_tokens)
         ]
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -218,6 +218,8 @@
             self._record_event(item)
             if item.guard is not None:
                 item.guard.record_event()
+            if item.version is None and item.placement is not None:
+                item.version = item.placement.engine.version
             item.events.append(event_data(event))
             item.last_event_id = number
             if not answer.has_event():
--- a/postvalve/gateway/jobs/item_progress.py
+++ b/postvalve/gateway/jobs/item_progress.py
@@ -49,6 +49,7 @@
     index: int
     events: list[bytes]
     last_event_id: int | None
+    version: str | None
     cancelled: bool
     failures: int
     chain: Chain
@@ -71,6 +72,7 @@
 @dataclass(slots=True)
 class _Save:
     item: SavableItem
+    chain: Chain
     record: KeyedRecord
     events: int
     last_id: int
@@ -144,14 +146,15 @@
         except StoreUnavailableError as exc:
             # The append may still take effect late, so its keys must not be reused.
             for save in part:
-                save.item.chain = Chain()
+                if save.item.chain is save.chain:
+                    save.item.chain = Chain()
             self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, items=len(part))
             return False
         for save in part:
-            chain = save.item.chain
+            chain = save.chain
             chain.segments += 1
             chain.saved_events, chain.saved_id = save.events, save.last_id
-            if save.item.cancelled:
+            if save.item.cancelled or save.item.chain is not chain:
                 self._obsolete_keys[self._own_partition].append(save.record.key)
         return True
 
@@ -168,9 +171,11 @@
             last_event_id=last_id,
             text=text,
             run_ms=milliseconds(item.seconds_run(self._clock.monotonic())),
+            engine_version=item.version or "",
+            has_version=item.version is not None,
         )
         key = segment_key(item.job_id, item.index, chain.name, chain.segments)
-        return _Save(item, KeyedRecord(key, bytes(segment)), len(item.events), last_id)
+        return _Save(item, chain, KeyedRecord(key, bytes(segment)), len(item.events), last_id)
 
     def _split_calls(self, saves: Sequence[_Save]) -> list[list[_Save]]:
         calls: list[list[_Save]] = []
@@ -188,13 +193,17 @@
 
     def forget(self, item: SavableItem) -> None:
         """Mark the segments of an item that has ended for deletion with the next save."""
+        self.forget_chain(item)
+        if item.failures:
+            self._obsolete_keys[self._own_partition].append(failures_key(item.job_id, item.index))
+
+    def forget_chain(self, item: SavableItem) -> None:
+        """Mark the segments of an item's present chain for deletion with the next save."""
         chain = item.chain
         self._obsolete_keys[self._own_partition] += [
             segment_key(item.job_id, item.index, chain.name, number)
             for number in range(chain.segments)
         ]
-        if item.failures:
-            self._obsolete_keys[self._own_partition].append(failures_key(item.job_id, item.index))
 
     def _delete_obsolete(self) -> None:
         for partition, keys in list(self._obsolete_keys.items()):
@@ -222,8 +231,15 @@
 
     # Restoring
 
-    def restore(self, job: BoardJob) -> SavedJob:
-        """Return the saved progress of a job; empty if the store does not answer in time."""
+    def restore(
+        self, job: BoardJob, can_continue: Callable[[str | None], bool] = lambda version: True
+    ) -> SavedJob:
+        """Return the saved progress of a job; empty if the store does not answer in time.
+
+        Args:
+            job: The job.
+            can_continue: Tells whether an engine can continue the text of a version.
+        """
         deadline = self._clock.monotonic() + RESTORE_TIMEOUT
         partitions = {self._partition_of(node_id) for node_id in job.holders}
         while True:
@@ -233,7 +249,7 @@
                     for partition in sorted(partitions)
                     for record in self._records(partition, job_prefix(job.job_id))
                 ]
-                return assemble(found)
+                return assemble(found, can_continue)
             except StoreUnavailableError as exc:
                 if self._clock.monotonic() + RESTORE_RETRY_DELAY >= deadline:
                     self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, job=job.job_id)
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -70,12 +70,15 @@
         self._clock = clock
         self._events = events
         self._log = log
+        self._progress = progress
+        self._metrics = metrics
         self._fleet = fleet
         self._peers = peers
         self._route_named = route_named
         self._wakeup = GeventEvent()
         self._own = OwnItems(identity, events, log, jobs, progress, self.wake)
         self._own.on_job_added = reports.schedule_report
+        self._own.can_continue = self._can_continue
         self._last_pass_at = float("-inf")
         estimate = DurationEstimate()
         self.urgency = ItemUrgency(clock, events, log, peers, estimate)
@@ -202,9 +205,19 @@
         # Items that are not pressing stay in their zone, and rank among the items of that zone.
         others = self._peers.waiting(None if pressing else self._identity.zone)
         count = count_startable(due, others, free_slots)
-        for _, item in items[:count]:
-            if not self._start(item, service, pressing=pressing):
+        full: set[str | None] = set()
+        """Versions whose engines have no free slot; None stands for all versions."""
+        for _, item in items:
+            if not count or None in full:
                 break
+            if self._is_version_gone(service, item.version):
+                self._restart(item)
+            if item.version in full:
+                continue
+            if self._start(item, service, pressing=pressing):
+                count -= 1
+            else:
+                full.add(item.version)
 
     def _zone_queue(self, items: list[_Ranked]) -> int:
         """Return the number of items that wait in this zone, including this node's."""
@@ -217,10 +230,41 @@
         known = job.accepted.service
         return known if known in services or not services else services[0]
 
+    def _can_continue(self, job: BoardJob, version: str | None) -> bool:
+        """Whether an engine can continue saved text; nobody knows what fits text of no version."""
+        return version is not None and not self._is_version_gone(self._service_of(job), version)
+
+    def _is_version_gone(self, service: str, version: str | None) -> bool:
+        """Whether no engine of a version is left, and none is about to be listed."""
+        return (
+            version is not None
+            and not self._fleet.engines(service, version)
+            and not self._fleet.directory_unsettled()
+        )
+
+    def _restart(self, item: RunningItem) -> None:
+        """Let an item begin again, at any engine: no engine is left that can continue its text."""
+        self._events.emit(
+            Event.ITEM_RESTARTED,
+            job=item.job_id,
+            item=item.index,
+            version=item.version,
+            events=len(item.events),
+            directory_age=round(self._fleet.directory_age(), 3),
+        )
+        self._metrics.items_restarted.inc()
+        self._progress.forget_chain(item)
+        item.restart()
+
     def _start(self, item: RunningItem, service: str, *, pressing: bool) -> bool:
         excluded = [item.failed_engine] if item.failed_engine else []
         placement = self._fleet.place_batch(
-            service, item.prompt_tokens, item.output_tokens, excluded, pressing=pressing
+            service,
+            item.prompt_tokens,
+            item.output_tokens,
+            excluded,
+            pressing=pressing,
+            version=item.version,
         )
         if placement is None:
             return False
--- a/postvalve/gateway/jobs/own_items.py
+++ b/postvalve/gateway/jobs/own_items.py
@@ -41,6 +41,8 @@
         self.draining = False
         """Whether this node is shutting down: running items finish here even if another node claims
         the job."""
+        self.can_continue: Callable[[BoardJob, str | None], bool] = lambda job, version: True
+        """Returns whether an engine can continue text of a version for a job's items."""
         self.on_job_added: Callable[[], None] = lambda: None
         """Called when a job was added."""
         progress.unfinished = self.all
@@ -103,13 +105,14 @@
         saved = SavedJob()
         try:
             self._jobs.fetch_requests(job)
-            saved = self._progress.restore(job)
+            saved = self._progress.restore(job, lambda version: self.can_continue(job, version))
         finally:
             for index, item in items.items():
                 known = saved.items.get(index)
                 if known is not None:
                     item.events = [unpack_segment(text) for text in known.texts]
                     item.last_event_id = known.last_event_id
+                    item.version = known.version
                     item.run_seconds = known.run_ms / 1000
                 # This node may have counted failures while the saved count was being read.
                 item.failures += saved.failures.get(index, 0)
@@ -120,6 +123,7 @@
                 items=len(items),
                 restored=len(saved.items.keys() & items.keys()),
                 segments=len(saved.keys),
+                unfit=saved.unfit,
             )
             self._wake()
 
--- a/postvalve/gateway/jobs/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -25,6 +25,8 @@
     prompt_tokens: int = 0
     events: list[bytes] = field(default_factory=list)
     last_event_id: int | None = None
+    version: str | None = None
+    """Version of the engines that made its events; None while it has none."""
     failures: int = 0
     """Number of runs that ended in a failure of the engine."""
     not_before: float = 0.0
@@ -49,6 +51,13 @@
     chain: Chain = field(default_factory=Chain)
     """Saved segments of its progress."""
 
+    def restart(self) -> None:
+        """Drop the events received, so that engines of any version may run the item."""
+        self.events = []
+        self.last_event_id = self.version = None
+        self.run_seconds = 0.0
+        self.chain = Chain()
+
     def seconds_run(self, now: float) -> float:
         """Return the seconds that its attempts have run, at monotonic time `now`."""
         return self.run_seconds + (now - self.started_at if self.running else 0.0)
--- a/postvalve/gateway/metrics.py
+++ b/postvalve/gateway/metrics.py
@@ -39,6 +39,11 @@
         self.items = Counter(
             "postvalve_items", "Batch items that ended here", ["outcome"], registry=self.registry
         )
+        self.items_restarted = Counter(
+            "postvalve_items_restarted",
+            "Batch items begun again, as no engine could continue their text",
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "postvalve_store_calls", "Calls to the store", ["call", "outcome"],
             registry=self.registry,
--- a/tests/test_item_progress.py
+++ b/tests/test_item_progress.py
@@ -43,6 +43,7 @@
     index: int = 0
     events: list = field(default_factory=list)
     last_event_id: int | None = None
+    version: str | None = "v1"
     cancelled: bool = False
     failures: int = 0
     chain: Chain = field(default_factory=Chain)
@@ -153,6 +154,22 @@
         self.log.save()
         self.assertEqual(self.log.restore(job()).keys, [])
 
+    def test_a_chain_given_up_while_it_is_saved_is_removed(self):
+        item = self.items[0]
+        item.add_events(20)
+        original = self.topics.append
+
+        def append(*arguments):
+            self.topics.append = original
+            self.log.forget_chain(item)
+            item.events, item.last_event_id, item.chain = [], None, Chain()
+            return original(*arguments)
+
+        self.topics.append = append
+        self.log.save()
+        self.assertEqual(item.chain, Chain())
+        self.assertEqual(self.log.restore(job()).keys, [])
+
     def test_restoring_from_a_silent_store_times_out(self):
         self.topics.down = True
         self.assertEqual(self.log.restore(job()).items, {})
@@ -225,6 +242,31 @@
         ]
         self.assertEqual(assemble(records).items[0].last_event_id, 12)
 
+    def test_chains_of_other_versions_are_left_out(self):
+        def segment(chain, last, **version):
+            key, value = self.segment(chain, 0, 0, last)
+            message = gateway.ItemProgress().parse(value)
+            message.engine_version = version.get("version", "")
+            message.has_version = "version" in version
+            return key, bytes(message)
+
+        records = [segment("a", 9, version="v1"), segment("b", 20, version="v2"), segment("c", 30)]
+        for fitting, last, unfit in (("v1", 9, 2), ("v2", 20, 2), (None, 30, 2), ("v3", 0, 3)):
+            with self.subTest(fitting):
+                saved = assemble(records, lambda version, only=fitting: version == only)
+                self.assertEqual(saved.unfit, unfit)
+                self.assertEqual(saved.items[0].last_event_id if saved.items else 0, last)
+                self.assertEqual(saved.items[0].version if saved.items else fitting, fitting)
+
+    def test_a_chain_ends_where_the_version_changes(self):
+        records = []
+        for number, version in enumerate(("v1", "v2")):
+            key, value = self.segment("a", number, number * 9, number * 9 + 9)
+            message = gateway.ItemProgress().parse(value)
+            message.engine_version, message.has_version = version, True
+            records.append((key, bytes(message)))
+        self.assertEqual(assemble(records).items[0].last_event_id, 9)
+
     def test_unreadable_segments_are_ignored(self):
         records = [("j/x/a/0", b""), ("j", b""), (segment_key("j", 0, "a", 0), b"\xff\xff")]
         saved = assemble(records)
