A request keeps its identity when its client takes the stream up

Resumes names an attempt, so each take-up of a fatal request had other headers: a new variant, which the quarantine lets run alone once more.

Test: failed before (the variants differed), passes now.

--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -101,7 +101,7 @@
         self, tenant: str, host: str, method: str, target: str, body: bytes, headers: Headers
     ) -> RequestIdentity:
         """See `Dialect`."""
-        excluded = (*_NOT_FORWARDED, REQUEST_ID.lower(), "host")
+        excluded = (*_NOT_FORWARDED, REQUEST_ID.lower(), RESUMES.lower(), "host")
         kept = [
             (_normalize_name(name), value)
             for name, value in headers
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -49,6 +49,10 @@
         }
         return PlatformDialect().identify("", "h", "POST", "/a", b"body", list(headers.items()))
 
+    def test_a_stream_taken_up_is_the_same_request(self):
+        taken_up = self.identity(**{"Last-Event-Id": "3", "Resumes": "r1", "Request-Id": "2"})
+        self.assertEqual(taken_up, self.identity())
+
     def test_what_changes_each_time_does_not_count(self):
         changed = {
             "Request-Id": "2",
