A stream that a client takes up goes on at the version that began it, or is refused

Callers whose node was lost took their stream up at another one, which sent it to an engine of any version. The node knew nothing of the first attempt; what the client names in Resumes was not read.

The node that begins a stream tells three owners of it (rendezvous hashing; two in its zone, one in another) which version brought the first event, by a hash of tenant, service and attempt. The node that takes it up asks up to twelve. While one version only has been listed for ten minutes and the directory is up to date, nothing is told, and that version is the answer; a node asks its peers first, so that one which is behind doesn't take an old list for the present one. Versions are recorded in the store, one record each, for a fleet that is lost as a whole. Who can't learn the version refuses at once: 503, not run, Retry-After 0.2 s (233). A request that is bound to a version is judged by the room at its engines and doesn't queue behind requests that any engine may run; without an engine of its version it is refused at once.

Weighed: k owners by the attempt's id against the store (26,000 appends a second), against asking all nodes (380 calls for each), and against a version worked out from the id (nodes see versions change at different moments). Telling only while it is needed costs a fleet of one version nothing; what was begun before is told when it begins to be.

--- a/postvalve/core/membership/extensions.py
+++ b/postvalve/core/membership/extensions.py
@@ -30,16 +30,20 @@
 
 
 class Feature(enum.IntFlag):
-    """Features that need several nodes. They are used only while all known nodes support them."""
+    """Features that need several nodes. Unless stated otherwise, they are used only while all known
+    nodes support them."""
 
     NONE = 0
     LINE = 1
     """Requests waiting at several nodes share one queue: see `core/scheduling/line`."""
     BATCH_SHARES = 2
     """Batch items are started and preempted by tenant shares: see `core/batch/item_shares`."""
+    STREAM_ORIGINS = 4
+    """Nodes tell each other which engine version began a stream: see
+    `core/routing/stream_origins`. It is used among the nodes that support it, however few."""
 
 
-OWN_FEATURES = Feature.LINE | Feature.BATCH_SHARES
+OWN_FEATURES = Feature.LINE | Feature.BATCH_SHARES | Feature.STREAM_ORIGINS
 """Features that this build supports. A new feature is added together with the code that implements
 it."""
 
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -66,6 +66,8 @@
     CREDIT_NOT_TOLD = (228, "info", "peer did not answer whether a tenant has credit")
     REQUEST_UNROUTED = (229, "info", "request not run: no route matches")
     STREAM_TAKEN_UP = (231, "info", "client takes up a stream that an earlier attempt began")
+    STREAM_VERSION_FOUND = (232, "info", "engine version of a stream taken up is known")
+    STREAM_UNKNOWN = (233, "info", "stream not taken up, not run: its engine version is not known")
     LINE_SILENT = (240, "info", "coordinator of a zone queue does not answer")
     LINE_ANSWERS = (241, "info", "coordinator of a zone queue answers again")
     LINE_GRANTED = (242, "debug", "slots granted to requests queued at a node")
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -138,6 +138,12 @@
     """No route matches, but this node may have missed a change of the routes."""
 
 
+class StreamVersionUnknownError(RefusedError):
+    """A client takes up a stream, and no node knows which engine version began it."""
+
+    code = "stream_version_unknown"
+
+
 class StoreUnreachableError(RefusedError):
     """The request needs the store, which cannot be reached; it had no effect."""
 
--- a/postvalve/gateway/fleet/load_reports.py
+++ b/postvalve/gateway/fleet/load_reports.py
@@ -107,6 +107,7 @@
         )
         self.on_queue_state: Callable[[gateway.LineState, str], None] = lambda msg, address: None
         self.on_queue_grant: Callable[[gateway.LineGrant, str], None] = lambda msg, address: None
+        self.on_origins: Callable[[gateway.StreamOrigins, str], None] = lambda msg, address: None
         self._fleet.on_change = self._changed.set
 
     def schedule_report(self) -> None:
@@ -252,6 +253,10 @@
     def _(self, msg: gateway.QuarantineNews, address: str) -> None:
         self.on_quarantine_update(msg, address)
 
+    @_handle.register
+    def _(self, msg: gateway.StreamOrigins, address: str) -> None:
+        self.on_origins(msg, address)
+
     @_handle.register
     def _(self, msg: gateway.GiveWay, address: str) -> None:
         self.watch.on_preempt(msg.engine, msg.urgency)
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -22,6 +22,7 @@
 from postvalve.core.membership.peers import PeerView
 from postvalve.core.membership.zone_digest import ZoneDigest
 from postvalve.core.routing.route_table import RouteTable
+from postvalve.core.routing.version_history import VersionHistory
 from postvalve.core.serving.client_buffer import MemoryBudget
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
@@ -32,6 +33,8 @@
 from postvalve.gateway.fleet.node_directory import NodeDirectory
 from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.gateway.fleet.quarantine_gossip import QuarantineGossip
+from postvalve.gateway.fleet.stream_versions import StreamVersions
+from postvalve.gateway.fleet.version_records import VersionRecords
 from postvalve.gateway.interfaces import (
     Dialect,
     GatewaySettings,
@@ -169,6 +172,9 @@
         self._reports = LoadReports(peer_services)
         self._quarantine = Quarantine(f"{settings.node_id} {self._identity.incarnation}")
         self._quarantine_gossip = QuarantineGossip(peer_services, topics, self._quarantine)
+        history = VersionHistory(clock.monotonic())
+        self._stream_versions = StreamVersions(peer_services, history)
+        self._version_records = VersionRecords(peer_services, topics, history)
         self._ends = EndWriter(self._log, events, settings.call_bytes, short_id)
         self._progress = ProgressLog(
             settings.node_id,
@@ -227,6 +233,7 @@
                 admission_queue,
                 self._quarantine,
                 self._limits,
+                self._stream_versions,
             ),
             platform.job_calls(self._jobs),
             lambda: self.configuration.table,
@@ -270,6 +277,7 @@
         self._reports.extensions[Extension.SHARE_CLOCK] = self._shares.pack
         self._reports.enable_pace_reports()
         self._reports.on_quarantine_update = self._quarantine_gossip.receive
+        self._reports.on_origins = self._stream_versions.receive
         self._quarantine_gossip.on_learned = self._update_usable
         self._topics.on_change = self._reports.schedule_report
         self._topics.on_answered = self._store_answered
@@ -288,6 +296,8 @@
         self._quarantine.confirm_alive(self._fleet.is_listed, known_at)
         self._quarantine_gossip.check_connectivity()
         self._limits.update_view()
+        self._stream_versions.refresh()
+        self._version_records.refresh()
         self._feature_status.update()
 
     def _nodes_changed(self) -> None:
@@ -338,6 +348,8 @@
             self._nodes.announce,
             self._quarantine_gossip.learn,
             self._quarantine_gossip.run,
+            self._stream_versions.run,
+            self._version_records.load,
             self._follow_jobs,
             self._housekeeping,
             self._purge_jobs,
@@ -405,6 +417,7 @@
             "builds": self._feature_status.fields(),
             "line": self._shares.fields() | self._zone_queue.fields(),
             "readers": self.slow_clients.rows(),
+            "streams": self._stream_versions.fields(),
         }
 
     def _metrics_response(self, path: str) -> tuple[str, bytes]:
@@ -430,6 +443,8 @@
             return self._quarantine_gossip.reply()
         if isinstance(message, gateway.CreditAsk):
             return self._limits.reply(message)
+        if isinstance(message, gateway.OriginAsk):
+            return self._stream_versions.reply(message)
         return self._relay.serve(message)
 
     # Changes read from the store
@@ -440,6 +455,7 @@
             follower.record_answer_elsewhere()
 
     def _directory_changed(self) -> None:
+        self._stream_versions.observe_directory()
         self._update_usable()
         self._runner.wake()
 
--- a/postvalve/gateway/serving/admission_queue.py
+++ b/postvalve/gateway/serving/admission_queue.py
@@ -68,6 +68,8 @@
     disconnected: Callable[[], bool]
     tenant: str = ""
     """The tenant that sent it; empty for anonymous requests."""
+    version: str | None = None
+    """Version of the engines that may run it; None for any."""
     decided: AsyncResult = field(default_factory=AsyncResult)
 
 
@@ -137,6 +139,7 @@
         disconnected: Callable[[], bool],
         tenant: str = "",
         tag: float | None = None,
+        version: str | None = None,
     ) -> None:
         """Return when the request should be sent to an engine, or when its client has disconnected.
 
@@ -150,6 +153,8 @@
             disconnected: Tells whether the client has disconnected.
             tenant: The tenant that sent it; empty for anonymous requests.
             tag: Its start tag; None where tenants have no shares.
+            version: Version of the engines that may run it; None for any. Such a request does not
+                queue behind those that any engine may run, and is judged by its engines' load.
 
         Raises:
             RefusedError: no engine has capacity in time, and the client can retry.
@@ -162,30 +167,32 @@
             self._may_retry(route, terms, deadline - arrived_at),
         )
         place = QueuePosition(rank, arrived_at if tag is None else tag, deadline)
-        if self._fleet.has_capacity(service) and (tag is None or self._is_first(service, place)):
+        shared = tag is not None and version is None
+        if self._fleet.has_capacity(service, version) and (
+            not shared or self._is_first(service, place)
+        ):
             self._start(place, service, tag is not None)
             return
         number = next(self._numbers)
-        shared = tag is not None
         entry = _QueuedRequest(
-            terms.request_id, service, place, shared, number, pending, disconnected, tenant
+            terms.request_id, service, place, shared, number, pending, disconnected, tenant, version
         )
         action, occupancies = self._decide_on_arrival(entry)
         if action is AdmissionAction.HOLD:
             self._log(Event.ROUTED_REQUEST_HELD, entry, occupancies)
             action = self._wait(entry)
-            occupancies = self._fleet.occupancies(service)
+            occupancies = self._fleet.occupancies(service, version)
             if action is AdmissionAction.START:
                 self._log(Event.ROUTED_REQUEST_RELEASED, entry, occupancies)
         if action is AdmissionAction.REFUSE:
             raise self._refusal(entry, occupancies)
-        self._start(place, service, entry.shared)
+        self._start(place, service, tag is not None)
 
     def _decide_on_arrival(
         self, entry: _QueuedRequest
     ) -> tuple[AdmissionAction, list[EngineOccupancy]]:
         """Decide about a request that has just arrived."""
-        occupancies = self._fleet.occupancies(entry.service)
+        occupancies = self._fleet.occupancies(entry.service, entry.version)
         if not entry.shared:
             return self._decide_by_time(entry, occupancies), occupancies
         action = self._decide_by_position(entry, occupancies, self._ahead(entry))
@@ -224,7 +231,8 @@
     def _ahead(self, entry: _QueuedRequest) -> int:
         """Return how many requests of all nodes go before one, as far as this node knows."""
         own = sum(
-            one.service == entry.service and one.place < entry.place for one in self._undecided()
+            one.shared and one.service == entry.service and one.place < entry.place
+            for one in self._undecided()
         )
         return self._ahead_of(entry, own, self.peer_queue_heads.for_service(entry.service))
 
@@ -293,18 +301,17 @@
 
     def _reevaluate(self) -> None:
         """Decide about all queued requests, in their order."""
-        queues: dict[str, _Queue] = {}
+        queues: dict[tuple[str, str | None], _Queue] = {}
         waiting = sorted(self._waiting, key=_place_of)
         self._report_queue(waiting)
         for entry in waiting:
             if entry.decided.ready():
                 continue
-            if entry.service not in queues:
-                occupancies = self._fleet.occupancies(entry.service)
-                queues[entry.service] = _Queue(
-                    occupancies, self.peer_queue_heads.for_service(entry.service)
-                )
-            queue = queues[entry.service]
+            key = (entry.service, entry.version)
+            if key not in queues:
+                occupancies = self._fleet.occupancies(*key)
+                queues[key] = _Queue(occupancies, self.peer_queue_heads.for_service(entry.service))
+            queue = queues[key]
             action = (
                 self._evaluate_with_shares(entry, queue)
                 if entry.shared
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -11,6 +11,7 @@
 from postvalve.core.admission.callers import Caller
 from postvalve.core.admission.quarantine import Quarantine
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.routing.stream_origins import MAX_TIME
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import (
     AttemptError,
@@ -27,6 +28,7 @@
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.load_reading import read_load
 from postvalve.gateway.fleet.placement import Placement
+from postvalve.gateway.fleet.stream_versions import StreamVersions, TakenUpStream
 from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.admission_queue import AdmissionQueue
@@ -105,6 +107,7 @@
     admission_queue: AdmissionQueue
     quarantine: Quarantine
     limits: TenantCredit
+    stream_versions: StreamVersions
 
 
 class RoutedRun:
@@ -168,6 +171,7 @@
         self._log_taken_up()
         try:
             self._guard.check()
+            self._find_version()
             tag = self._acquire_credit()
             self._services.admission_queue.admit(
                 request.route,
@@ -179,6 +183,7 @@
                 lambda: self._client_disconnected,
                 request.caller.name,
                 tag,
+                self._progress.version,
             )
             return self._attempt_until_answered()
         except PostvalveError as error:
@@ -195,6 +200,41 @@
                 after_event=terms.last_event_id,
             )
 
+    def _find_version(self) -> None:
+        """Find which engines may go on with a stream that the client takes up.
+
+        Raises:
+            StreamVersionUnknownError: No node knows which version began it.
+            RefusedError: No engine of that version is left.
+        """
+        request, terms = self._request, self._request.terms
+        if terms.last_event_id is None or request.route.repeat is not RepeatPolicy.RESUMABLE:
+            return
+        version = self._services.stream_versions.find(
+            TakenUpStream(
+                request.caller.name,
+                request.service,
+                terms.begun_as,
+                terms.request_id,
+                self._client_seconds_left,
+            )
+        )
+        if version is None:
+            raise RefusedError(
+                "no engine of the version that began this stream is left",
+                retry_after=OVERLOAD_RETRY_AFTER,
+            )
+        self._progress.version = version
+
+    @property
+    def _client_seconds_left(self) -> float:
+        """Seconds until the client gives up, with all its attempts."""
+        request = self._request
+        allowed = request.terms.allowed
+        if allowed is None:
+            return MAX_TIME
+        return max(0.0, request.arrived_at + allowed - self._clock.monotonic())
+
     def _acquire_credit(self) -> float | None:
         """Check the tenant's rate limit.
 
@@ -525,8 +565,18 @@
 
     def _bind_version(self) -> None:
         """Let only engines of the present version go on: the output of others does not fit."""
-        if self._progress.version is None and self._placement is not None:
-            self._progress.version = self._placement.engine.version
+        if self._progress.version is not None or self._placement is None:
+            return
+        request = self._request
+        self._progress.version = version = self._placement.engine.version
+        if request.route.repeat is RepeatPolicy.RESUMABLE:
+            self._services.stream_versions.record(
+                request.caller.name,
+                request.service,
+                request.terms.request_id,
+                version,
+                self._client_seconds_left,
+            )
 
     def _resume(self, error: AttemptError) -> None:
         self._progress.runs -= 1  # counted when its response headers arrived
--- a/postvalve/messages/framing.py
+++ b/postvalve/messages/framing.py
@@ -63,6 +63,9 @@
     gateway.CreditReply,
     gateway.LineState,
     gateway.LineGrant,
+    gateway.StreamOrigins,
+    gateway.OriginAsk,
+    gateway.OriginReply,
 )
 """Message types by kind. The index is the kind on the wire, so new types are appended at the end
 and none is removed."""
--- a/tests/test_engine_versions.py
+++ b/tests/test_engine_versions.py
@@ -6,14 +6,18 @@
 
 import unittest
 from time import monotonic
+from unittest import mock
 
 import gevent
 
+from postvalve.core.routing.stream_origins import version_hash
+from postvalve.gateway.fleet.stream_owners import NEAR_ASKED
+from postvalve.gateway.fleet.version_records import VERSION_TOPIC, VersionRecords
 from postvalve.gateway.interfaces import KeyedRecord
 from postvalve.gateway.jobs.item_progress import PROGRESS_TOPIC
 from postvalve.platform.fleet import DIRECTORY_TOPIC
 from tests.gateway_support import STREAM_PATH, GatewayFleet
-from tests.stand_in_engine import Behaviour
+from tests.stand_in_engine import SERVICE, Behaviour, StandInEngine
 from tests.test_gateway_jobs import JobCase, whole_text
 from tests.waiting import wait_until
 
@@ -130,3 +134,159 @@
         runs = self.versions_run()
         self.assertIn(True, [last is not None for some in runs.values() for _, last in some])
         self.assert_no_item_continues_at_another_version()
+
+
+class TakenUpStreamTest(unittest.TestCase):
+    """Clients took streams up at other nodes, which sent them to engines of any version."""
+
+    def start(self, *versions, nodes=3):
+        fleet = self.fleet = GatewayFleet(nodes=nodes, engines=len(versions), versions=versions)
+        self.addCleanup(fleet.stop)
+        for engine in fleet.engines:
+            engine.default_behaviour = Behaviour(events=6, pause=0.05)
+        wait_until(lambda: all(self.knows_peers(node, nodes - 1) for node in fleet.nodes.values()))
+
+    @staticmethod
+    def knows_peers(node, count):
+        ring = node._stream_versions._ring
+        ring.refresh()
+        return len(ring.of(b"x").asked) == min(count, NEAR_ASKED)
+
+    def begin(self, node, request_id, events=2, headers=()):
+        """Read some events of a stream; return its connection and the version that began it."""
+        connection = self.fleet.open(node, STREAM_PATH + "x", request_id=request_id)
+        data = b""
+        while data.count(b"\nid: ") + data.count(b"\r\nid: ") < events:
+            data += connection.recv(65536)
+        version = next(one.version for one in self.fleet.engines if self.ran(one, request_id))
+        return connection, version
+
+    @staticmethod
+    def ran(engine, request_id):
+        return any(one == request_id for one, _ in engine.runs)
+
+    def take_up(self, node, request_id, begun_as, after=2, headers=()):
+        """Take a stream up; return the answer and the versions that ran it."""
+        named = [("Resumes", begun_as)] if begun_as is not None else []
+        headers = [("Last-Event-Id", str(after)), *named, *headers]
+        answer = self.fleet.request(node, STREAM_PATH + "x", headers=headers, request_id=request_id)
+        return answer, {one.version for one in self.fleet.engines if self.ran(one, request_id)}
+
+    def assert_unknown(self, answer, ran):
+        self.assertEqual((answer.status, ran), (503, set()))
+        self.assertIn("retry-after", answer.headers)
+        self.assertIn(b"which engine version", answer.body)
+
+    def test_stream_of_a_dead_node_goes_on_at_the_version_that_began_it(self):
+        self.start("v1", "v2", "v1", "v2", nodes=5)
+        begun = {f"r{number}": self.begin("n0", f"r{number}") for number in range(8)}
+        self.assertEqual({version for _, version in begun.values()}, {"v1", "v2"})
+        gevent.sleep(0.1)
+        self.fleet.kill("n0")
+        for number, (request_id, (connection, version)) in enumerate(begun.items()):
+            connection.close()
+            answer, ran = self.take_up(f"n{1 + number % 4}", f"again-{request_id}", request_id)
+            self.assertEqual((answer.status, answer.whole, ran), (200, True, {version}))
+
+    def test_stream_may_be_taken_up_several_times(self):
+        self.start("v1", "v2")
+        connection, version = self.begin("n0", "r")
+        connection.close()
+        for number, node in enumerate(("n1", "n2", "n1")):
+            answer, ran = self.take_up(node, f"try-{number}", "r")
+            self.assertEqual((answer.status, ran), (200, {version}))
+
+    def test_stream_that_no_node_knows_is_refused(self):
+        self.start("v1", "v2")
+        for begun_as in ("unknown", "", None, "x" * 8000):
+            with self.subTest(begun_as):
+                self.assert_unknown(*self.take_up("n1", f"try-{begun_as}"[:40], begun_as))
+
+    def test_only_version_needs_no_name(self):
+        self.start("v1", "v1")
+        for begun_as in ("unknown", "", None):
+            with self.subTest(begun_as):
+                answer, ran = self.take_up("n1", f"try-{begun_as}", begun_as)
+                self.assertEqual((answer.status, answer.whole, ran), (200, True, {"v1"}))
+
+    def test_streams_from_before_the_second_version_are_known(self):
+        self.start("v1")
+        connection, _ = self.begin("n0", "r")
+        newer = StandInEngine("e9", version="v2")
+        self.addCleanup(newer.stop)
+        self.fleet.engines.append(newer)
+        self.fleet.list_engine(newer)
+        wait_until(lambda: len(self.fleet.nodes["n1"]._fleet.listed_engines()) == 2)
+        wait_until(lambda: len(self.fleet.nodes["n0"]._fleet.listed_engines()) == 2)
+        gevent.sleep(0.1)
+        self.fleet.kill("n0")
+        connection.close()
+        answer, ran = self.take_up("n1", "again", "r")
+        self.assertEqual((answer.status, ran), (200, {"v1"}))
+
+    def test_version_that_has_gone_is_refused_at_once(self):
+        self.start("v1", "v2")
+        connection, version = self.begin("n0", "r")
+        connection.close()
+        for node in self.fleet.nodes.values():
+            node._fleet.directory_unsettled = lambda: False
+        gone = next(one for one in self.fleet.engines if one.version == version)
+        self.fleet.topics.append(DIRECTORY_TOPIC, 0, [KeyedRecord(gone.engine_id, b"")])
+        wait_until(lambda: len(self.fleet.nodes["n1"]._fleet.listed_engines()) == 1)
+        started = monotonic()
+        answer, ran = self.take_up("n1", "again", "r")
+        self.assertLess(monotonic() - started, 0.5)
+        self.assertEqual((answer.status, ran), (503, set()))
+
+    def test_version_that_has_gone_may_still_have_begun_streams(self):
+        self.start("v1", "v2")
+        gone = self.fleet.engines[0]
+        self.fleet.topics.append(DIRECTORY_TOPIC, 0, [KeyedRecord(gone.engine_id, b"")])
+        wait_until(lambda: len(self.fleet.nodes["n1"]._fleet.listed_engines()) == 1)
+        self.assert_unknown(*self.take_up("n1", "try", "unknown"))
+
+    def test_fleet_that_was_lost_knows_which_versions_there_were(self):
+        self.start("v1", "v2")
+        wait_until(lambda: self.fleet.topics.partition(VERSION_TOPIC, 0).log)
+        gevent.sleep(1.0)
+        gone = self.fleet.engines[0]
+        for name in list(self.fleet.nodes):
+            self.fleet.kill(name)
+        self.fleet.topics.append(DIRECTORY_TOPIC, 0, [KeyedRecord(gone.engine_id, b"")])
+        node = self.fleet.start_node("n5")
+        wait_until(lambda: node.ready)
+        self.assert_unknown(*self.take_up("n5", "try", "unknown"))
+
+    def test_starting_node_that_read_no_records_refuses(self):
+        self.start("v1", nodes=1)
+        self.fleet.kill("n0")
+        with mock.patch.object(VersionRecords, "load"):
+            node = self.fleet.start_node("n5")
+            wait_until(lambda: node.ready)
+            self.assert_unknown(*self.take_up("n5", "try", "unknown"))
+
+    def test_second_version_that_only_a_peer_knows_counts(self):
+        self.start("v1", nodes=2)
+        version = version_hash("v2")
+        self.fleet.nodes["n0"]._stream_versions._history.record_earlier(
+            SERVICE, version, monotonic()
+        )
+        self.assert_unknown(*self.take_up("n1", "try", "unknown"))
+
+    def test_other_tenants_learn_nothing(self):
+        self.start("v1", "v2")
+        tenants = [{"name": name, "apiKeys": [f"key-{name}"]} for name in ("ann", "bob")]
+        self.fleet.configure(tenants=tenants)
+        wait_until(lambda: all(one.configuration.revision == 4 for one in self.nodes()))
+        connection = self.fleet.open(
+            "n0", STREAM_PATH + "x", headers=[("Api-Key", "key-ann")], request_id="r"
+        )
+        wait_until(lambda: self.fleet.engines[0].runs or self.fleet.engines[1].runs)
+        gevent.sleep(0.3)
+        connection.close()
+        self.assert_unknown(*self.take_up("n1", "b", "r", headers=[("Api-Key", "key-bob")]))
+        answer, _ = self.take_up("n1", "a", "r", headers=[("Api-Key", "key-ann")])
+        self.assertEqual(answer.status, 200)
+
+    def nodes(self):
+        return self.fleet.nodes.values()
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -278,8 +278,8 @@
         self.started, self.refused = [], []
         self.clock = mock.Mock(monotonic=lambda: self.now)
         self.fleet = mock.Mock(
-            occupancies=lambda service: [make_occupancy(self.online)],
-            has_capacity=lambda service: self.online < 8,
+            occupancies=lambda service, version=None: [make_occupancy(self.online)],
+            has_capacity=lambda service, version=None: self.online < 8,
             pace=lambda service: self.pace,
         )
         self.pace = trained()
--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -137,7 +137,7 @@
     def test_quarantine_is_checked_again_before_sending(self):
         identity, quarantine = RequestIdentity(b"0123456789abcdef", 1), Quarantine("n0")
 
-        def await_engines(service, patience):
+        def await_engines(service, patience, version):
             for number in range(MAX_CRASHES):
                 quarantine.record_end(identity, f"e{number}", 0.0, 0.0)
             return True
@@ -155,11 +155,13 @@
             admission_queue=mock.Mock(),
             quarantine=quarantine,
             limits=mock.Mock(),
+            stream_versions=mock.Mock(),
         )
         route = mock.Mock(target_latency=0.2, max_attempts=2)
         request = mock.Mock(
             method="POST", target="/x", body=b"", arrived_at=0.0, deadline=5.0, route=route
         )
+        request.terms.last_event_id = None
         pool.send_request.side_effect = AssertionError("it was sent")
         with self.assertRaises(QuarantinedError):
             RoutedRun(services, request).start()
