Soak with engines of two versions, and clients that take their streams up

Checked: no two versions in an answer, over a client's attempts, and for items; no event missing or twice; of 12 or more taken up at machines in touch at least half the share of new ones that begin goes on. Each check is shown to see its violation.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,8 +9,8 @@
 
 from tests.earlier_build import HistoryMissingError, check_out, production
 from tests.ports import restrict_ports
-from tests.soak import upgrade
-from tests.soak.faults import KINDS, REBORN_KINDS
+from tests.soak import upgrade, versions
+from tests.soak.faults import KINDS, REBORN_KINDS, VERSION_KINDS
 from tests.soak.fleet import ENGINES, NODES
 from tests.soak.whole_run import Soak
 
@@ -23,7 +23,14 @@
     parser.add_argument("--minutes", type=float, default=3.0)
     parser.add_argument("--seed", type=int, help="drawn at random, and printed, if not given")
     parser.add_argument(
-        "--faults", default=",".join(KINDS), help="kinds of faults, separated by commas"
+        "--faults",
+        default=",".join(kind for kind in KINDS if kind not in VERSION_KINDS),
+        help="kinds of faults, separated by commas",
+    )
+    parser.add_argument(
+        "--versions",
+        choices=("side-by-side", "released"),
+        help="engines of two versions, one of which may be replaced by a third meanwhile",
     )
     parser.add_argument("--keep", type=Path, help="folder for the logs if an invariant is violated")
     parser.add_argument(
@@ -50,6 +57,8 @@
     kinds = [kind for kind in arguments.faults.split(",") if kind]
     if arguments.upgrade:
         kinds = [kind for kind in kinds if kind in upgrade.KINDS]
+    if arguments.versions:
+        kinds = list(versions.KINDS)
     unknown = sorted(set(kinds) - KINDS.keys())
     if unknown or not kinds:
         parser.error(f"unknown faults {unknown}; known: {', '.join(KINDS)}")
@@ -78,6 +87,11 @@
         if arguments.upgrade:
             earlier = check_out(arguments.upgrade, trees.name)
             soak = upgrade.UpgradeSoak(seed, minutes * 60, kinds, folder, earlier=earlier, **sizes)
+        elif arguments.versions:
+            released = arguments.versions == "released"
+            soak = versions.VersionSoak(
+                seed, minutes * 60, kinds, folder, released=released, **sizes
+            )
         else:
             soak = Soak(seed, minutes * 60, kinds, folder, **sizes)
         invariants = soak.run()
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -15,6 +15,9 @@
 ONLINE = Behaviour(events=6, pause=0.03, head_delay=0.15)
 """Half of the run time passes before the head, so that faults also hit requests without events."""
 ITEM = Behaviour(events=40, pause=0.05)
+VERSIONED_MARK = "v-"
+"""Prefix of requests whose events tell the version of their engine."""
+VERSIONED = Behaviour(events=20, pause=0.06)
 LARGE_MARK = "l-"
 """Prefix of the ids of requests with large answers."""
 LARGE = Behaviour(events=40, pause=0.01, padding=8_000)
@@ -29,10 +32,17 @@
 class SoakEngine(StandInEngine):
     """Engine that runs up to `SLOTS` requests at once and queues the others in arrival order."""
 
-    def __init__(self, engine_id, port):
+    def __init__(self, engine_id, port, version):
         self._slots = BoundedSemaphore(SLOTS)
         self._items = 0
-        super().__init__(engine_id, port)
+        super().__init__(engine_id, port, version=version)
+
+    def event(self, request_id, number, padding):
+        """Build one event of an answer."""
+        event = super().event(request_id, number, padding)
+        if not request_id.startswith(VERSIONED_MARK):
+            return event
+        return event[:-1] + f"version: {self.version}\n\n".encode()
 
     def _answer(self, connection, behaviour, request_id, headers):
         is_item = request_id.startswith(ITEM_MARK)
@@ -62,6 +72,8 @@
     """Select the behaviour of an engine for a request by the prefix of its id."""
     if request_id.startswith(ITEM_MARK):
         return ITEM
+    if request_id.startswith(VERSIONED_MARK):
+        return VERSIONED
     return LARGE if request_id.startswith(LARGE_MARK) else ONLINE
 
 
@@ -74,8 +86,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("engine_id")
     parser.add_argument("port", type=int)
+    parser.add_argument("version", nargs="?", default="v1")
     arguments = parser.parse_args()
-    SoakEngine(arguments.engine_id, arguments.port)
+    SoakEngine(arguments.engine_id, arguments.port, arguments.version)
     gevent.wait()
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,6 +45,7 @@
     "stop_series": (2.0, 5.0),
     "hup_series": (1.0, 3.0),
     "config_storm": (1.0, 3.0),
+    "some_nodes_kill": (0.5, 1.5),
     "engine_reborn": (1.0, 2.0),
     "fatal_reborn": (9.0, 12.0),
 }
@@ -52,6 +53,8 @@
 REBORN_KINDS = frozenset(("engine_reborn", "fatal_reborn"))
 """Kinds after which engines restart under their former id. Seeds recorded earlier exclude them:
 more kinds would change what these seeds draw."""
+VERSION_KINDS = frozenset(("some_nodes_kill",))
+"""Kinds of the soak with two versions only, for the same reason."""
 
 
 @dataclass(frozen=True)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,8 @@
 from tests.stand_in_engine import SERVICE
 
 NODES, ENGINES = 4, 3
+SOME_NODES = (0.34, 0.6)
+"""Least and greatest share of the nodes that one fault kills."""
 MULTI_NODE_KINDS = frozenset(
     ("herd_kill", "roll", "hup_series", "stop_series", "fatal_request", "fatal_reborn")
 )
@@ -56,6 +58,12 @@
         self.store = Process("store", folder, ["tests.soak.store", str(self.store_port)])
         self._store_client = HTTPClient("127.0.0.1", port=self.store_port, concurrency=20)
         self.engines, self.nodes = [], []
+        self.versions = ["v1"] * engines
+        """Version of each engine."""
+        self.version_of_engine = {}
+        """Version of each engine that was listed, by id."""
+        self.kill_some = lambda share: []
+        """Function that kills a share of the nodes, and returns them."""
         self.first_build = CURRENT_BUILD
         """The build that nodes are first started from."""
         self.configures_tenants = True
@@ -70,7 +78,9 @@
     def start(self):
         self.store.start()
         self._wait_until(lambda: self.set_store_fault())
-        self.engines = [Engine(number, self.folder) for number in range(self._engine_count)]
+        self.engines = [
+            Engine(number, self.folder, version) for number, version in enumerate(self.versions)
+        ]
         for engine in self.engines:
             self.list_engine(engine)
         self.publish()
@@ -127,11 +137,12 @@
 
     def list_engine(self, engine, state="ready"):
         """Write an engine's entry to the directory topic."""
+        self.version_of_engine[engine.engine_id] = engine.version
         entry = {
             "service": SERVICE,
             "address": f"127.0.0.1:{engine.link.port}",
             "zone": zone_of(engine.number, self._engine_count),
-            "version": "v1",
+            "version": engine.version,
             "slots": engine.slots,
             "state": state,
             "coldRemainingMs": 0,
@@ -140,6 +151,14 @@
         }
         self._write(DIRECTORY_TOPIC, engine.engine_id, entry)
 
+    def run_records(self):
+        """Yield the records that engines wrote of their runs."""
+        for log in sorted(self.folder.glob("e*.log")):
+            for line in log.read_text(errors="replace").splitlines():
+                if line.startswith('{"run"'):
+                    with contextlib.suppress(ValueError):
+                        yield json.loads(line)
+
     def unlist_engine(self, engine_id):
         self._write(DIRECTORY_TOPIC, engine_id, None)
 
@@ -199,7 +218,8 @@
             target = "" if fault.kind != "store_cut" else node.name
         now = time.time()
         span = FaultSpan(fault.kind, target, now, now + fault.duration)
-        self.spans.append(span)
+        if fault.kind != "some_nodes_kill":  # which adds a span for each of its nodes
+            self.spans.append(span)
         getattr(self, f"_{fault.kind}")(node, engine, fault.duration)
         span.end = time.time()
 
@@ -208,6 +228,17 @@
         gevent.sleep(duration)
         node.process.start()
 
+    def _some_nodes_kill(self, node, engine, duration):
+        """Kill a third to 60% of the nodes at the same moment."""
+        share = SOME_NODES[0] + (duration % 1.0) * (SOME_NODES[1] - SOME_NODES[0])
+        nodes, started = self.kill_some(share), time.time()
+        for each in nodes:
+            each.process.kill()
+            self.spans.append(FaultSpan("node_kill", each.name, started, started + duration))
+        gevent.sleep(duration)
+        for each in nodes:
+            each.process.start()
+
     def _herd_kill(self, node, engine, duration):
         for each in self.nodes:
             each.process.kill()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -129,9 +129,11 @@
     module = "tests.soak.engine"
     slots = 4
 
-    def __init__(self, number, folder):
+    def __init__(self, number, folder, version="v1"):
         self.number = number
         self.folder = folder
+        self.version = version
+        """Version of its next life."""
         self.life_number = 0
         self.start()
 
@@ -148,6 +150,6 @@
         self.born = int(time.time() * 1000)
         self.port = free_port()
         self.link = Proxy(self.port)
-        arguments = [self.module, self.engine_id, str(self.port)]
+        arguments = [self.module, self.engine_id, str(self.port), self.version]
         self.process = Process(self.engine_id, self.folder, arguments)
         self.process.start()
--- /dev/null
+++ b/tests/soak/versions.py
@@ -0,0 +1,308 @@
+"""Soak with engines of two versions: streams break off, and clients take them up at other nodes.
+
+Each event tells the version of its engine. No stream may hold events of two, in one answer or over
+its client's attempts, and of those taken up about as many must go on as new ones begin.
+"""
+
+import contextlib
+import itertools
+import random
+import re
+import signal
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+
+from tests.answers import parse_answer
+from tests.gateway_support import HOST, STREAM_PATH
+from tests.soak.engine import ITEM_MARK, VERSIONED, VERSIONED_MARK
+from tests.soak.fleet import DRAIN_TIME, ENGINES, NODES
+from tests.soak.whole_run import Soak
+
+VERSIONS = ("v1", "v2")
+NEXT_VERSION = "v3"
+"""Version that replaces the first one if engines are released meanwhile."""
+KINDS = (
+    *("node_kill",) * 2,
+    *("some_nodes_kill",) * 6,
+    *("engine_kill",) * 3,
+    "node_stop",
+    "node_suspend",
+    "engine_reborn",
+    "link_reset",
+    "link_hold",
+    "store_down",
+    "store_cut",
+    "store_silent",
+    "config_storm",
+    "roll",
+)
+"""Kinds of faults that are injected; those that break streams off are drawn more often."""
+STREAM_RATE = 1.3
+"""Streams per second for each engine."""
+DEADLINE = 5.0
+"""Seconds for which a client waits, with all its attempts."""
+MAX_ATTEMPTS = 4
+RECONNECT_DELAY = 0.05
+"""Seconds after a broken connection before a client takes its stream up."""
+RELEASE_INTERVAL = 2.0
+"""Seconds between the replacements of two engines."""
+MIN_TAKEN_UP = 12
+"""Streams taken up from which the share of those that go on counts."""
+MIN_RELATIVE_SHARE = 0.5
+"""Share of the streams taken up that must go on, relative to that of new ones that begin."""
+IN_TOUCH_TIME = 3.0
+"""Seconds without a fault from which a node counts."""
+_EVENT = re.compile(rb"id: (\d+)\ndata: [^\n]*\nversion: ([^\n]*)\n\n")
+
+
+@dataclass
+class Attempt:
+    """One attempt of a client, and the events that it brought."""
+
+    request_id: str
+    node: str
+    sent_at: float
+    after: int = 0
+    status: int = 0
+    whole: bool = False
+    events: list = field(default_factory=list)
+    """Number and version of each complete event."""
+    begun_by: str = ""
+    """The version that the client has events of, if it takes the stream up."""
+
+
+@dataclass
+class Stream:
+    """A stream and all attempts of its client."""
+
+    attempts: list = field(default_factory=list)
+
+    @property
+    def events(self):
+        return [event for attempt in self.attempts for event in attempt.events]
+
+
+def read_events(body):
+    """Return number and version of each complete event of a body."""
+    return [(int(number), version.decode()) for number, version in _EVENT.findall(body)]
+
+
+class VersionChecks:
+    """Checks of streams against the rules; `invariants` records the results."""
+
+    def __init__(self, invariants):
+        self._invariants = invariants
+
+    def check_stream(self, stream):
+        """Check that a stream holds events of one version, each once and in order."""
+        versions = {version for _, version in stream.events}
+        detail = [(one.request_id, one.node, one.status, one.events) for one in stream.attempts]
+        for name, attempts in (
+            ("an answer holds one version", [[one] for one in stream.attempts]),
+            ("a client's attempts hold one version", [stream.attempts]),
+        ):
+            for some in attempts:
+                versions = {version for one in some for _, version in one.events}
+                self._invariants.check(name, len(versions) <= 1, detail)
+        numbers = [number for number, _ in stream.events]
+        whole = numbers == list(range(1, len(numbers) + 1))
+        self._invariants.check("a stream lacks and repeats no event", whole, detail)
+
+    def check_shares(self, streams, serving):
+        """Check that streams that are taken up go on about as often as new ones begin.
+
+        Args:
+            streams: All streams.
+            serving: Tells whether two engines of a version served at a time.
+        """
+        begun, taken_up = self.counts(streams, serving)
+        share = begun[True] / max(1, begun.total())
+        found = taken_up[True] / max(1, taken_up.total())
+        if taken_up.total() >= MIN_TAKEN_UP:
+            detail = f"{found:.3f} of {taken_up.total()}, new ones {share:.3f} of {begun.total()}"
+            passed = found >= share * MIN_RELATIVE_SHARE
+            self._invariants.check("streams taken up go on", passed, detail)
+
+    def counts(self, streams, serving):
+        """Return how many new attempts and how many that take a stream up brought an event."""
+        begun, taken_up = Counter(), Counter()
+        for stream in streams:
+            for attempt in stream.attempts:
+                if not self._is_in_touch(attempt):
+                    continue
+                has_events = bool(attempt.events)
+                if not attempt.after:
+                    begun[has_events] += 1
+                elif serving(attempt.begun_by, attempt.sent_at):
+                    taken_up[has_events] += 1
+        return begun, taken_up
+
+    def _is_in_touch(self, attempt):
+        return not any(
+            span.start <= attempt.sent_at <= span.end + IN_TOUCH_TIME
+            and span.target in ("", attempt.node)
+            and not span.kind.startswith(("engine", "link", "config"))
+            for span in self._invariants.spans
+        )
+
+    def check_items(self, runs, versions):
+        """Check that no item goes on at a version that has not begun it.
+
+        Args:
+            runs: Item id, engine and Last-Event-Id of each run, in order.
+            versions: Version of each engine.
+        """
+        begun = defaultdict(set)
+        for item, engine, after in runs:
+            version = versions[engine]
+            if after is None:
+                begun[item].add(version)
+            else:
+                detail = f"{item} after {after} at {version}, begun at {sorted(begun[item])}"
+                passed = version in begun[item]
+                self._invariants.check("an item goes on at its version", passed, detail)
+
+
+class VersionSoak(Soak):
+    """One run with engines of several versions."""
+
+    def __init__(
+        self, seed, seconds, kinds, folder, print_line=print, *,
+        nodes=NODES, engines=ENGINES, released=False,
+    ):  # fmt: skip
+        super().__init__(seed, seconds, kinds, folder, print_line, nodes=nodes, engines=engines)
+        self.released = released
+        """Whether the engines of the first version are replaced meanwhile."""
+        self._random = random.Random(f"{seed} versions")
+        self._numbers = itertools.count()
+        self.streams = []
+        self.checks = VersionChecks(self.invariants)
+        self._served = []
+        """Time, and number of engines of each version that serve from then on."""
+        fleet = self.fleet
+        fleet.versions = [VERSIONS[number % len(VERSIONS)] for number in range(engines)]
+        fleet.kill_some = self._kill_some
+
+    def run(self):
+        """Run the soak and check its streams and items."""
+        super().run()
+        for stream in self.streams:
+            self.checks.check_stream(stream)
+        self.checks.check_shares(self.streams, self._two_served)
+        runs = sorted(self._item_runs())
+        versions = self.fleet.version_of_engine
+        self.checks.check_items([run[1:] for run in runs if run[2] in versions], versions)
+        return self.invariants
+
+    def _item_runs(self):
+        for record in self.fleet.run_records():
+            if record["run"].startswith(ITEM_MARK):
+                yield record["at"], record["run"], record["engine"], record["after"]
+
+    def run_alongside(self):
+        """Send streams, and replace engines of the first version where that is asked for."""
+        sending = gevent.spawn(self._send_streams)
+        if self.released:
+            gevent.sleep(self.seconds / 3)
+            self._release()
+        deadline = time.monotonic() + self.seconds
+        while time.monotonic() < deadline and not self.clients.stopped:
+            gevent.sleep(0.2)
+        sending.kill()
+
+    def _release(self):
+        for number, version in enumerate(self.fleet.versions):
+            if version == VERSIONS[0]:
+                engine = self.fleet.engines[number]
+                former_id, process, link = engine.engine_id, engine.process, engine.link
+                self.fleet.versions[number] = engine.version = NEXT_VERSION
+                engine.start()
+                self.fleet.list_engine(engine)
+                self.fleet.unlist_engine(former_id)
+                gevent.spawn_later(DRAIN_TIME + 1.0, process.kill)
+                gevent.spawn_later(DRAIN_TIME + 1.0, link.stop)
+                gevent.sleep(RELEASE_INTERVAL)
+
+    def _two_served(self, version, at):
+        """Whether two engines of a version were listed and ran, with no fault of engines near."""
+        if self.fleet.versions.count(version) < 2:
+            return False
+        ended = sum(
+            span.kind.startswith(("engine", "link"))
+            and span.start - 1.0 <= at <= span.end + IN_TOUCH_TIME
+            and self.fleet.version_of_engine.get(span.target) == version
+            for span in self.invariants.spans
+        )
+        return self.fleet.versions.count(version) - ended >= 2
+
+    def _kill_some(self, share):
+        """Kill a share of the nodes at the same moment; returns them."""
+        nodes = self._random.sample(self.fleet.nodes, max(1, round(share * len(self.fleet.nodes))))
+        for node in nodes:
+            node.process.was_stopped = True
+            node.process.signal(signal.SIGKILL)
+        return nodes
+
+    def _send_streams(self):
+        while True:
+            gevent.spawn(self._run_stream)
+            gevent.sleep(self._random.expovariate(STREAM_RATE * len(self.fleet.engines)))
+
+    def _run_stream(self):
+        stream, deadline = Stream(), time.time() + DEADLINE
+        self.streams.append(stream)
+        first_id = ""
+        for _ in range(MAX_ATTEMPTS):
+            request_id = f"{VERSIONED_MARK}{next(self._numbers)}"
+            events = stream.events
+            attempt = Attempt(request_id, "", time.time(), events[-1][0] if events else 0)
+            attempt.begun_by = events[-1][1] if events else ""
+            stream.attempts.append(attempt)
+            retry_after = self._try(attempt, first_id, deadline)
+            if attempt.events and not first_id:
+                first_id = request_id
+            left = deadline - time.time()
+            if attempt.whole and attempt.status == 200 or left < 0.5:
+                return
+            gevent.sleep(min(retry_after, left / 3))
+
+    def _try(self, attempt, first_id, deadline):
+        """Make one attempt; returns the seconds after which to make the next."""
+        node = self.clients._random_node()
+        attempt.node = node.name
+        headers = [("Deadline-Ms", str(int((deadline - time.time()) * 1000)))]
+        if attempt.after:
+            headers += [("Last-Event-Id", str(attempt.after)), ("Resumes", first_id)]
+        lines = [f"POST {STREAM_PATH}v HTTP/1.1", f"Host: {HOST}"]
+        lines += [f"Request-Id: {attempt.request_id}", "Content-Length: 0", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        data = b""
+        with contextlib.suppress(OSError):
+            conn = socket.create_connection(("127.0.0.1", node.front), timeout=1.0)
+            with contextlib.closing(conn):
+                conn.settimeout(max(0.1, deadline - time.time()))
+                conn.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+                while part := conn.recv(65_536):
+                    data += part
+        answer = parse_answer(data)
+        attempt.status, attempt.whole = answer.status, answer.whole
+        if answer.status == 200:
+            attempt.events = read_events(answer.body)
+        return float(answer.headers.get("retry-after", RECONNECT_DELAY))
+
+    def report(self):
+        """Build the report of the run, with the counts of streams first."""
+        begun, taken_up = self.checks.counts(self.streams, self._two_served)
+        attempts = [one for stream in self.streams for one in stream.attempts]
+        all_taken_up = [one for one in attempts if one.after]
+        completed = sum(len(stream.events) == VERSIONED.events for stream in self.streams)
+        return (
+            f"versions {dict(Counter(self.fleet.versions))}, streams {len(self.streams)},"
+            f" completed {completed}, taken up {len(all_taken_up)}"
+            f" {dict(Counter(one.status for one in all_taken_up))};"
+            f" in touch: begun {dict(begun)}, taken up {dict(taken_up)}\n{super().report()}"
+        )
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -164,6 +164,10 @@
         finally:
             self.running -= 1
 
+    def event(self, request_id, number, padding):
+        """Build one event of an answer."""
+        return event_bytes(request_id, number, padding)
+
     def _answer(self, connection, behaviour, request_id, headers):
         gevent.sleep(behaviour.head_delay)
         answered_id = "other" if behaviour.wrong_request_id else request_id
@@ -184,7 +188,7 @@
             if behaviour.cut_after is not None and sent >= behaviour.cut_after:
                 connection.sendall(b"9\r\nid: 9")
                 return False
-            event = event_bytes(request_id, number, behaviour.padding)
+            event = self.event(request_id, number, behaviour.padding)
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             for piece in (chunk[:9], chunk[9:]) if behaviour.piecewise else (chunk,):
                 connection.sendall(piece)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
 from tests.soak.processes import Engine, Process
 from tests.soak.proxy import Proxy
 from tests.soak.tenants import TenantClients
+from tests.soak.versions import Attempt, Stream, VersionChecks, VersionSoak, read_events
 
 SHORT_SEED = 5
 SHORT_SECONDS = 20.0
@@ -401,6 +402,72 @@
         self.assertEqual(self.engine.engine_id, "e0-2")
 
 
+class VersionChecksTest(unittest.TestCase):
+    """The soak with two versions sees streams that are mixed, cut short, or turned away."""
+
+    def setUp(self):
+        self.invariants = InvariantChecker()
+        self.checks = VersionChecks(self.invariants)
+
+    def violations(self):
+        return [violation.partition(":")[0] for violation in self.invariants.violations]
+
+    @staticmethod
+    def attempt(*events, after=0, sent_at=1.0, begun_by=""):
+        return Attempt("v-1", "n0", sent_at, after, 200, True, list(events), begun_by)
+
+    def test_events_are_read_with_their_versions(self):
+        body = b"id: 1\ndata: v-1 part 1\nversion: v1\n\nid: 2\ndata: v-1 part 2\nversion: v"
+        self.assertEqual(read_events(body), [(1, "v1")])
+
+    def test_a_stream_of_one_version(self):
+        self.checks.check_stream(
+            Stream([self.attempt((1, "v1"), (2, "v1")), self.attempt((3, "v1"), after=2)])
+        )
+        self.assertEqual(self.violations(), [])
+
+    def test_two_versions_in_an_answer(self):
+        self.checks.check_stream(Stream([self.attempt((1, "v1"), (2, "v2"))]))
+        self.assertIn("an answer holds one version", self.violations())
+
+    def test_two_versions_over_attempts(self):
+        attempts = [self.attempt((1, "v1")), self.attempt((2, "v2"), after=1)]
+        self.checks.check_stream(Stream(attempts))
+        self.assertEqual(self.violations(), ["a client's attempts hold one version"])
+
+    def test_a_repeated_event(self):
+        attempts = [self.attempt((1, "v1")), self.attempt((1, "v1"), after=1)]
+        self.checks.check_stream(Stream(attempts))
+        self.assertEqual(self.violations(), ["a stream lacks and repeats no event"])
+
+    def test_too_few_streams_that_are_taken_up_go_on(self):
+        def streams(gone_on):
+            new = [Stream([self.attempt((1, "v1"))]) for _ in range(10)]
+            continued = [(2, "v1")]
+            return new + [
+                Stream([self.attempt(*(continued if one < gone_on else ()), after=1)])
+                for one in range(12)
+            ]
+
+        self.checks.check_shares(streams(6), lambda version, at: True)
+        self.assertEqual(self.violations(), [])
+        self.checks.check_shares(streams(5), lambda version, at: False)
+        self.assertEqual(self.violations(), [])
+        self.invariants.spans.append(FaultSpan("node_kill", "n0", 0.0, 0.5))
+        self.checks.check_shares(streams(5), lambda version, at: True)
+        self.assertEqual(self.violations(), [])
+        self.invariants.spans.clear()
+        self.checks.check_shares(streams(5), lambda version, at: True)
+        self.assertEqual(self.violations(), ["streams taken up go on"])
+
+    def test_an_item_at_another_version(self):
+        versions = {"e0": "v1", "e1": "v2"}
+        self.checks.check_items([("i", "e0", None), ("i", "e0", "3")], versions)
+        self.assertEqual(self.violations(), [])
+        self.checks.check_items([("i", "e0", None), ("i", "e1", "3")], versions)
+        self.assertEqual(self.violations(), ["an item goes on at its version"])
+
+
 class ShortRunTest(unittest.TestCase):
     def test_a_short_run_of_a_fixed_seed_passes(self):
         with separate_port_block(), tempfile.TemporaryDirectory() as folder:
@@ -421,6 +488,25 @@
             invariants.check_counts["whole answers, to one's own request"], 50, report
         )
 
+    def test_a_short_run_with_two_versions_passes(self):
+        kinds = ["some_nodes_kill"] * 3 + ["engine_kill"] * 2 + ["store_down"]
+        with separate_port_block(), tempfile.TemporaryDirectory() as folder:
+            soak = VersionSoak(
+                SHORT_SEED, SHORT_SECONDS, kinds, Path(folder), print_line=lambda line: None,
+                engines=4,
+            )  # fmt: skip
+            invariants = soak.run()
+            report = soak.report()
+        violations = [
+            violation
+            for violation in invariants.violations
+            if violation.partition(":")[0] not in TIME_BOUND_CHECKS
+        ]
+        self.assertEqual(violations, [], report)
+        self.assertGreater(
+            invariants.check_counts["a client's attempts hold one version"], 50, report
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
