A stream of a route to several services is taken up at the service that began it

Each attempt drew the service anew by weight: half of the streams of an even split went on at another service, and with several versions their version wasn't found, since the owners know a stream by its service. The draw is a hash of tenant and id of the attempt that began the stream, the same at all nodes; a request without an id is drawn as before. Weights keep their shares: 2,000 ids hit 0.1 within 0.02, as 2,000 random draws do.

The test of shares draws its fractions itself, and looks at ids too; its bound is as it was.

--- a/postvalve/core/routing/route_table.py
+++ b/postvalve/core/routing/route_table.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable, Sequence
 
+import xxhash
+
 from postvalve.core.admission.api_keys import find_by_key
-from postvalve.core.randomness import RandomSource
 from postvalve.settings.routes import (
     RoutedConfiguration,
     RoutedTenant,
@@ -92,11 +93,17 @@
     return aims
 
 
-def choose_target(targets: Sequence[WeightedService], generator: RandomSource) -> str:
-    """Draw a service at random, by weight."""
+def target_fraction(tenant: str, request_id: str) -> float:
+    """Return a number from 0 to 1 that is evenly distributed, and the same for one request at all
+    nodes."""
+    return xxhash.xxh3_64_intdigest(f"{tenant}\0{request_id}".encode()) / 2**64
+
+
+def choose_target(targets: Sequence[WeightedService], fraction: float) -> str:
+    """Choose a service by weight; `fraction`, from 0 to 1, is drawn for the request."""
     if len(targets) == 1:
         return targets[0].service
-    point = generator.uniform(0, sum(target.weight for target in targets))
+    point = fraction * sum(target.weight for target in targets)
     for target in targets:
         point -= target.weight
         if point < 0:
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -10,7 +10,7 @@
 from postvalve.clock import Clock
 from postvalve.core.admission.callers import Caller, KeyPolicy, identify_caller
 from postvalve.core.randomness import RandomSource
-from postvalve.core.routing.route_table import RouteTable, choose_target
+from postvalve.core.routing.route_table import RouteTable, choose_target, target_fraction
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import (
     AuthenticationError,
@@ -23,6 +23,7 @@
     Verdict,
 )
 from postvalve.gateway.engines.engine_connections import EngineAnswer
+from postvalve.gateway.interfaces import RequestTerms
 from postvalve.gateway.knowledge.state_age import StateAge
 from postvalve.gateway.serving.caller_accounts import CallerAccounts, RequestAccount
 from postvalve.gateway.serving.disconnect_watcher import DisconnectWatcher
@@ -278,7 +279,7 @@
         return RoutedRequest(
             terms=terms,
             route=route,
-            service=choose_target(route.targets, self._random),
+            service=choose_target(route.targets, self._target_fraction(terms, caller)),
             method=call.method,
             target=call.target,
             headers=call.headers,
@@ -291,6 +292,13 @@
             account=account,
         )
 
+    def _target_fraction(self, terms: RequestTerms, caller: Caller) -> float:
+        """Return what chooses among a route's services: for a stream, the attempt that began it."""
+        begun_as = terms.request_id if terms.last_event_id is None else terms.begun_as
+        if not begun_as:
+            return self._random.uniform(0, 1)
+        return target_fraction(caller.name, begun_as)
+
     def _relay(
         self, request: RoutedRequest, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterator[bytes]:
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -52,6 +52,7 @@
         self.engine_id = engine_id
         self.version = version
         """Version of its software; each event tells it."""
+        self.service = SERVICE
         self.born = born
         """Start time in milliseconds."""
         self.expected_id = engine_id
@@ -84,7 +85,7 @@
 
     def entry(self, state="ready", slots=4, zone="z"):
         return {
-            "service": SERVICE,
+            "service": self.service,
             "address": self.address,
             "zone": zone,
             "version": self.version,
--- a/tests/test_engine_versions.py
+++ b/tests/test_engine_versions.py
@@ -272,6 +272,26 @@
         )
         self.assert_unknown(*self.take_up("n1", "try", "unknown"))
 
+    def test_stream_of_a_route_to_two_services_goes_on_at_its_service(self):
+        self.start("v1", "v1")
+        first, second = self.fleet.engines
+        second.service = "t"
+        self.fleet.list_engine(second)
+        split = [{"service": SERVICE, "weight": 1}, {"service": "t", "weight": 1}]
+        self.fleet.configure(trafficSplit=split)
+        wait_until(lambda: all(one.configuration.revision == 4 for one in self.nodes()))
+        wait_until(lambda: all(len(one._fleet.engines("t")) == 1 for one in self.nodes()))
+        services = set()
+        for number in range(12):
+            request_id = f"r{number}"
+            self.begin("n0", request_id)[0].close()
+            engine = first if self.ran(first, request_id) else second
+            services.add(engine.service)
+            answer, _ = self.take_up(f"n{1 + number % 2}", f"again-{number}", request_id)
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(self.ran(engine, f"again-{number}"))
+        self.assertEqual(services, {SERVICE, "t"})
+
     def test_other_tenants_learn_nothing(self):
         self.start("v1", "v2")
         tenants = [{"name": name, "apiKeys": [f"key-{name}"]} for name in ("ann", "bob")]
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -18,7 +18,7 @@
     ReportSchedule,
 )
 from postvalve.core.routing.engine_choice import EngineChooser, EngineOption
-from postvalve.core.routing.route_table import RouteTable, choose_target
+from postvalve.core.routing.route_table import RouteTable, choose_target, target_fraction
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.interfaces import EngineEntry, EngineState
 from postvalve.settings.routes import (
@@ -60,8 +60,12 @@
     def test_shares_follow_weights(self):
         targets = (WeightedService(service="x", weight=9), WeightedService(service="y", weight=1))
         generator = random.Random(1)
-        drawn = [choose_target(targets, generator) for _ in range(2000)]
-        self.assertAlmostEqual(drawn.count("y") / 2000, 0.1, delta=0.02)
+        by_chance = [choose_target(targets, generator.uniform(0, 1)) for _ in range(2000)]
+        by_id = [choose_target(targets, target_fraction("t", f"{one:x}")) for one in range(2000)]
+        for drawn in (by_chance, by_id):
+            self.assertAlmostEqual(drawn.count("y") / 2000, 0.1, delta=0.02)
+        self.assertEqual(target_fraction("t", "r"), target_fraction("t", "r"))
+        self.assertNotEqual(target_fraction("t", "r"), target_fraction("u", "r"))
 
 
 class EngineUseTest(unittest.TestCase):
