--- a/postvalve/gateway/fleet/stream_versions.py
+++ b/postvalve/gateway/fleet/stream_versions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -167,7 +168,7 @@
 
     # Telling
 
-    def _report(self, reports: Any) -> None:
+    def _report(self, reports: Iterable[OriginReport]) -> None:
         for one in reports:
             for address in self._ring.of(one.stream).told:
                 self._unsent.setdefault(address, []).append(one)
@@ -278,12 +279,19 @@
         addresses = self._ring.of(stream).asked
         ask = gateway.OriginAsk(stream=stream, service=taken_up.service)
         timeout = min(LOOKUP_TIMEOUT, taken_up.seconds_left * LOOKUP_SHARE)
-        replies: Queue = Queue()
+        replies: Queue[gateway.OriginReply | None] = Queue()
+        """Replies of peers; None for each peer that did not answer."""
         for address in addresses:
             gevent.spawn(self._ask, address, ask, timeout, replies)
         return self._collect(replies, len(addresses), taken_up.service, timeout)
 
-    def _collect(self, replies: Queue, asked: int, service: str, timeout: float) -> _Knowledge:
+    def _collect(
+        self,
+        replies: Queue[gateway.OriginReply | None],
+        asked: int,
+        service: str,
+        timeout: float,
+    ) -> _Knowledge:
         """Read replies until one knows the stream, all have come, or the time is over."""
         started = self._clock.monotonic()
         versions = set(self._history.possible(service, started))
@@ -311,7 +319,13 @@
         only = next(iter(versions)) if is_only else None
         return _Knowledge(only, "only version", frozenset(versions), answers, asked)
 
-    def _ask(self, address: str, ask: gateway.OriginAsk, timeout: float, replies: Queue) -> None:
+    def _ask(
+        self,
+        address: str,
+        ask: gateway.OriginAsk,
+        timeout: float,
+        replies: Queue[gateway.OriginReply | None],
+    ) -> None:
         try:
             reply = self._services.transport.call(address, Channel.ADMISSION, ask, timeout)
         except PeerUnavailableError:
