--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -460,6 +460,12 @@
         self.checks.check_shares(streams(5), lambda version, at: True)
         self.assertEqual(self.violations(), ["streams taken up go on"])
 
+    def test_a_stream_that_is_refused_several_times_counts_once(self):
+        refused = self.attempt(after=1)
+        streams = [Stream([self.attempt((1, "v1")), refused, refused, refused])]
+        begun, taken_up = self.checks.counts(streams, lambda version, at: True)
+        self.assertEqual((begun, taken_up), ({True: 1}, {False: 1}))
+
     def test_an_item_at_another_version(self):
         versions = {"e0": "v1", "e1": "v2"}
         self.checks.check_items([("i", "e0", None), ("i", "e0", "3")], versions)
