--- a/tests/test_engine_versions.py
+++ b/tests/test_engine_versions.py
@@ -14,7 +14,9 @@
 from postvalve.gateway.fleet.stream_owners import NEAR_ASKED
 from postvalve.gateway.fleet.version_records import VERSION_TOPIC, VersionRecords
 from postvalve.gateway.interfaces import KeyedRecord
+from postvalve.gateway.jobs import item_progress
 from postvalve.gateway.jobs.item_progress import PROGRESS_TOPIC
+from postvalve.messages.generated import gateway
 from postvalve.platform.fleet import DIRECTORY_TOPIC
 from tests.gateway_support import STREAM_PATH, GatewayFleet
 from tests.stand_in_engine import SERVICE, Behaviour, StandInEngine
@@ -136,6 +138,34 @@
         self.assert_no_item_continues_at_another_version()
 
 
+class EarlierBuildsItemTest(ItemCase):
+    """A build that tells no version with saved progress may have mixed the text already."""
+
+    nodes = 3
+
+    def test_progress_without_a_version_is_not_continued(self):
+        def untold(**fields):
+            fields.pop("engine_version", None)
+            fields.pop("has_version", None)
+            return gateway.ItemProgress(**fields)
+
+        self.usual(pause=0.02, events=200)
+        with mock.patch.object(item_progress, "gateway", mock.Mock(ItemProgress=untold)):
+            self.submit("n0", "j", items=3)
+            saved = self.fleet.topics
+            wait_until(
+                lambda: (
+                    sum(len(saved.partition(PROGRESS_TOPIC, part).log) for part in range(2)) >= 3
+                )
+            )
+            self.fleet.kill("n0")
+        self.usual(events=200)
+        for result in self.results("n1", "j", 3):
+            self.assertEqual(result["text"], whole_text(result["id"], 200))
+        lasts = {last for runs in self.versions_run().values() for _, last in runs}
+        self.assertEqual(lasts, {None})
+
+
 class TakenUpStreamTest(unittest.TestCase):
     """Clients took streams up at other nodes, which sent them to engines of any version."""
 
