review: case 1, after a few crashes of workers the items of batch jobs are left lying

Workers crash by the clock; the quarantine of prompt parts then convicts innocent parts, and keeps all items with them from all workers for 60 s and more.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,8 +1,9 @@
-"""A late second copy of a 421 arrives where the answer to the next request is due."""
+"""Workers crash in quick succession; after that the items of a batch job are left lying."""
 
 import asyncio
+import base64
+import json
 import sys
-from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,107 +11,155 @@
 
 from support.case import main  # noqa: E402
 from support.deployment import CannotRunError, Deployment  # noqa: E402
-from support.http import Message, call, pack_answer  # noqa: E402
+from support.http import Message, call  # noqa: E402
 from support.record import has_trouble  # noqa: E402
-from support.worker import Worker, answer_headers  # noqa: E402
-
-REUSE_AFTER = 2.0
-"""Seconds after which a worker of another service may get an address (`reuseAfterS`)."""
-SURPLUS_DELAY = 0.6
-"""Seconds after its 421 at which the faulty worker sends it once more."""
-RUN_SECONDS = 0.8
-REQUESTS = 8
+from support.worker import Worker, stream_events  # noqa: E402
+
 HOST = "host-1.example"
+JOB = "7c41e09b52d6a3f8"
+WORKERS, ITEMS = 5, 24
+EVENTS, EVENT_PAUSE = 30, 0.1
+CRASHES, CRASH_GAP = 8, 0.45
+CRASHED_TOGETHER = 2
+"""Workers that crash at one moment: 0.4 of them, twice the sheet's largest share."""
+DOWN = 0.5
+"""Seconds until a crashed worker starts again, under a new id."""
+TRAFFIC_END = 3.0
+"""Seconds from the last crash to the end of the traffic (`contactMs`)."""
+FINISH = 18.0
+"""Seconds that batch jobs get when traffic has ended (`finishS`)."""
+FAILED_WITHIN = 20.0
+"""Seconds in which an item that failed at a worker isn't counted."""
+IDLE, UNFINISHED = 5.0, 3.0
+"""Seconds without a run of the job, and without an end of an item, before the end."""
 
 
 def configuration() -> dict[str, object]:
-    """Return the operator's configuration: one route to each of two services."""
-    common = {
-        "host": HOST,
-        "kind": "unsafe",
-        "timeoutMs": 4000,
-        "targetLatencyMs": 1000,
-        "priority": 0,
-        "maxAttempts": 2,
-    }
+    """Return the operator's configuration: one batch route."""
+    route = {
+        "name": "r-lots", "host": HOST, "pathPrefix": "/lots/", "kind": "batch", "service": "llm",
+        "timeoutMs": 30000, "targetLatencyMs": 500, "runAimMs": 20000, "keepS": 60,
+        "maxQueuedTokens": 1600000, "maxAttempts": 3, "priority": 2,
+    }  # fmt: skip
     return {
         "version": 7,
-        "routes": [
-            {"name": "r-one", "pathPrefix": "/one/", "service": "one", **common},
-            {"name": "r-two", "pathPrefix": "/two/", "service": "two", **common},
-        ],
-        "services": [
-            {"name": name, "healthPath": "/health", "maxConnections": 200, "engine": {"slots": 8}}
-            for name in ("one", "two")
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 4194304,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
+        "routes": [route],
+        "services": [{"name": "llm", "healthPath": "/health", "engine": {"slots": 8}}],
     }
 
 
-async def respond(worker: Worker, request: Message, writer: asyncio.StreamWriter) -> None:
-    """Run a request, and answer it whole."""
-    await asyncio.sleep(RUN_SECONDS)
-    writer.write(pack_answer("200 OK", answer_headers(worker, request), b"done"))
-    await writer.drain()
-    worker.record.write(f"worker {worker.name} has run {request.header('Request-Id')} to its end")
-
-
-async def send(deployment: Deployment, path: str, request_id: str) -> str:
-    """Send one request as a client; returns what came back."""
-    headers = [("Host", HOST), ("Request-Id", request_id), ("Deadline-Ms", "4000")]
-    deployment.record.write(f"client sends {request_id} (POST {path})")
-    made = await call(deployment.nodes[0].front, "POST", path, headers, b"order")
-    deployment.record.write(f"client gets {made.outcome} for {request_id}")
-    return made.outcome
+class Fleet:
+    """The workers, each of which has several lives."""
+
+    def __init__(self, deployment: Deployment):
+        self._deployment = deployment
+        self.now: list[Worker] = []
+        self.all: list[Worker] = []
+        self.last_run = self.last_end = asyncio.get_running_loop().time()
+        """Times of the last moment at which a worker had an item, and of the last whole run."""
+
+    async def start(self, place: int) -> None:
+        """Start a worker, under an id of its own."""
+        name = f"i-{place}-{len(self.all)}"
+        worker = Worker(name, "llm", self._deployment.store, self._deployment.record, self._run)
+        await worker.start()
+        self.all.append(worker)
+        self.now[place : place + 1] = [worker]
+
+    async def _run(self, worker: Worker, request: Message, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await stream_events(worker, request, writer, EVENTS, EVENT_PAUSE)
+            self.last_end = loop.time()
+        finally:
+            self.last_run = loop.time()
+
+    async def crash(self, places: list[int]) -> None:
+        """Let workers crash together, and start them again."""
+        for place in places:
+            await self.now[place].crash()
+        await asyncio.sleep(DOWN)
+        for place in places:
+            await self.start(place)
+
+
+def job() -> bytes:
+    """Return the body of the batch job; its items share the first part of their prompts."""
+    body = base64.b64encode(b"prompt").decode()
+    items = []
+    for number in range(ITEMS):
+        parts = f"9c2e4100:300,{number:08x}:240"
+        headers = {"Model": "m", "Token-Count": f"540,{EVENTS}", "Prompt-Prefix": parts}
+        items.append(
+            {
+                "id": f"item-{number}",
+                "path": f"/lots/{number}",
+                "headers": headers,
+                "body": body,
+                "tokens": 540 + EVENTS,
+            }
+        )
+    return json.dumps({"items": items}).encode()
+
+
+async def results(deployment: Deployment) -> dict[str, str]:
+    """Return the state of each listed item, as a client reads it at one of the nodes."""
+    found: dict[str, str] = {}
+    while True:
+        read = await call(
+            deployment.nodes[0].front,
+            "GET",
+            f"/api/lots/{JOB}?watchAfter={len(found)}",
+            [("Host", HOST)],
+        )
+        if read.answer is None or read.answer.status != 200:
+            raise CannotRunError(f"the results can't be read: {read.outcome}")
+        page = json.loads(read.answer.body)
+        found |= {one["id"]: one["state"] for one in page["results"]}
+        if not page["results"]:
+            return found
 
 
 async def play(deployment: Deployment) -> bool:
-    """Play the case; returns whether a request that isn't idempotent has run twice."""
-    record, store = deployment.record, deployment.store
+    """Play the case; returns whether items were left lying."""
+    record, loop = deployment.record, asyncio.get_running_loop()
     await deployment.start(2, configuration())
-    former = Worker("i-one-a", "one", store, record, respond)
-    other = Worker("i-two-b", "two", store, record, respond)
-    await former.start()
-    await other.start()
+    fleet = Fleet(deployment)
+    for place in range(WORKERS):
+        await fleet.start(place)
     await deployment.wait_ready()
-    await asyncio.sleep(2.0)
-    warm = [await send(deployment, "/one/x", "warm-1"), await send(deployment, "/two/x", "warm-2")]
-    if warm != ["200", "200"]:
-        raise CannotRunError("the deployment doesn't serve")
-
-    await former.crash()
-    await asyncio.sleep(REUSE_AFTER + 0.1)
-    new = Worker("i-two-a", "two", store, record, respond)
-
-    def send_again(answer: bytes, writer: asyncio.StreamWriter) -> None:
-        def surplus() -> None:
-            record.write(f"worker {new.name} sends its 421 to {answered} once more, late")
-            writer.write(answer)
-
-        answered = answer.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
-        asyncio.get_running_loop().call_later(SURPLUS_DELAY, surplus)
-
-    if has_trouble():
-        new.after_misdirected = send_again
-    await new.start(former.port)
-    record.write(f"worker {new.name} of service two has the address of worker {former.name}")
-    await asyncio.sleep(0.6)
-
-    await send(deployment, "/one/x", "misdirected")
-    sent = [f"order-{number}" for number in range(REQUESTS)]
-    await asyncio.gather(*(send(deployment, "/two/x", one) for one in sent))
-    await asyncio.sleep(1.5)
-
-    runs = Counter([*former.runs, *other.runs, *new.runs])
-    twice = sorted(name for name, count in runs.items() if count > 1)
-    record.write(f"runs: {dict(sorted(runs.items()))}")
-    record.write(f"run more than once: {twice}")
-    return bool(twice)
+    await asyncio.sleep(4.0)
+
+    headers = [("Host", HOST), ("Request-Id", JOB), ("Content-Type", "application/json")]
+    made = await call(deployment.nodes[0].front, "POST", "/lots/a", headers, job())
+    record.write(f"client hands in {JOB} with {ITEMS} items and gets {made.outcome}")
+    if made.answer is None or made.answer.status != 202:
+        raise CannotRunError("the batch job wasn't accepted")
+
+    await asyncio.sleep(0.8)
+    crashes = []
+    for number in range(CRASHES if has_trouble() else 0):
+        first = number * CRASHED_TOGETHER
+        places = [(first + one) % WORKERS for one in range(CRASHED_TOGETHER)]
+        crashes.append(asyncio.create_task(fleet.crash(places)))
+        await asyncio.sleep(CRASH_GAP)
+    await asyncio.gather(*crashes)
+    last_crash = loop.time() - DOWN
+    record.write("the last crash is over; all workers serve from now on")
+    await asyncio.sleep(max(TRAFFIC_END + FINISH, FAILED_WITHIN + 1.0))
+
+    now, listed = loop.time(), await results(deployment)
+    left = sorted({f"item-{number}" for number in range(ITEMS)} - listed.keys())
+    record.write(f"{now - last_crash:.1f} s after the last crash: listed {len(listed)} of {ITEMS}")
+    record.write(f"not listed: {left}")
+    record.write(f"last run of an item: {now - fleet.last_run:.1f} s ago")
+    record.write(f"last whole run of an item: {now - fleet.last_end:.1f} s ago")
+    for node in deployment.nodes:
+        for line in node.log_text().splitlines():
+            if "engines crashed under a part of its prompt" in line and left:
+                record.write(f"log of {node.name}: {line[:400]}")
+                break
+    return bool(left) and now - fleet.last_run > IDLE and now - fleet.last_end > UNFINISHED
 
 
 if __name__ == "__main__":
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,9 +1,8 @@
-"""A tenant's batch item has a header with line breaks, which hold a request of its own."""
+"""A late second copy of a 421 arrives where the answer to the next request is due."""
 
 import asyncio
-import base64
-import json
 import sys
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,108 +12,105 @@
 from support.deployment import CannotRunError, Deployment  # noqa: E402
 from support.http import Message, call, pack_answer  # noqa: E402
 from support.record import has_trouble  # noqa: E402
-from support.worker import Worker, answer_headers, stream_events  # noqa: E402
-
+from support.worker import Worker, answer_headers  # noqa: E402
+
+REUSE_AFTER = 2.0
+"""Seconds after which a worker of another service may get an address (`reuseAfterS`)."""
+SURPLUS_DELAY = 0.6
+"""Seconds after its 421 at which the faulty worker sends it once more."""
+RUN_SECONDS = 0.8
+REQUESTS = 8
 HOST = "host-1.example"
-KEY_ONE, KEY_TWO = "key-of-tenant-one", "key-of-tenant-two"
-JOB = "7c41e09b52d6a3f8"
-FORGED_ID = "f0f0f0f0f0f0f0f0"
-FORGED = (
-    "x\r\nContent-Length: 0\r\n\r\n"
-    "POST /orders/9 HTTP/1.1\r\n"
-    f"Host: {HOST}\r\n"
-    f"Request-Id: {FORGED_ID}\r\n"
-    "Tenant: tenant-two\r\n"
-    "Content-Length: 0\r\n\r\n"
-    "GET /health HTTP/1.1\r\n"
-    "Note: x"
-)
-"""Value of one header: it ends the item's request, and two more requests follow."""
 
 
 def configuration() -> dict[str, object]:
-    """Return the operator's configuration: two tenants, a batch route and an unsafe one."""
-    common = {"host": HOST, "service": "llm", "timeoutMs": 4000, "priority": 0, "maxAttempts": 3}
+    """Return the operator's configuration: one route to each of two services."""
+    common = {
+        "host": HOST,
+        "kind": "unsafe",
+        "timeoutMs": 4000,
+        "targetLatencyMs": 1000,
+        "priority": 0,
+        "maxAttempts": 2,
+    }
     return {
         "version": 7,
         "routes": [
-            {
-                "name": "r-lots",
-                "pathPrefix": "/lots/",
-                "kind": "batch",
-                "targetLatencyMs": 500,
-                "runAimMs": 20000,
-                "keepS": 60,
-                "maxQueuedTokens": 100000,
-                **common,
-            },
-            {
-                "name": "r-orders",
-                "pathPrefix": "/orders/",
-                "kind": "unsafe",
-                "targetLatencyMs": 500,
-                **common,
-            },
+            {"name": "r-one", "pathPrefix": "/one/", "service": "one", **common},
+            {"name": "r-two", "pathPrefix": "/two/", "service": "two", **common},
         ],
-        "services": [{"name": "llm", "healthPath": "/health", "engine": {"slots": 8}}],
-        "tenants": [
-            {"name": "tenant-one", "apiKeys": [KEY_ONE]},
-            {"name": "tenant-two", "apiKeys": [KEY_TWO]},
+        "services": [
+            {"name": name, "healthPath": "/health", "maxConnections": 200, "engine": {"slots": 8}}
+            for name in ("one", "two")
         ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
     }
 
 
 async def respond(worker: Worker, request: Message, writer: asyncio.StreamWriter) -> None:
-    """Run a request: items are answered with a stream, others with a body."""
-    if request.target.startswith("/lots/"):
-        await stream_events(worker, request, writer, 5, 0.05)
-        return
+    """Run a request, and answer it whole."""
+    await asyncio.sleep(RUN_SECONDS)
     writer.write(pack_answer("200 OK", answer_headers(worker, request), b"done"))
     await writer.drain()
+    worker.record.write(f"worker {worker.name} has run {request.header('Request-Id')} to its end")
 
 
-def item(number: int, headers: dict[str, str]) -> dict[str, object]:
-    """Return one item of the batch job."""
-    return {
-        "id": f"item-{number}",
-        "path": f"/lots/{number}",
-        "headers": {"Model": "m", "Token-Count": "300,80", **headers},
-        "body": base64.b64encode(b"prompt").decode(),
-        "tokens": 380,
-    }
+async def send(deployment: Deployment, path: str, request_id: str) -> str:
+    """Send one request as a client; returns what came back."""
+    headers = [("Host", HOST), ("Request-Id", request_id), ("Deadline-Ms", "4000")]
+    deployment.record.write(f"client sends {request_id} (POST {path})")
+    made = await call(deployment.nodes[0].front, "POST", path, headers, b"order")
+    deployment.record.write(f"client gets {made.outcome} for {request_id}")
+    return made.outcome
 
 
 async def play(deployment: Deployment) -> bool:
-    """Play the case; returns whether a worker ran a request that no client has sent."""
-    record = deployment.record
+    """Play the case; returns whether a request that isn't idempotent has run twice."""
+    record, store = deployment.record, deployment.store
     await deployment.start(2, configuration())
-    worker = Worker("i-llm-a", "llm", deployment.store, record, respond)
-    await worker.start()
+    former = Worker("i-one-a", "one", store, record, respond)
+    other = Worker("i-two-b", "two", store, record, respond)
+    await former.start()
+    await other.start()
     await deployment.wait_ready()
     await asyncio.sleep(2.0)
-
-    note = FORGED if has_trouble() else "x"
-    items = [item(1, {}), item(2, {"Note": note}), item(3, {})]
-    record.write(f"tenant-one hands in batch job {JOB}; header Note of item-2: {note!r}")
-    headers = [("Host", HOST), ("Request-Id", JOB), ("Api-Key", KEY_ONE)]
-    front = deployment.nodes[0].front
-    body = json.dumps({"items": items}).encode()
-    made = await call(front, "POST", "/lots/a", headers, body)
-    record.write(f"tenant-one gets {made.outcome}")
-    if made.answer is None:
-        raise CannotRunError("the batch job wasn't answered")
-
-    await asyncio.sleep(6.0)
-    listed = await call(front, "GET", f"/api/lots/{JOB}?watchAfter=0", headers)
-    record.write(f"results: {listed.outcome} {(listed.answer or Message('', [])).body[:400]!r}")
-
-    sent = {"item-1", "item-2", "item-3"}
-    foreign = [one for one in worker.requests if one.header("Request-Id") not in sent]
-    for one in worker.requests:
-        tenants = one.values("Tenant")
-        record.write(f"ran {one.header('Request-Id')}: {one.first_line}, Tenant {tenants}")
-    record.write(f"run, but sent by no client: {[one.header('Request-Id') for one in foreign]}")
-    return bool(foreign)
+    warm = [await send(deployment, "/one/x", "warm-1"), await send(deployment, "/two/x", "warm-2")]
+    if warm != ["200", "200"]:
+        raise CannotRunError("the deployment doesn't serve")
+
+    await former.crash()
+    await asyncio.sleep(REUSE_AFTER + 0.1)
+    new = Worker("i-two-a", "two", store, record, respond)
+
+    def send_again(answer: bytes, writer: asyncio.StreamWriter) -> None:
+        def surplus() -> None:
+            record.write(f"worker {new.name} sends its 421 to {answered} once more, late")
+            writer.write(answer)
+
+        answered = answer.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
+        asyncio.get_running_loop().call_later(SURPLUS_DELAY, surplus)
+
+    if has_trouble():
+        new.after_misdirected = send_again
+    await new.start(former.port)
+    record.write(f"worker {new.name} of service two has the address of worker {former.name}")
+    await asyncio.sleep(0.6)
+
+    await send(deployment, "/one/x", "misdirected")
+    sent = [f"order-{number}" for number in range(REQUESTS)]
+    await asyncio.gather(*(send(deployment, "/two/x", one) for one in sent))
+    await asyncio.sleep(1.5)
+
+    runs = Counter([*former.runs, *other.runs, *new.runs])
+    twice = sorted(name for name, count in runs.items() if count > 1)
+    record.write(f"runs: {dict(sorted(runs.items()))}")
+    record.write(f"run more than once: {twice}")
+    return bool(twice)
 
 
 if __name__ == "__main__":
