--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,8 +1,9 @@
-"""A late second copy of a 421 arrives where the answer to the next request is due."""
+"""Late second answers of workers arrive where the answer to the next request is due."""
 
 import asyncio
 import sys
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -20,11 +21,14 @@
 """Seconds after its 421 at which the faulty worker sends it once more."""
 RUN_SECONDS = 0.8
 REQUESTS = 8
+SECOND_DELAY = 0.06
+"""Seconds after its refusal at which a faulty worker sends it once more."""
+SECOND_REQUESTS = 5
 HOST = "host-1.example"
 
 
 def configuration() -> dict[str, object]:
-    """Return the operator's configuration: one route to each of two services."""
+    """Return the operator's configuration: one route to each of three services."""
     common = {
         "host": HOST,
         "kind": "unsafe",
@@ -38,10 +42,11 @@
         "routes": [
             {"name": "r-one", "pathPrefix": "/one/", "service": "one", **common},
             {"name": "r-two", "pathPrefix": "/two/", "service": "two", **common},
+            {"name": "r-three", "pathPrefix": "/three/", "service": "three", **common},
         ],
         "services": [
             {"name": name, "healthPath": "/health", "maxConnections": 200, "engine": {"slots": 8}}
-            for name in ("one", "two")
+            for name in ("one", "two", "three")
         ],
         "limits": {
             "maxHeaderBytes": 16384,
@@ -69,10 +74,9 @@
     return made.outcome
 
 
-async def play(deployment: Deployment) -> bool:
-    """Play the case; returns whether a request that isn't idempotent has run twice."""
+async def misdirected(deployment: Deployment) -> list[str]:
+    """Let a 421 come twice; returns the requests that have run more than once."""
     record, store = deployment.record, deployment.store
-    await deployment.start(2, configuration())
     former = Worker("i-one-a", "one", store, record, respond)
     other = Worker("i-two-b", "two", store, record, respond)
     await former.start()
@@ -86,17 +90,10 @@
     await former.crash()
     await asyncio.sleep(REUSE_AFTER + 0.1)
     new = Worker("i-two-a", "two", store, record, respond)
-
-    def send_again(answer: bytes, writer: asyncio.StreamWriter) -> None:
-        def surplus() -> None:
-            record.write(f"worker {new.name} sends its 421 to {answered} once more, late")
-            writer.write(answer)
-
-        answered = answer.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
-        asyncio.get_running_loop().call_later(SURPLUS_DELAY, surplus)
-
     if has_trouble():
-        new.after_misdirected = send_again
+        new.after_misdirected = lambda answer, writer: send_again(
+            new, answer, writer, SURPLUS_DELAY
+        )
     await new.start(former.port)
     record.write(f"worker {new.name} of service two has the address of worker {former.name}")
     await asyncio.sleep(0.6)
@@ -105,12 +102,72 @@
     sent = [f"order-{number}" for number in range(REQUESTS)]
     await asyncio.gather(*(send(deployment, "/two/x", one) for one in sent))
     await asyncio.sleep(1.5)
+    return more_than_once(former, other, new)
+
+
+async def refused(deployment: Deployment) -> list[str]:
+    """Let refusals come twice; returns the requests that have run more than once."""
+    record = deployment.record
+    workers = [
+        Worker(name, "three", deployment.store, record, respond)
+        for name in ("i-three-a", "i-three-b")
+    ]
+    for worker in workers:
+        worker.refuses = first_time()
+        if has_trouble():
+            worker.after_refused = lambda answer, writer, worker=worker: send_again(
+                worker, answer, writer, SECOND_DELAY
+            )
+        await worker.start()
+    await asyncio.sleep(2.0)
+    for number in range(SECOND_REQUESTS):
+        await send(deployment, "/three/x", f"offer-{number}")
+        await asyncio.sleep(1.0)
+    return more_than_once(*workers)
+
+
+def first_time() -> Callable[[Message], bool]:
+    """Return a function that tells whether a request comes for the first time."""
+    seen: set[str] = set()
+
+    def is_first(request: Message) -> bool:
+        known = request.header("Request-Id") or ""
+        is_new = known not in seen
+        seen.add(known)
+        return is_new
+
+    return is_first
 
-    runs = Counter([*former.runs, *other.runs, *new.runs])
-    twice = sorted(name for name, count in runs.items() if count > 1)
-    record.write(f"runs: {dict(sorted(runs.items()))}")
-    record.write(f"run more than once: {twice}")
-    return bool(twice)
+
+def send_again(worker: Worker, answer: bytes, writer: asyncio.StreamWriter, delay: float) -> None:
+    """Let a worker send an answer once more on the same connection, late."""
+
+    def surplus() -> None:
+        first_line = answer.split(b"\r\n")[0].decode()
+        worker.record.write(
+            f"worker {worker.name} sends '{first_line}' to {answered} once more, late"
+        )
+        writer.write(answer)
+
+    answered = answer.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
+    asyncio.get_running_loop().call_later(delay, surplus)
+
+
+def more_than_once(*workers: Worker) -> list[str]:
+    """Return the requests that workers have begun to run more than once, together."""
+    runs = Counter(one for worker in workers for one in worker.runs)
+    workers[0].record.write(f"runs: {dict(sorted(runs.items()))}")
+    return sorted(name for name, count in runs.items() if count > 1)
+
+
+async def play(deployment: Deployment) -> bool:
+    """Play the case; returns whether a request that isn't idempotent has run twice."""
+    await deployment.start(2, configuration())
+    first = await misdirected(deployment)
+    deployment.record.write(f"run more than once after a 421 that came twice: {first}")
+    second = await refused(deployment)
+    deployment.record.write(f"run more than once after a refusal that came twice: {second}")
+    return bool(first or second)
 
 
 if __name__ == "__main__":
