--- a/review/1/play.py
+++ b/review/1/play.py
@@ -19,7 +19,7 @@
 JOB = "7c41e09b52d6a3f8"
 WORKERS, ITEMS = 5, 24
 EVENTS, EVENT_PAUSE = 30, 0.1
-CRASHES, CRASH_GAP = 8, 0.45
+CRASHES, CRASH_GAP = 20, 0.45
 CRASHED_TOGETHER = 2
 """Workers that crash at one moment: 0.4 of them, twice the sheet's largest share."""
 DOWN = 0.5
