--- a/review/1/play.py
+++ b/review/1/play.py
@@ -57,6 +57,8 @@
         self.all: list[Worker] = []
         self.last_run = self.last_end = asyncio.get_running_loop().time()
         """Times of the last moment at which a worker had an item, and of the last whole run."""
+        self.running = 0
+        """Items that workers have now."""
 
     async def start(self, place: int) -> None:
         """Start a worker, under an id of its own."""
@@ -68,10 +70,12 @@
 
     async def _run(self, worker: Worker, request: Message, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
+        self.running += 1
         try:
             await stream_events(worker, request, writer, EVENTS, EVENT_PAUSE)
             self.last_end = loop.time()
         finally:
+            self.running -= 1
             self.last_run = loop.time()
 
     async def crash(self, places: list[int]) -> None:
@@ -152,6 +156,7 @@
     left = sorted({f"item-{number}" for number in range(ITEMS)} - listed.keys())
     record.write(f"{now - last_crash:.1f} s after the last crash: listed {len(listed)} of {ITEMS}")
     record.write(f"not listed: {left}")
+    record.write(f"items that workers have now: {fleet.running}")
     record.write(f"last run of an item: {now - fleet.last_run:.1f} s ago")
     record.write(f"last whole run of an item: {now - fleet.last_end:.1f} s ago")
     for node in deployment.nodes:
@@ -159,7 +164,8 @@
             if "engines crashed under a part of its prompt" in line and left:
                 record.write(f"log of {node.name}: {line[:400]}")
                 break
-    return bool(left) and now - fleet.last_run > IDLE and now - fleet.last_end > UNFINISHED
+    idle = not fleet.running and now - fleet.last_run > IDLE
+    return bool(left) and idle and now - fleet.last_end > UNFINISHED
 
 
 if __name__ == "__main__":
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -44,12 +44,6 @@
             lambda answer, writer: None
         )
         """Called after a 421 was sent, with its bytes."""
-        self.refuses: Callable[[Message], bool] = lambda request: False
-        """Whether the worker is full for a request, and doesn't run it."""
-        self.after_refused: Callable[[bytes, asyncio.StreamWriter], None] = lambda answer, writer: (
-            None
-        )
-        """Called after a refusal was sent, with its bytes."""
         self.runs: list[str] = []
         """Ids of the requests that it has begun to run, in order."""
         self.requests: list[Message] = []
@@ -126,15 +120,6 @@
         if not request_id:
             writer.write(pack_answer("400 Bad Request", [("Not-Executed", "1")]))
             return
-        if self.refuses(request):
-            self.record.write(f"worker {self.name} answers 503 to {request_id}, not executed")
-            refusal = pack_answer(
-                "503 Service Unavailable", [("Request-Id", request_id), ("Not-Executed", "1")]
-            )
-            writer.write(refusal)
-            self.after_refused(refusal, writer)
-            await writer.drain()
-            return
         self.runs.append(request_id)
         self.requests.append(request)
         self.record.write(f"worker {self.name} runs {request_id} ({request.first_line})")
@@ -144,7 +129,11 @@
 def answer_headers(worker: Worker, request: Message) -> list[tuple[str, str]]:
     """Return the headers of a worker's own answer to a request that it runs."""
     request_id = request.header("Request-Id") or ""
-    return [("Request-Id", request_id), ("Response-Seal", f"{worker.name}.{request_id}")]
+    return [
+        ("Request-Id", request_id),
+        ("Response-Seal", f"{worker.name}.{request_id}"),
+        ("Weight-Versions", "1"),
+    ]
 
 
 async def stream_events(
