A prompt part under which engines crashed for another cause is tried again soon

Cause: a trial that meets a crash convicts the part, and the first hold lasts 60 s, then 120. While engines crash for another cause a trial fails by chance (runs of these logs ended 0.19 to 0.8 s after they had begun), and the hold outlasts that cause by far. Ruled out: items that wait for room (their gate is the quarantine), the quarantine of whole requests (no item had three ends), claims (the job's node lived).

Change: the holds of a convicted part begin with 8 s and double, counted from the trial that convicts it. So a part is held for at most 8 s longer than engines went on crashing, while a fatal part still reaches three engines at most in the 100 s after all nodes know of it. As holds are shorter, a part whose trial failed stays known for at least the 120 s that it was known before.

--- a/postvalve/core/admission/part_entry.py
+++ b/postvalve/core/admission/part_entry.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from postvalve.core.admission.quarantine import hold_time
+from postvalve.core.admission.quarantine import MAX_HOLD_TIME
 from postvalve.core.membership.engine_life import EngineLife
 
 OCCASION_GAP = 0.1
@@ -22,10 +22,17 @@
 before enough was known of that."""
 FEW_OCCASIONS_DELAY = 5.0
 """Seconds after such a trial until the next one."""
+TRIAL_DELAY = 8.0
+"""Seconds after the first trial that convicts a part until the next one. They double with each
+further one, so a part under which engines crashed for another cause is held back for little longer
+than that cause lasts."""
 TRIAL_TIME = 5.0
 """Seconds after which a trial that no node has ended counts as over: its node is gone."""
 SUSPICION_TIME = 30.0
 """Seconds after its last crash for which a part that is not held back stays known."""
+MIN_CONVICTION_TIME = 120.0
+"""Least seconds after its last crash for which a part whose trial failed stays known. Requests with
+it may be rare."""
 MAX_CRASHES = 12
 """Crashes kept per part."""
 MAX_TRIALS = 8
@@ -102,12 +109,14 @@
     def expires_at(self) -> float:
         """Monotonic time from which the entry may be dropped.
 
-        A part that was held back is remembered for the same time again. Excused crashes are kept as
-        long as others, so that all nodes learn of the excuse.
+        A part that was held back is remembered for at least the same time again. Excused crashes
+        are kept as long as others, so that all nodes learn of the excuse.
         """
         crashes = list(self.crashes.values())
         latest = max((crash.ended_at for crash in crashes), default=float("-inf"))
-        return latest + max(SUSPICION_TIME, 2 * _trial_delay(crashes))
+        if not _failed_trials(crashes):
+            return latest + SUSPICION_TIME
+        return latest + max(MIN_CONVICTION_TIME, 2 * _trial_delay(crashes))
 
     def merge(self, other: PartEntry, now: float) -> bool:
         """Merge another node's knowledge of the same part; returns whether anything was new."""
@@ -160,14 +169,24 @@
     return sum(crash.on_trial for crash in crashes)
 
 
+def _convictions(crashes: Sequence[PartCrash]) -> int:
+    """Return the number of failed trials that came after enough occasions to convict the part."""
+    return sum(
+        _occasions(other for other in crashes if other.ended_at <= crash.ended_at) > FEW_OCCASIONS
+        for crash in crashes
+        if crash.on_trial
+    )
+
+
 def _is_convicted(crashes: Sequence[PartCrash]) -> bool:
     return _failed_trials(crashes) > 0 and _occasions(crashes) > FEW_OCCASIONS
 
 
 def _trial_delay(crashes: Sequence[PartCrash]) -> float:
     """Return the seconds from the last of some crashes to the next trial."""
-    failed = _failed_trials(crashes)
-    if not failed:
+    if not _failed_trials(crashes):
         return 0.0
-    # `hold_time` counts from the third engine of a request on.
-    return hold_time(failed + 2) if _is_convicted(crashes) else FEW_OCCASIONS_DELAY
+    convictions = _convictions(crashes)
+    if not convictions:
+        return FEW_OCCASIONS_DELAY
+    return min(MAX_HOLD_TIME, TRIAL_DELAY * 2.0 ** (convictions - 1))
