A batch item under which engines crashed for another cause is tried again soon

An item under which three engines had crashed was tried after 8 s, but after a fourth it waited for 60 s and after a fifth for 240 s. An innocent item got there by trials that failed by chance, and while it waited nothing could clear it.

Change: the same doubling from 8 s on as for parts, in one function. An online request is held back as before: its caller can tell what became of it, and no other request waits for it. A fatal item crashes three engines more at most in the 100 s after all nodes know of it.

--- a/postvalve/core/admission/part_entry.py
+++ b/postvalve/core/admission/part_entry.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from postvalve.core.admission.quarantine import MAX_HOLD_TIME
+from postvalve.core.admission.quarantine import trial_delay
 from postvalve.core.membership.engine_life import EngineLife
 
 OCCASION_GAP = 0.1
@@ -22,10 +22,6 @@
 before enough was known of that."""
 FEW_OCCASIONS_DELAY = 5.0
 """Seconds after such a trial until the next one."""
-TRIAL_DELAY = 8.0
-"""Seconds after the first trial that convicts a part until the next one. They double with each
-further one, so a part under which engines crashed for another cause is held back for little longer
-than that cause lasts."""
 TRIAL_TIME = 5.0
 """Seconds after which a trial that no node has ended counts as over: its node is gone."""
 SUSPICION_TIME = 30.0
@@ -187,6 +183,4 @@
     if not _failed_trials(crashes):
         return 0.0
     convictions = _convictions(crashes)
-    if not convictions:
-        return FEW_OCCASIONS_DELAY
-    return min(MAX_HOLD_TIME, TRIAL_DELAY * 2.0 ** (convictions - 1))
+    return trial_delay(convictions) if convictions else FEW_OCCASIONS_DELAY
--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -39,11 +39,10 @@
 """Seconds for which a request is held back after the third failure. The time doubles with each
 further one, so a request crashes one engine in the first minute, one in the next two, and so on."""
 MAX_HOLD_TIME = 3600.0
-ITEM_TRIAL_DELAYS = {HOLD_AFTER: 8.0, HOLD_AFTER + 1: 60.0}
-"""Seconds after the last failure from which a batch item may run alone although it is held back, by
-the number of failed engines. Engines of a fleet in trouble also end under innocent items, which
-would wait for longer than their jobs have. A query of death ends as many engines in five minutes
-with these times as with `HOLD_TIME` alone."""
+TRIAL_DELAY = 8.0
+"""Seconds after the failure that leads to a hold until a batch item or a prompt part is tried all
+the same. They double with each further failure. Engines of a fleet in trouble also fail under
+innocent work, which is then held back for little longer than the trouble lasts."""
 ITEM_TRIAL_SPREAD = 4.0
 """Further seconds, of which each node waits a part that depends on the item, so that nodes with
 copies of one item don't try them at the same time."""
@@ -194,6 +193,15 @@
     return min(MAX_HOLD_TIME, HOLD_TIME * 2.0 ** min(16, ends - HOLD_AFTER))
 
 
+def trial_delay(failures: int) -> float:
+    """Return the seconds until the next trial of a batch item or a prompt part.
+
+    Args:
+        failures: Number of failures from the one on that led to the hold; at least 1.
+    """
+    return min(MAX_HOLD_TIME, TRIAL_DELAY * 2.0 ** min(16, failures - 1))
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantineDecision:
     """Permission to run a request, and what it was based on."""
@@ -299,7 +307,7 @@
             return decision
         if entry.on_trial or not entry.applies_to(identity.variant):
             return decision
-        delay = ITEM_TRIAL_DELAYS.get(decision.ends, hold_time(decision.ends))
+        delay = trial_delay(decision.ends - HOLD_AFTER + 1)
         left = delay + self._trial_spread(identity.digest) - decision.age
         permission = RunPermission.HELD if left > 0 else RunPermission.ALONE
         return QuarantineDecision(permission, decision.ends, decision.age, max(0.0, left))
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -14,7 +14,6 @@
     MAX_TRIALS,
     MIN_CONVICTION_TIME,
     SUSPICION_TIME,
-    TRIAL_DELAY,
     TRIAL_TIME,
     PartCrash,
     PartEntry,
@@ -27,7 +26,7 @@
     PartQuarantine,
     RunningTrial,
 )
-from postvalve.core.admission.quarantine import RunPermission
+from postvalve.core.admission.quarantine import TRIAL_DELAY, RunPermission
 from postvalve.core.admission.request_identity import identify_parts
 from postvalve.platform.dialect import PlatformDialect
 
