A 421 to another request isn't taken for the answer to the present one

Cause: `PlatformDialect.judge` took each 421 for the answer to the request at hand before it looked at the Request-Id, which is what tells a late surplus answer apart; so the verdict was "not run". Ruled out: the pool (the connection was sound and idle when it was taken; the surplus came 0.6 s later), two attempts sent beside each other (the second follows the 421 within 2 ms in the record). Refusals with Not-Executed were compared already, which a test here shows.

Change: a 421 that names another request is an answer to another request: the present one may have run, so only what may be repeated goes elsewhere. Nor is the engine, which is sound, taken for replaced any more.

The stand-in engine names the request in its refusals, as engines do.

--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -133,10 +133,11 @@
         """See `Dialect`."""
         by_name = {name.lower(): value for name, value in headers}
         answered_id = by_name.get(REQUEST_ID.lower())
-        if status == MISDIRECTED:
-            return Judgement.REPLACED
-        if NOT_EXECUTED.lower() in by_name and answered_id in (None, request_id):
-            return Judgement.REFUSED
+        if answered_id in (None, request_id):
+            if status == MISDIRECTED:
+                return Judgement.REPLACED
+            if NOT_EXECUTED.lower() in by_name:
+                return Judgement.REFUSED
         if answered_id != request_id or CONTENT_ENCODING.lower() in by_name:
             return Judgement.FOREIGN
         if status == UNPROCESSABLE:
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -18,6 +18,21 @@
     return f"id: {number}\ndata: {request_id} part {number}{'x' * padding}\n\n".encode()
 
 
+def misdirected_answer(request_id):
+    """Build an engine's answer to a request that expects another engine at its address."""
+    return (
+        f"HTTP/1.1 421 -\r\nRequest-Id: {request_id}\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def refused_answer(request_id):
+    """Build an engine's answer to a request that it does not run."""
+    return (
+        f"HTTP/1.1 503 -\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
 def shared_parts(headers):
     """Return the names of all parts of a request's prompt but the last."""
     parts = headers.get("prompt-prefix", "").split(",")[:-1]
@@ -33,6 +48,10 @@
         """Whether to refuse the request as not executed."""
         self.cut_after = None
         """Events after which the connection is closed; -1 closes it before the head."""
+        self.refused_again_after = None
+        """Seconds after a refusal at which it is sent once more."""
+        self.surplus = b""
+        """Bytes in the place of the answer, which comes later."""
         self.silent = False
         self.wrong_request_id = False
         self.trailing_bytes = b""
@@ -155,13 +174,16 @@
         self.heads.append((lines[0], headers))
         request_id = headers["request-id"]
         if headers.get("expect-instance") != self.expected_id:
-            connection.sendall(b"HTTP/1.1 421 -\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n")
+            connection.sendall(misdirected_answer(request_id))
             return True
         behaviour = self.next_behaviours.pop(0) if self.next_behaviours else self.default_behaviour
         if behaviour.refuse:
             if behaviour.head_delay:
                 gevent.sleep(behaviour.head_delay)
-            connection.sendall(b"HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            refusal = refused_answer(request_id)
+            connection.sendall(refusal)
+            if behaviour.refused_again_after is not None:
+                gevent.spawn_later(behaviour.refused_again_after, connection.sendall, refusal)
             return True
         if behaviour.silent:
             gevent.sleep(30)
@@ -171,6 +193,8 @@
             return False
         self.runs.append((request_id, headers.get("last-event-id")))
         self.bodies[request_id] = body
+        if behaviour.surplus:
+            connection.sendall(behaviour.surplus)
         if body in self.fatal_bodies or self.fatal_parts & shared_parts(headers):
             gevent.sleep(CRASH_DELAY)
             self.end()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -186,6 +186,8 @@
             (503, [*refused, *other], Judgement.FOREIGN),
             (503, [], Judgement.FOREIGN),
             (421, [], Judgement.REPLACED),
+            (421, mine, Judgement.REPLACED),
+            (421, other, Judgement.FOREIGN),
         ):
             with self.subTest(status=status, headers=headers):
                 self.assertIs(self.dialect.judge("r", status, headers), judgement)
