A connection that brought another request's answer is closed

What callers saw: after a late surplus answer, the next requests over the same connection failed or ran twice, as each met the answer that was due to the one before it.

Cause: an attempt that got another request's answer put its connection back into the pool when that answer was whole; the answer to the attempt itself was still to come. An answer that arrives while the connection is idle was seen before; one that arrives later wasn't.

Change: online requests and items close such a connection. Tests: `ConnectionTest` (five runs for three requests before, four now: the one with the surplus answer is repeated) and `ForeignAnswerTest` for items.

--- a/postvalve/gateway/engines/engine_connections.py
+++ b/postvalve/gateway/engines/engine_connections.py
@@ -256,6 +256,14 @@
         self.aborted = True
         self._connection.close()
 
+    def reject(self) -> None:
+        """Close the connection, as this response belongs to another request.
+
+        The one that is due may still come, in the place of the next one.
+        """
+        self._ended = True
+        self._connection.close()
+
     def close(self) -> None:
         """Return the connection to the pool, or close it if it can't be reused."""
         if self._ended:
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -242,6 +242,8 @@
                 return
             gevent.spawn(self._progress.save_failures, item)
             raise AttemptError(f"item failed with status {answer.status}", Verdict.RAN)
+        if judgement is Judgement.FOREIGN:
+            answer.reject()
         if judgement is Judgement.REPLACED:
             self._fleet.record_replaced(life)
         verdict = Verdict.MAY_HAVE_RUN if judgement is Judgement.FOREIGN else Verdict.NOT_RUN
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -405,6 +405,7 @@
                 self._fleet.record_replaced(life)
             raise AttemptError("another engine has the address", Verdict.NOT_RUN)
         if judgement is Judgement.FOREIGN:
+            answer.reject()
             raise AttemptError("the engine answered another request", Verdict.MAY_HAVE_RUN)
         self._progress.runs += 1
         self._has_headers = True
--- a/tests/test_item_attempts.py
+++ b/tests/test_item_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of items that are preempted before their request was sent."""
+"""Attempts of items that are preempted before their request was sent, or answered wrongly."""
 
 import unittest
 from unittest import mock
@@ -6,11 +6,12 @@
 from postvalve.core.routing.attempt_times import AttemptTimes
 from postvalve.events import Event
 from postvalve.exceptions import AttemptError, Verdict
+from postvalve.gateway.interfaces import Judgement
 from postvalve.gateway.jobs.item_attempts import ItemAttempts
 from postvalve.gateway.jobs.running_item import RunningItem
 
 
-class PreemptedBeforeSendTest(unittest.TestCase):
+class ItemCase(unittest.TestCase):
     def setUp(self):
         self.events, self.fleet, self.pool = mock.Mock(), mock.Mock(), mock.Mock()
         self.fleet.takes_work.return_value = True
@@ -24,7 +25,7 @@
         self.placement = self.item.placement = mock.Mock()
         job = mock.Mock(items=[mock.Mock(item_id="i")])
         req = mock.Mock(headers=[], target="/", body=b"")
-        dialect = mock.Mock(**{"attempt_headers.return_value": []})
+        self.dialect = mock.Mock(**{"attempt_headers.return_value": []})
         self.jobs = mock.Mock(**{"item_request.return_value": req})
         self.attempts = ItemAttempts(
             clock,
@@ -33,7 +34,7 @@
             self.jobs,
             self.fleet,
             self.pool,
-            dialect,
+            self.dialect,
             mock.Mock(),
             mock.Mock(),
             mock.Mock(),
@@ -41,6 +42,8 @@
             mock.Mock(),
         )
 
+
+class PreemptedBeforeSendTest(ItemCase):
     def start(self, *args, still_usable):
         """Act as the connection pool, which opens a connection while the item is preempted."""
         self.item.preempted = True
@@ -67,5 +70,15 @@
             self.assertEqual(call.args[1].events, 0)
 
 
+class ForeignAnswerTest(ItemCase):
+    def test_the_connection_that_brought_it_is_not_used_again(self):
+        """The answer that was due came later, where that to the next request was due."""
+        answer = self.pool.send_request.return_value
+        answer.status = 200
+        self.dialect.judge.return_value = Judgement.FOREIGN
+        self.attempts.run(self.item, self.placement)
+        answer.reject.assert_called_once_with()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import gevent
+
 from postvalve.events import Event
 from tests.gateway_support import ONCE_PATH, STREAM_PATH, GatewayFleet
 from tests.stand_in_engine import Behaviour, misdirected_answer, refused_answer
@@ -47,5 +49,26 @@
         self.assertEqual(self.runs(), ["r1"])
 
 
+class ConnectionTest(SurplusCase):
+    engines = 1
+
+    def send(self, *request_ids):
+        """Send some requests beside each other; returns their answers' status codes."""
+        senders = [
+            gevent.spawn(self.fleet.request, "n0", STREAM_PATH, request_id=one)
+            for one in request_ids
+        ]
+        gevent.joinall(senders)
+        return [sender.value.status for sender in senders]
+
+    def test_a_connection_that_brought_a_foreign_answer_is_not_used_again(self):
+        """The answer that was due came later, where that to the next request was due."""
+        surplus = misdirected_answer("earlier")
+        self.plan(Behaviour(surplus=surplus, head_delay=RUN_TIME))
+        self.send("r1")
+        self.assertEqual(self.send("r2", "r3"), [200, 200])
+        self.assertEqual(sorted(self.runs()), ["r1", "r1", "r2", "r3"])
+
+
 if __name__ == "__main__":
     unittest.main()
