Held items and parts are tried three times at most in five minutes

Change: the first waits are 8, 16 and 60 s, the later ones as long as for any request. So an innocent item or part is tried within 20 s of its last failure while engines crash for another cause for up to 20 s; after longer trouble it may wait for 60 s, as it did at once before. Ruled out: doubling (above) and a factor of three (24 s for the second wait: a trial that failed at the end of 17 s of crashes is repeated too late for its job).

--- a/postvalve/core/admission/quarantine.py
+++ b/postvalve/core/admission/quarantine.py
@@ -39,10 +39,10 @@
 """Seconds for which a request is held back after the third failure. The time doubles with each
 further one, so a request crashes one engine in the first minute, one in the next two, and so on."""
 MAX_HOLD_TIME = 3600.0
-TRIAL_DELAY = 8.0
-"""Seconds after the failure that leads to a hold until a batch item or a prompt part is tried all
-the same. They double with each further failure. Engines of a fleet in trouble also fail under
-innocent work, which is then held back for little longer than the trouble lasts."""
+TRIAL_DELAYS = {1: 8.0, 2: 16.0, 3: 60.0}
+"""Seconds until a batch item or a prompt part that is held back is tried all the same, by the
+number of failures from the one on that led to the hold. Engines of a fleet in trouble also fail
+under innocent work, which would wait for longer than its jobs have."""
 ITEM_TRIAL_SPREAD = 4.0
 """Further seconds, of which each node waits a part that depends on the item, so that nodes with
 copies of one item don't try them at the same time."""
@@ -199,7 +199,7 @@
     Args:
         failures: Number of failures from the one on that led to the hold; at least 1.
     """
-    return min(MAX_HOLD_TIME, TRIAL_DELAY * 2.0 ** min(16, failures - 1))
+    return TRIAL_DELAYS.get(failures, hold_time(failures + HOLD_AFTER - 1))
 
 
 @dataclass(frozen=True, slots=True)
