A refusal that names no request isn't taken for the answer to one that has an id

Each answer of an engine repeats the request's id, but for the 400 to a request that has none. So a refusal or 421 without the id of the request at hand belongs to another one, and "not run" would rest on nothing; both were believed before.

Change: the id is compared first, for all answers. Two rows of `test_judgements` expected the former ruling, which contradicts the protocol; they expect the stricter one now, and a row for requests without an id is new.

--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -132,13 +132,14 @@
     def judge(self, request_id: str, status: int, headers: Headers) -> Judgement:
         """See `Dialect`."""
         by_name = {name.lower(): value for name, value in headers}
-        answered_id = by_name.get(REQUEST_ID.lower())
-        if answered_id in (None, request_id):
-            if status == MISDIRECTED:
-                return Judgement.REPLACED
-            if NOT_EXECUTED.lower() in by_name:
-                return Judgement.REFUSED
-        if answered_id != request_id or CONTENT_ENCODING.lower() in by_name:
+        answered_id = by_name.get(REQUEST_ID.lower(), "")
+        if answered_id != request_id:
+            return Judgement.FOREIGN
+        if status == MISDIRECTED:
+            return Judgement.REPLACED
+        if NOT_EXECUTED.lower() in by_name:
+            return Judgement.REFUSED
+        if CONTENT_ENCODING.lower() in by_name:
             return Judgement.FOREIGN
         if status == UNPROCESSABLE:
             return Judgement.HOPELESS
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -181,16 +181,17 @@
             (200, [*mine, ("Content-Encoding", "gzip")], Judgement.FOREIGN),
             (500, mine, Judgement.FAILED),
             (422, mine, Judgement.HOPELESS),
-            (503, refused, Judgement.REFUSED),
+            (503, refused, Judgement.FOREIGN),
             (503, [*refused, *mine], Judgement.REFUSED),
             (503, [*refused, *other], Judgement.FOREIGN),
             (503, [], Judgement.FOREIGN),
-            (421, [], Judgement.REPLACED),
+            (421, [], Judgement.FOREIGN),
             (421, mine, Judgement.REPLACED),
             (421, other, Judgement.FOREIGN),
         ):
             with self.subTest(status=status, headers=headers):
                 self.assertIs(self.dialect.judge("r", status, headers), judgement)
+        self.assertIs(self.dialect.judge("", 400, refused), Judgement.REFUSED)
 
 
 START = """
