--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,7 +9,7 @@
 
 from tests.earlier_build import HistoryMissingError, check_out, production
 from tests.ports import restrict_ports
-from tests.soak import paced, prompts, upgrade, versions
+from tests.soak import paced, prompts, surplus, upgrade, versions
 from tests.soak.faults import KINDS, PROMPT_KINDS, REBORN_KINDS, VERSION_KINDS
 from tests.soak.fleet import ENGINES, NODES
 from tests.soak.whole_run import Soak
@@ -43,6 +43,11 @@
         action="store_true",
         help="prompt parts that become fatal, answers without a frame, and crowded nodes",
     )
+    parser.add_argument(
+        "--surplus",
+        action="store_true",
+        help="engines that send answers a second time, late, and addresses that are used again",
+    )
     parser.add_argument("--keep", type=Path, help="folder for the logs if an invariant is violated")
     parser.add_argument(
         "--seeds", action="store_true", help="run every seed of seeds.txt, one after the other"
@@ -74,6 +79,8 @@
         kinds = list(versions.KINDS)
     if arguments.prompts and arguments.faults is None:
         kinds = list(prompts.KINDS)
+    if arguments.surplus and arguments.faults is None:
+        kinds = list(surplus.KINDS)
     unknown = sorted(set(kinds) - KINDS.keys())
     if unknown or not kinds:
         parser.error(f"unknown faults {unknown}; known: {', '.join(KINDS)}")
@@ -112,6 +119,8 @@
             soak = paced.PacedSoak(seed, minutes * 60, kinds, folder, variant=variant, **sizes)
         elif arguments.prompts:
             soak = prompts.PromptSoak(seed, minutes * 60, kinds, folder, **sizes)
+        elif arguments.surplus:
+            soak = surplus.SurplusSoak(seed, minutes * 60, kinds, folder, **sizes)
         else:
             soak = Soak(seed, minutes * 60, kinds, folder, **sizes)
         invariants = soak.run()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -50,12 +50,13 @@
     "fatal_reborn": (9.0, 12.0),
     "fatal_part": (11.0, 14.0),
     "crowd": (5.0, 9.0),
+    "engine_storm": (4.0, 16.0),
 }
 """Shortest and longest duration of each kind, in seconds; a killed process restarts after it."""
 REBORN_KINDS = frozenset(("engine_reborn", "fatal_reborn"))
 """Kinds after which engines restart under their former id. Seeds recorded earlier exclude them:
 more kinds would change what these seeds draw."""
-PROMPT_KINDS = frozenset(("fatal_part", "crowd"))
+PROMPT_KINDS = frozenset(("fatal_part", "crowd", "engine_storm"))
 """Kinds of the soak with prompts only."""
 VERSION_KINDS = frozenset(("some_nodes_kill",))
 """Kinds of the soak with two versions only, for the same reason."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -139,6 +139,10 @@
         self.life_number = 0
         self.start()
 
+    def next_port(self):
+        """Return the port of the next life."""
+        return free_port()
+
     def restart(self, *, keeps_id=False):
         """Start the engine after its exit, unless a concurrent fault has already done so."""
         if not self.process.is_running:
@@ -150,7 +154,7 @@
         if not keeps_id:
             self.engine_id = f"e{self.number}-{self.life_number}"
         self.born = int(time.time() * 1000)
-        self.port = free_port()
+        self.port = self.next_port()
         self.link = Proxy(self.port)
         arguments = [self.module, self.engine_id, str(self.port), self.version]
         arguments += self.extra_arguments
--- a/tests/soak/prompts.py
+++ b/tests/soak/prompts.py
@@ -2,10 +2,12 @@
 
 Requests share first and second parts of their prompts. For some seconds, each engine exits that
 begins to answer a request with a certain part; no two of these are alike. At other times most new
-connections go to one node, and there are more of them.
+connections go to one node, and there are more of them. With `--faults engine_storm`, engines crash
+by the clock, and all items share a part, which has nothing to do with it.
 """
 
 import contextlib
+import itertools
 import json
 import time
 from collections import defaultdict
@@ -67,6 +69,18 @@
 """Least share of the requests read that are served meanwhile, relative to that before."""
 
 
+STORM_INTERVAL = 0.45
+"""Seconds between two moments at which engines crash in a storm, whatever they run."""
+STORM_ENGINES = 2
+"""Engines that crash at such a moment."""
+STORM_RESTART = 0.5
+"""Seconds until they are back."""
+ITEM_PART = "d0"
+"""Part that all items share in runs with storms. It is never fatal."""
+FINISH_TIME = 21.0
+"""Seconds after all trouble in which the items of jobs must end: 18, and 3 until it counts."""
+
+
 class DirectLink:
     """Stands for the proxy of an engine that nodes reach directly."""
 
@@ -155,6 +169,24 @@
         gevent.joinall(restarts)
         self._is_busy = False
 
+    def _engine_storm(self, node, engine, duration):
+        """Kill engines by the clock, some at a time, for whatever time is left to each."""
+        restarts, deadline = [], time.monotonic() + duration
+        for number in itertools.count():
+            if time.monotonic() >= deadline:
+                break
+            for offset in range(STORM_ENGINES):
+                victim = self.engines[(number * STORM_ENGINES + offset) % len(self.engines)]
+                if victim.process.is_running:
+                    victim.process.kill()
+                    restarts.append(
+                        gevent.spawn(
+                            self._restart_engine, victim, keeps_id=False, after=STORM_RESTART
+                        )
+                    )
+            gevent.sleep(STORM_INTERVAL)
+        gevent.joinall(restarts)
+
     def _crowd(self, node, engine, duration):
         if self._is_busy:
             return
@@ -169,6 +201,8 @@
     def __init__(self, *args):
         super().__init__(*args)
         self.prompts = []
+        self.items_share_part = False
+        """Whether all items share the part `ITEM_PART`."""
 
     def start(self):
         """Start all clients and the poller."""
@@ -205,6 +239,13 @@
         req.ended_at = time.time()
         self._invariants.check_online_request(req)
 
+    def job_body(self, job):
+        """Build the body of a job, whose items may share a part of their prompts."""
+        document = json.loads(super().job_body(job))
+        for number, item in enumerate(document["items"] if self.items_share_part else ()):
+            item["headers"]["Prompt-Prefix"] = f"{ITEM_PART}:50,{number:x}:50"
+        return json.dumps(document).encode()
+
     def _run_fatal_request(self, node, number, request_id):
         headers = [("Deadline-Ms", str(DEADLINE_MS))]
         body = FATAL_MARK + str(number).encode()
@@ -224,6 +265,12 @@
     clients_type = PromptClients
     fleet_type = PromptFleet
 
+    def __init__(self, seed, seconds, kinds, *args, **options):
+        super().__init__(seed, seconds, kinds, *args, **options)
+        if "engine_storm" in kinds:
+            self.clients.items_share_part = True
+            self.jobs_timeout = FINISH_TIME
+
     def run(self):
         """Run the soak, and return the checked invariants."""
         invariants = super().run()
