--- a/tests/soak/surplus_engine.py
+++ b/tests/soak/surplus_engine.py
@@ -9,14 +9,15 @@
 from tests.soak.engine import SoakEngine
 from tests.stand_in_engine import Behaviour
 
-SURPLUS_SHARE = 0.15
-"""Share of the answers that come a second time."""
+SURPLUS_PERCENT = 15
+"""Of 100 answers, those that come a second time. Refusals, which are rare, all do."""
 MAX_SURPLUS_DELAY = 0.5
 """Seconds until then at most; the next request on the connection mostly runs at that time."""
 MAX_SURPLUS_SIZE = 20_000
 """Bytes of the largest answer that comes a second time."""
-REFUSAL_INTERVAL = 0.7
-"""Seconds between requests that the engine refuses."""
+SUCCESS = b"HTTP/1.1 200"
+REFUSAL_INTERVAL = 10
+"""Requests after which the engine refuses one."""
 
 
 class RecordingConnection:
@@ -41,27 +42,26 @@
         super().__init__(*arguments)
         self._answering = {}
         """Recorder of the present answer, by connection."""
-        gevent.spawn(self._refuse_sometimes)
-
-    def _refuse_sometimes(self):
-        while True:
-            gevent.sleep(REFUSAL_INTERVAL)
-            if not self.next_behaviours:
-                self.next_behaviours.append(Behaviour(refuse=True))
 
     def _serve_one(self, connection):
         recorder = self._answering[connection] = RecordingConnection(connection)
+        if len(self.heads) % REFUSAL_INTERVAL == 0 and not self.next_behaviours:
+            self.next_behaviours.append(Behaviour(refuse=True))
         is_kept = super()._serve_one(recorder)
+        if not is_kept:
+            del self._answering[connection]
         answer = recorder.sent
-        number = zlib.crc32(answer)
-        if is_kept and len(answer) <= MAX_SURPLUS_SIZE and number % 100 < SURPLUS_SHARE * 100:
-            delay = MAX_SURPLUS_DELAY * (number // 100 % 100) / 100
-            gevent.spawn_later(delay, self._send_again, connection, answer)
+        if is_kept and len(answer) <= MAX_SURPLUS_SIZE:
+            number = zlib.crc32(answer)
+            if number % 100 < SURPLUS_PERCENT or not answer.startswith(SUCCESS):
+                delay = MAX_SURPLUS_DELAY * (number // 100 % 100) / 100
+                gevent.spawn_later(delay, self._send_again, connection, answer)
         return is_kept
 
     def _send_again(self, connection, answer):
         """Send an answer again, unless another one is just being sent."""
-        if not self._answering[connection].sent:
+        present = self._answering.get(connection)
+        if present is not None and not present.sent:
             with contextlib.suppress(OSError):
                 connection.sendall(answer)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
 from tests.soak.processes import Engine, Process
 from tests.soak.prompts import PromptRequest, PromptSoak
 from tests.soak.proxy import Proxy
+from tests.soak.surplus import SurplusSoak
 from tests.soak.tenants import TenantClients
 from tests.soak.versions import Attempt, Stream, VersionChecks, VersionSoak, read_events
 
@@ -670,12 +671,12 @@
         )
         self.assertGreater(invariants.check_counts["items complete exactly once"], 2, report)
 
-    def test_a_short_run_with_prompts_passes(self):
-        kinds = ["fatal_part"] * 2 + ["crowd", "engine_kill"]
+    def check_short_run(self, soak_type, kinds, check, least, **sizes):
+        """Run a soak for a short time; `check` must be made more than `least` times."""
         with separate_port_block(), tempfile.TemporaryDirectory() as folder:
-            soak = PromptSoak(
+            soak = soak_type(
                 SHORT_SEED, SHORT_SECONDS, kinds, Path(folder), print_line=lambda line: None,
-                engines=5,
+                **sizes,
             )  # fmt: skip
             invariants = soak.run()
             report = soak.report()
@@ -685,28 +686,25 @@
             if violation.partition(":")[0] not in TIME_BOUND_CHECKS
         ]
         self.assertEqual(violations, [], report)
-        self.assertGreater(
-            invariants.check_counts["whole answers, to one's own request"], 50, report
-        )
+        self.assertGreater(invariants.check_counts[check], least, report)
+
+    def test_a_short_run_with_prompts_passes(self):
+        kinds = ["fatal_part"] * 2 + ["crowd", "engine_kill"]
+        check = "whole answers, to one's own request"
+        self.check_short_run(PromptSoak, kinds, check, 50, engines=5)
+
+    def test_a_short_run_with_engines_that_crash_by_the_clock_passes(self):
+        check = "items complete exactly once"
+        self.check_short_run(PromptSoak, ["engine_storm"], check, 3, engines=5)
+
+    def test_a_short_run_with_surplus_answers_passes(self):
+        kinds = ["engine_kill"] * 3 + ["engine_leaves"]
+        self.check_short_run(SurplusSoak, kinds, "at most once", 50, engines=3)
 
     def test_a_short_run_with_two_versions_passes(self):
         kinds = ["some_nodes_kill"] * 3 + ["engine_kill"] * 2 + ["store_down"]
-        with separate_port_block(), tempfile.TemporaryDirectory() as folder:
-            soak = VersionSoak(
-                SHORT_SEED, SHORT_SECONDS, kinds, Path(folder), print_line=lambda line: None,
-                engines=4,
-            )  # fmt: skip
-            invariants = soak.run()
-            report = soak.report()
-        violations = [
-            violation
-            for violation in invariants.violations
-            if violation.partition(":")[0] not in TIME_BOUND_CHECKS
-        ]
-        self.assertEqual(violations, [], report)
-        self.assertGreater(
-            invariants.check_counts["a client's attempts hold one version"], 50, report
-        )
+        check = "a client's attempts hold one version"
+        self.check_short_run(VersionSoak, kinds, check, 50, engines=4)
 
 
 if __name__ == "__main__":
