--- a/postvalve/core/admission/part_quarantine.py
+++ b/postvalve/core/admission/part_quarantine.py
@@ -9,8 +9,9 @@
 A part is suspect once engines crashed under it on several occasions. Requests with a suspect part
 run as trials only, one at a time for each part in the whole fleet; others with it are refused
 meanwhile. If several parts of a request are suspect, one with fewer of them is tried first, as its
-outcome tells more. A part whose trial crashed its engine is held back for a time that doubles with
-each further one.
+outcome tells more. A part whose trial crashed its engine is held back for a time that grows with
+each further one. The first times are short: while engines crash for another cause, trials fail by
+chance, and nothing else can clear a part that is held back.
 """
 
 from __future__ import annotations
