--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,7 +18,7 @@
     "lossSlackMs": 200, "finishS": 18, "statusS": 120, "cancelMs": 3000, "settleMs": 1000,
     "quotaOver": 0.1,
 }  # fmt: skip
-NODES, WORKERS, SLOTS, QUEUE = 5, 3, 4, 1
+NODES, WORKERS, SLOTS, QUEUE = 5, 3, 4, 3
 STREAMS_PER_SECOND, EVENTS, EVENT_TIME = 30, 16, 0.06
 PAUSED_SHARE, PAUSE = 0.2, 1.4
 """Share of the runs that the worker puts back in the middle, and seconds until they go on."""
