--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exits with 1 if a job ran whose every attempt was refused, 0 if none did, 2 if it couldn't run.
-exec python3 "$(dirname "$0")/case.py"
+# Exits with 1 if a job ran whose every attempt was refused, 0 if not, 2 if the case couldn't run.
+exec "$(dirname "$0")/../support_2/run.sh" "$(dirname "$0")/case.py"
--- a/review/support_2/fleet.py
+++ b/review/support_2/fleet.py
@@ -26,8 +26,8 @@
 PORTS = (15000, 30000)
 MOST_TIME = 114.0
 """Seconds after which a case is given up: a script may take 120 s."""
-LOST, BROKEN, HELD = 2, 1, 0
-"""Exit codes: the case couldn't run, the rule was broken, the rule held."""
+LOST, BROKEN, HELD = 2, 10, 0
+"""Exit codes: the case couldn't run, the rule was broken, the rule held; see `run.sh`."""
 
 
 class CaseError(Exception):
@@ -239,7 +239,7 @@
         code = asyncio.run(_bounded(case(trouble, record)))
     except CaseError as error:
         record(couldnt_run=str(error))
-    except Exception as error:  # exit code 1 is for a broken rule only
+    except Exception as error:  # this is no broken rule
         record(couldnt_run=repr(error))
     finally:
         # Also where the case is ended by a signal.
