Streams and items go on only where a read proves the version that began them

An engine that started again under its id with another version, before its entry was read, was counted to the former one, and the stream went on at that. Where the store did not answer, the copy decided as well which engine may go on.

Change: a fact (core/membership/known_facts) holds up to the moment to which the directory was read. A connection's first answer is the moment that matters, as an engine is listed before it serves and all answers over one connection are of one life. Streams, items, reports to owners, answers to peers and saved progress wait for a read that began after it; a connection over which an engine has answered before needs none. Without proof a stream is refused within 0.25 s, an item waits as long as its text took and begins again.

--- a/postvalve/core/routing/stream_origins.py
+++ b/postvalve/core/routing/stream_origins.py
@@ -15,7 +15,7 @@
 import struct
 from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 
@@ -105,6 +105,15 @@
         while len(self._streams) > self._most:
             del self._streams[next(iter(self._streams))]
 
+    def contradict(self, stream: bytes) -> None:
+        """Record that nobody can know which version began a stream."""
+        origin = self._streams.get(stream)
+        if origin is not None:
+            self._streams[stream] = replace(origin, version=None)
+
+    def __contains__(self, stream: bytes) -> bool:
+        return stream in self._streams
+
     def find(self, stream: bytes, now: float) -> int | None:
         """Return the version that began a stream; None if it is not known."""
         origin = self._streams.get(stream)
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -83,6 +83,11 @@
     LINE_GRANTED = (242, "debug", "slots granted to requests queued at a node")
     REQUEST_READ_LATE = (243, "info", "request waited in its connection before it was read")
     VERSION_AWAITED = (244, "info", "engines of a version waited for its record in the store")
+    STREAM_ORIGIN_UNPROVEN = (
+        245,
+        "warning",
+        "stream not continued: the engine version that began it is not proven",
+    )
     QUARANTINE_NOT_LEARNT = (224, "warning", "suspect requests could not be fetched")
     TENANTS_SERVED = (230, "info", "recent demand and service of tenants")
     CLIENT_LAGS = (280, "info", "client reads slowly: its answer is buffered")
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -222,6 +222,13 @@
     """The connection to an engine ended before the response; the engine itself may have ended."""
 
 
+class EngineUnconfirmedError(AttemptError):
+    """No read of the directory shows that an engine has the version it is listed with.
+
+    Nothing was sent, or what came is not used; the engine has not failed.
+    """
+
+
 class EngineNotListeningError(AttemptError):
     """An engine's address refused the connection, so the request did not run there."""
 
--- a/postvalve/gateway/engines/engine_answer.py
+++ b/postvalve/gateway/engines/engine_answer.py
@@ -39,7 +39,12 @@
         ...
 
     def release(
-        self, address: str, connection: Any, keep_alive: str | None, request_id: str = ""
+        self,
+        address: str,
+        connection: Any,
+        keep_alive: str | None,
+        request_id: str = "",
+        answered_at: float | None = None,
     ) -> None:
         """Put a connection whose last response was complete back into the pool."""
         ...
@@ -58,6 +63,7 @@
         still_usable: Callable[[], bool],
         *,
         may_be_empty: bool = False,
+        answered_at: float | None = None,
     ) -> None:
         self._pool = pool
         self._address = address
@@ -77,12 +83,22 @@
         self.aborted = False
         self.received = False
         """Whether any byte of the response has been received."""
+        self._answered_at = answered_at
 
     @property
     def status(self) -> int:
         """HTTP status code."""
         return int(self._parser.get_code())
 
+    @property
+    def answered_at(self) -> float:
+        """Monotonic seconds of the first head of an answer that came over the connection.
+
+        All answers over one connection are of one life of an engine.
+        """
+        assert self._answered_at is not None, "no head was read"
+        return self._answered_at
+
     @property
     def _is_success(self) -> bool:
         return 200 <= self.status < 300
@@ -117,6 +133,8 @@
             self._receive(ends_at)
             if not self._parser.has_final_head:
                 self._check_size("head", self._pool.limits.head)
+        if self._answered_at is None:
+            self._answered_at = self._pool.clock.monotonic()
         if self._is_success and not self._parser.has_known_coding:
             # Neither its content nor its end could be told.
             raise AttemptError("the answer has an unknown transfer coding", Verdict.MAY_HAVE_RUN)
@@ -289,4 +307,6 @@
             self._connection.close()
             return
         keep_alive = self.header("keep-alive")
-        self._pool.release(self._address, self._connection, keep_alive, self._request_id)
+        self._pool.release(
+            self._address, self._connection, keep_alive, self._request_id, self._answered_at
+        )
--- a/postvalve/gateway/engines/engine_connections.py
+++ b/postvalve/gateway/engines/engine_connections.py
@@ -59,6 +59,8 @@
     expires_at: float
     request_id: str
     """Id of the last request that it carried."""
+    answered_at: float | None
+    """Monotonic seconds of the first answer that came over it; None if none has come yet."""
 
 
 @dataclass(slots=True)
@@ -88,6 +90,7 @@
         deadline: float,
         *,
         still_usable: Callable[[], bool],
+        check_connection: Callable[[float | None], None] = lambda answered_at: None,
         new_connection: bool = False,
         fail_over_early: bool = False,
         may_be_empty: bool = False,
@@ -104,6 +107,9 @@
             still_usable: Returns whether the engine still accepts work. Called once a connection is
                 open, as the engine may have left meanwhile, and at the end of a response that has
                 neither a length nor chunks.
+            check_connection: Called after that with the monotonic seconds of the first answer that
+                came over the connection, or None; raises an `AttemptError` if the request must not
+                be sent over it.
             new_connection: Whether to open a new connection instead of using an idle one. Many idle
                 connections may have stopped responding at the same time.
             fail_over_early: Whether to give up early on a connection that opens much more slowly
@@ -116,10 +122,18 @@
                 (verdict MAY_HAVE_RUN).
         """
         resting = None if new_connection else self._take_idle(address, request_id)
-        connection = resting or self._open(address, deadline, fail_over_early)
+        answered_at = resting.answered_at if resting else None
+        connection = (
+            resting.connection if resting else self._open(address, deadline, fail_over_early)
+        )
         if not still_usable():
             connection.close()
             raise AttemptError("the engine takes no work any more", Verdict.NOT_RUN)
+        try:
+            check_connection(answered_at)
+        except AttemptError:
+            connection.close()
+            raise
         if self.clock.monotonic() >= deadline:
             connection.close()
             raise AttemptError("the deadline passed", Verdict.NOT_RUN)
@@ -131,6 +145,7 @@
             deadline,
             still_usable,
             may_be_empty=may_be_empty,
+            answered_at=answered_at,
         )
         try:
             self._send(connection, request(), deadline)
@@ -154,7 +169,7 @@
             if remaining and (pace.seconds_left(now) <= 0 or now >= deadline):
                 raise TimeoutError("the engine reads too slowly")
 
-    def _take_idle(self, address: str, request_id: str) -> Any | None:
+    def _take_idle(self, address: str, request_id: str) -> _IdleConnection | None:
         resting = self._engines[address].resting
         now = self.clock.monotonic()
         for one in reversed(resting.copy()):
@@ -162,7 +177,7 @@
                 continue
             resting.remove(one)
             if one.expires_at > now and not _readable(one.connection):
-                return one.connection
+                return one
             one.connection.close()
         return None
 
@@ -221,7 +236,12 @@
         return True
 
     def release(
-        self, address: str, connection: Any, keep_alive: str | None, request_id: str = ""
+        self,
+        address: str,
+        connection: Any,
+        keep_alive: str | None,
+        request_id: str = "",
+        answered_at: float | None = None,
     ) -> None:
         """Put a connection whose last response was complete back into the pool.
 
@@ -230,6 +250,7 @@
             connection: The open connection.
             keep_alive: The engine's Keep-Alive header; None if it sent none.
             request_id: Id of the last request that it carried; empty if none.
+            answered_at: Monotonic seconds of the first answer that came over it; None if none has.
         """
         resting = self._engines[address].resting
         seconds = _keep_alive_seconds(keep_alive)
@@ -237,7 +258,7 @@
             connection.close()
             return
         expires_at = self.clock.monotonic() + seconds
-        resting.append(_IdleConnection(connection, expires_at, request_id))
+        resting.append(_IdleConnection(connection, expires_at, request_id, answered_at))
 
     def set_idle_limit(self, connections: int) -> None:
         """Set the number of idle connections kept for each engine, from the next `expire` on."""
--- a/postvalve/gateway/fleet/directory_reader.py
+++ b/postvalve/gateway/fleet/directory_reader.py
@@ -69,6 +69,7 @@
         self.follower.on_regained = self._store_regained
         fleet.directory_unsettled = lambda: self._entries.unsettled(clock.monotonic())
         fleet.directory_age = lambda: self.follower.age
+        fleet.versions.read_up_to = lambda: self.follower.fresh_at
 
     def run(self) -> None:
         """Follow the directory; never returns."""
@@ -131,7 +132,7 @@
     def _observe(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         if is_snapshot:
             self.on_snapshot()
-        changes = self._entries_of(records)
+        changes = self._entries_of(records, is_snapshot)
         missing = self._entries.observe(changes, is_snapshot, self._clock.monotonic())
         if missing:
             self._events.emit(
@@ -143,7 +144,9 @@
             gevent.spawn(self._drop_lapsed)
         self._update_fleet()
 
-    def _entries_of(self, records: Sequence[KeyedRecord]) -> list[tuple[str, EngineEntry | None]]:
+    def _entries_of(
+        self, records: Sequence[KeyedRecord], is_snapshot: bool
+    ) -> list[tuple[str, EngineEntry | None]]:
         """Return engine id and entry of each record; unusable ones are logged.
 
         These are unreadable entries, and entries that an engine wrote before it was restarted.
@@ -156,6 +159,13 @@
                 unreadable.append(record)
             if entry is not None:
                 self.on_listed(entry)
+                self._fleet.versions.observe(
+                    entry.life,
+                    entry.service,
+                    entry.version,
+                    self._clock.monotonic(),
+                    is_snapshot=is_snapshot,
+                )
             if entry is not None and not self._lives.admits(entry.life):
                 self._events.emit(Event.ENGINE_FORMER_LIFE, engine=entry.life)
                 entry = self._present_entry(entry)
--- a/postvalve/gateway/fleet/listed_engines.py
+++ b/postvalve/gateway/fleet/listed_engines.py
@@ -8,7 +8,9 @@
 
 from postvalve.clock import Clock
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.membership.known_facts import EngineVersions, VersionEvidence
 from postvalve.events import Event, EventLog
+from postvalve.exceptions import AttemptError, EngineUnconfirmedError, Verdict
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.fleet.engine_health import EngineHealth
 from postvalve.gateway.fleet.engine_paces import EnginePaces
@@ -17,7 +19,7 @@
 
 CONFIRM_TIMEOUT = 0.1
 """Seconds that a read of the directory may take before an engine goes on with what another began;
-without an answer the copy decides."""
+without an answer it does not."""
 SETTLE_CHECK_INTERVAL = 0.1
 """Seconds between checks whether the directory is still unsettled."""
 
@@ -44,6 +46,8 @@
         """Waits, for some seconds at most, for a read of the directory that begins afterwards."""
         self.directory_age: Callable[[], float] = float
         """Returns the age of this node's copy of the directory in seconds."""
+        self.versions = EngineVersions()
+        """Versions by engine id, each with the moment up to which it is known."""
         self._health = EngineHealth(clock)
         self.paces = EnginePaces(clock, events)
         self._warm_at: dict[EngineLife, float] = {}
@@ -142,13 +146,36 @@
             and not self._health.is_replaced(life)
         )
 
-    def may_continue(self, life: EngineLife) -> bool:
-        """Whether an engine, to which a connection is open, may go on with what another began.
+    def evidence(self, entry: EngineEntry, answered_at: float) -> VersionEvidence:
+        """Return what shows which version answered over a connection to an engine's address."""
+        return VersionEvidence(self.versions.of(entry.engine_id, entry.version), answered_at)
+
+    def await_proof(self, evidence: VersionEvidence, timeout: float) -> bool:
+        """Return whether evidence is proven; reads the directory if this copy does not show it."""
+        if not evidence.is_proven and not evidence.is_refuted:
+            self.read_directory(timeout)
+        return evidence.is_proven
+
+    def check_may_continue(self, entry: EngineEntry, answered_at: float | None) -> None:
+        """Check that an engine, to which a connection is open, has the version of its entry.
 
         It may have started again under its id, with another version, since its entry was read.
+
+        Args:
+            entry: The engine's entry.
+            answered_at: Monotonic seconds of the first answer over the connection; None if it is
+                new.
+
+        Raises:
+            EngineUnconfirmedError: No read of the directory shows it.
+            AttemptError: The engine takes no work any more.
         """
-        self.read_directory(CONFIRM_TIMEOUT)
-        return self.takes_work(life)
+        opened_at = answered_at if answered_at is not None else self._clock.monotonic()
+        is_proven = self.await_proof(self.evidence(entry, opened_at), CONFIRM_TIMEOUT)
+        if not self.takes_work(entry.life):
+            raise AttemptError("the engine takes no work any more", Verdict.NOT_RUN)
+        if not is_proven:
+            raise EngineUnconfirmedError("the engine's version is not confirmed", Verdict.NOT_RUN)
 
     def ready_address(self, life: EngineLife) -> str | None:
         """Return the address of an engine that takes work; None for any other."""
--- a/postvalve/gateway/fleet/stream_versions.py
+++ b/postvalve/gateway/fleet/stream_versions.py
@@ -21,6 +21,7 @@
 from gevent.queue import Empty, Queue
 
 from postvalve.clock import milliseconds
+from postvalve.core.membership.known_facts import VersionEvidence
 from postvalve.core.routing.stream_origins import (
     MAX_TIME,
     OriginReport,
@@ -54,6 +55,11 @@
 DENIAL_WAIT = 0.1
 """Seconds for which the other peers may still answer once one has, if the directory shows that
 there is one version only. One of them may have seen a second version before this node started."""
+PROOF_TIMEOUT = 0.2
+"""Seconds that a read of the directory may take which is to show the version of a stream that this
+node has begun. A client, or a peer on its behalf, waits for it."""
+PROOF_INTERVAL = 0.1
+"""Least seconds between two reads of the directory for streams of which owners are to be told."""
 AGE_PRECISION = 0.001
 """Seconds by which a peer's copy of the directory may be older than it says."""
 MAX_LOOKUPS = 64
@@ -102,6 +108,17 @@
     is_complete: bool = False
     """Whether no version listed earlier can be missing."""
 
+    @property
+    def missing(self) -> str:
+        """What is missing for a proof, for log lines; empty if nothing is."""
+        if self.version is not None:
+            return ""
+        if self.source != "none":
+            return self.source
+        if not self.is_current:
+            return "a read of the directory"
+        return "a peer that knows the stream" if self.is_complete else "the records of versions"
+
 
 @dataclass(frozen=True, slots=True)
 class _DirectoryRead:
@@ -196,6 +213,11 @@
         self._told = StreamOrigins()
         """Streams that peers have told this node."""
         self._ring = OwnerRing(services.peers, services.identity.zone, services.clock)
+        self._evidence: dict[bytes, list[VersionEvidence]] = {}
+        """What is to show which version began a stream that this node has begun, until it does."""
+        self._untold: dict[bytes, OriginReport] = {}
+        """Reports to owners that wait for it."""
+        self._has_untold = GeventEvent()
         self._unsent: dict[str, list[OriginReport]] = {}
         """Reports that gather, by the address of the peer."""
         self._pending = GeventEvent()
@@ -207,7 +229,13 @@
     # What this node serves
 
     def record(
-        self, tenant: str, service: str, request_id: str, version: str, seconds_left: float
+        self,
+        tenant: str,
+        service: str,
+        request_id: str,
+        version: str,
+        seconds_left: float,
+        evidence: VersionEvidence | None = None,
     ) -> None:
         """Record that an engine of `version` brought the first event of a stream.
 
@@ -217,9 +245,13 @@
             request_id: Id of the attempt; a stream without one can't be taken up.
             version: The engine's version.
             seconds_left: Seconds until the client's deadline.
+            evidence: What shows or will show the version; None if nothing needs to. Until it does,
+                the stream goes on nowhere else.
         """
         if request_id:
             stream = stream_key(tenant, service, request_id)
+            if evidence is not None and not evidence.is_proven:
+                self._evidence.setdefault(stream, []).append(evidence)
             self._record(stream, service, version_hash(version), seconds_left)
 
     def _record(self, stream: bytes, service: str, version: int, seconds_left: float) -> None:
@@ -229,6 +261,20 @@
         if service in self._reported_services or not self._has_only_version(service, now):
             self._report([OriginReport(stream, version, seconds)])
 
+    def _settle(self, stream: bytes) -> bool:
+        """Take notice of what is known by now; returns whether the version is proven or refuted."""
+        evidence = self._evidence.get(stream, ())
+        if any(one.is_refuted for one in evidence):
+            self._own.contradict(stream)
+        elif not all(one.is_proven for one in evidence):
+            return False
+        self._evidence.pop(stream, None)
+        return True
+
+    def _prove(self, stream: bytes, timeout: float) -> bool:
+        """Wait for what shows, or refutes, the version of a stream that this node has begun."""
+        return self._settle(stream) or (self._directory.wait(timeout) and self._settle(stream))
+
     def _has_only_version(self, service: str, now: float) -> bool:
         """Whether the directory alone tells which version began a service's streams."""
         return (
@@ -269,7 +315,13 @@
     # Telling
 
     def _report(self, reports: Iterable[OriginReport]) -> None:
-        for one in reports:
+        for one in list(reports):
+            if not self._settle(one.stream):
+                self._untold[one.stream] = one
+                self._has_untold.set()
+                continue
+            if self._own.is_contradicted(one.stream, self._clock.monotonic()):
+                continue
             for address in self._ring.of(one.stream).told:
                 self._unsent.setdefault(address, []).append(one)
         if self._unsent:
@@ -288,6 +340,24 @@
                 expired_at = now
                 self._own.expire(now)
                 self._told.expire(now)
+                self._evidence = {
+                    stream: one for stream, one in self._evidence.items() if stream in self._own
+                }
+
+    def run_proofs(self) -> None:
+        """Tell owners of streams once their version is proven; never returns."""
+        while True:
+            self._has_untold.wait()
+            self._has_untold.clear()
+            self.prove_untold()
+            gevent.sleep(PROOF_INTERVAL)
+
+    def prove_untold(self) -> None:
+        """Read the directory for the streams of which owners are to be told."""
+        self._directory.wait(PROOF_TIMEOUT)
+        untold, self._untold = self._untold, {}
+        # Those that are still not proven wait again.
+        self._report(one for one in untold.values() if one.stream in self._own)
 
     def _send(self) -> None:
         unsent, self._unsent = self._unsent, {}
@@ -312,8 +382,9 @@
 
     def reply(self, ask: gateway.OriginAsk) -> gateway.OriginReply:
         """Answer a peer that does not know a stream."""
+        is_settled = self._prove(ask.stream, PROOF_TIMEOUT)
         now = self._clock.monotonic()
-        version = self._find_here(ask.stream, now)
+        version = self._find_here(ask.stream, now) if is_settled else None
         return gateway.OriginReply(
             known=version is not None,
             version=version or 0,
@@ -346,8 +417,11 @@
         """
         started = self._clock.monotonic()
         stream = taken_up.key
+        is_settled = self._prove(stream, min(PROOF_TIMEOUT, taken_up.seconds_left * LOOKUP_SHARE))
         version = self._find_here(stream, started)
-        if self._is_contradicted(stream, started):
+        if not is_settled:
+            known = _Knowledge(None, "a read of the directory")
+        elif self._is_contradicted(stream, started):
             known = _Knowledge(None, "contradicting reports")
         elif version is not None:
             known = _Knowledge(version, "own")
@@ -357,7 +431,7 @@
         if known.version is None:
             raise StreamVersionUnknownError(
                 "no node knows which engine version began this stream; take it up again, naming "
-                "its first attempt, or begin it anew",
+                f"its first attempt, or begin it anew (missing: {known.missing})",
                 retry_after=UNKNOWN_RETRY_AFTER,
             )
         if stream:
@@ -448,6 +522,7 @@
             asked=known.asked,
             answers=known.answers,
             versions=len(known.versions),
+            missing=known.missing,
             current=known.is_current,
             complete=known.is_complete,
             seconds=round(now - started, 3),
@@ -486,4 +561,5 @@
             "streams": len(self._own),
             "streams_of_peers": len(self._told),
             "lookups": self._lookups.total(),
+            "streams_unproven": len(self._evidence),
         }
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -378,6 +378,7 @@
             self._quarantine_gossip.learn,
             self._quarantine_gossip.run,
             self._stream_versions.run,
+            self._stream_versions.run_proofs,
             self._version_records.run,
             self._follow_jobs,
             self._housekeeping,
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 import xxhash
@@ -20,6 +21,7 @@
     AttemptError,
     EngineDisconnectedError,
     EngineNotListeningError,
+    EngineUnconfirmedError,
     NotFoundError,
     PostvalveError,
     PromptPartHeldError,
@@ -32,6 +34,7 @@
 from postvalve.gateway.engines.quarantine_guard import QuarantineGuard
 from postvalve.gateway.engines.quarantine_services import QuarantineServices
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.listed_engines import CONFIRM_TIMEOUT
 from postvalve.gateway.fleet.load_reading import read_load
 from postvalve.gateway.fleet.placement import Placement
 from postvalve.gateway.interfaces import Dialect, Judgement
@@ -62,6 +65,9 @@
 cleared."""
 ENGINE_JUDGEMENTS = frozenset((Judgement.ACCEPTED, Judgement.FAILED, Judgement.HOPELESS))
 """Judgements that only the engine itself can have caused."""
+MIN_PROOF_WAIT = 5.0
+"""Seconds that an item waits at least for a read that shows the version of its engines, before it
+begins again."""
 ATTEMPT_TIMEOUT = 120.0
 """Seconds that one attempt may take."""
 
@@ -97,6 +103,8 @@
         self._quarantine = quarantine
         self._estimate = estimate
         self._wake = wake
+        self.restart: Callable[[RunningItem], None] = RunningItem.restart
+        """Called to let an item begin again, as nobody knows which version made its events."""
         self._active: dict[int, RunningItem] = {}
         """Items of attempts that have not ended, by object id."""
 
@@ -166,12 +174,13 @@
 
         def still_usable() -> bool:
             # An item that is preempted before its request was sent has no response to abort yet.
-            if item.last_event_id is None:
-                takes_work = self._fleet.takes_work(engine.life)
-            else:
-                takes_work = self._fleet.may_continue(engine.life)
-            return not item.preempted and takes_work
+            return not item.preempted and self._fleet.takes_work(engine.life)
 
+        self._check_origin(item)
+        send_request = self._pool.send_request
+        if item.last_event_id is not None:
+            check = partial(self._fleet.check_may_continue, engine)
+            send_request = partial(send_request, check_connection=check)
         headers = self._dialect.attempt_headers(
             self._dialect.item_headers(header_pairs, item_id, job.accepted.host),
             job.accepted.tenant,
@@ -182,7 +191,7 @@
         data = request_bytes("POST", req.target, headers, req.body)
         deadline = self._clock.monotonic() + ATTEMPT_TIMEOUT
         guard.begin(engine.life)
-        answer = item.answer = self._pool.send_request(
+        answer = item.answer = send_request(
             engine.address,
             item_id,
             lambda: data,
@@ -199,6 +208,13 @@
         item.times = AttemptTimes(self._clock.monotonic())
         answer.read_head(EVENT_TIMEOUT)
         self._judge(item, placement, item_id, answer)
+        evidence = self._fleet.evidence(engine, answer.answered_at)
+        if item.last_event_id is None:
+            item.evidence = evidence
+        elif not self._fleet.await_proof(evidence, CONFIRM_TIMEOUT):
+            raise EngineUnconfirmedError(
+                "the version that answered is not confirmed", Verdict.MAY_HAVE_RUN
+            )
         if not item.cancelled and answer.status == 200:
             self._read_stream(item, answer)
             self._fleet.paces.record_end(placement, item.times)
@@ -206,6 +222,20 @@
             guard.record_answer()
             self._complete(item)
 
+    def _check_origin(self, item: RunningItem) -> None:
+        """Check that the version which made an item's events is known; if it can't be, drop them.
+
+        Raises:
+            EngineUnconfirmedError: A read of the directory may still show it.
+        """
+        evidence = item.evidence
+        if item.last_event_id is None or evidence is None:
+            return
+        if not self._fleet.await_proof(evidence, CONFIRM_TIMEOUT):
+            if not evidence.is_refuted:
+                raise EngineUnconfirmedError("the item's version is not confirmed", Verdict.NOT_RUN)
+            self.restart(item)
+
     def _guard_of(
         self,
         item: RunningItem,
@@ -293,7 +323,7 @@
 
     def _record_event(self, item: RunningItem) -> None:
         times, placement = item.times, item.placement
-        item.version_missed_at = None
+        item.version_missed_at = item.unconfirmed_since = None
         self._fleet.paces.record_event(times)
         if placement is None:
             return
@@ -325,6 +355,10 @@
             self._fleet.paces.record_end(placement, item.times, complete=False)
             self._log_preempted(item, life)
             return
+        if isinstance(error, EngineUnconfirmedError):
+            self._await_proof(item)
+            self._log_failure(item, placement, error)
+            return
         item.failed_engine = life
         item.not_before = self._clock.monotonic() + RETRY_DELAY + self._crash_delay(item, error)
         gevent.spawn_later(RETRY_DELAY, self._clear_failed_engine, item)
@@ -335,6 +369,15 @@
             self._fleet.record_failure(life, error.message, not_listening=not_listening)
         self._log_failure(item, placement, error)
 
+    def _await_proof(self, item: RunningItem) -> None:
+        """Try an item again later, or anew once it has waited as long as its text took."""
+        now = self._clock.monotonic()
+        item.not_before = now + RETRY_DELAY
+        if item.unconfirmed_since is None:
+            item.unconfirmed_since = now
+        elif now - item.unconfirmed_since >= max(MIN_PROOF_WAIT, item.run_seconds):
+            self.restart(item)
+
     def _crash_delay(self, item: RunningItem, error: PostvalveError) -> float:
         """Return the further seconds that an item waits, if its engine has disconnected."""
         if not isinstance(error, EngineDisconnectedError):
--- a/postvalve/gateway/jobs/item_progress.py
+++ b/postvalve/gateway/jobs/item_progress.py
@@ -57,6 +57,11 @@
     failures: int
     chain: Chain
 
+    @property
+    def is_version_proven(self) -> bool:
+        """Whether the version of the engines that made its events is known for sure."""
+        ...
+
     def seconds_run(self, now: float) -> float:
         """Return the seconds that the item has run, at monotonic time `now`."""
         ...
@@ -167,7 +172,7 @@
     def _next_save(self, item: SavableItem) -> _Save | None:
         chain, last_id = item.chain, item.last_event_id
         new = item.events[chain.saved_events :]
-        if last_id is None or len(new) < MIN_EVENTS_TO_SAVE:
+        if last_id is None or len(new) < MIN_EVENTS_TO_SAVE or not item.is_version_proven:
             return None
         if not chain.name:
             chain.name = self._new_id()
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -106,6 +106,7 @@
             estimate,
             self.wake,
         )
+        self._attempts.restart = self._restart
         self._own.ended_here = ends.unconfirmed
         self.reconciliation = ItemReconciliation(
             events, log, self._own, ends, self._attempts.active
@@ -386,13 +387,14 @@
 
     def _restart(self, item: RunningItem) -> None:
         """Let an item begin again, at any engine: no engine can continue its text."""
-        missed_at = item.version_missed_at
+        missed_at = item.version_missed_at or item.unconfirmed_since
         self._events.emit(
             Event.ITEM_RESTARTED,
             job=item.job_id,
             item=item.index,
             version=item.version,
             events=len(item.events),
+            missing=item.evidence.missing if item.evidence is not None else "",
             waited=0.0 if missed_at is None else round(self._clock.monotonic() - missed_at, 1),
             directory_age=round(self._fleet.directory_age(), 3),
         )
--- a/postvalve/gateway/jobs/running_item.py
+++ b/postvalve/gateway/jobs/running_item.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.membership.known_facts import VersionEvidence
 from postvalve.core.routing.attempt_times import AttemptTimes
 from postvalve.gateway.engines.engine_answer import EngineAnswer
 from postvalve.gateway.engines.quarantine_guard import QuarantineGuard
@@ -27,6 +28,11 @@
     last_event_id: int | None = None
     version: str | None = None
     """Version of the engines that made its events; None while it has none."""
+    evidence: VersionEvidence | None = None
+    """What shows that engines of this version made them; None if the store says so."""
+    unconfirmed_since: float | None = None
+    """Monotonic time in seconds since which its attempts failed for want of a read that shows the
+    version of its engines."""
     max_attempts: int = 1
     """Failed runs after which it is dead."""
     failures: int = 0
@@ -86,10 +92,16 @@
         """
         return not self.is_answered and self.failures + self.unheard_runs >= self.max_attempts
 
+    @property
+    def is_version_proven(self) -> bool:
+        """Whether the version of the engines that made its events is known for sure."""
+        return self.evidence is None or self.evidence.is_proven
+
     def restart(self) -> None:
         """Drop the events received, so that engines of any version may run the item."""
         self.events = []
         self.last_event_id = self.version = self.version_missed_at = None
+        self.evidence = self.unconfirmed_since = None
         self.run_seconds = 0.0
         self.chain = Chain()
 
--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -229,10 +229,10 @@
                 # A concurrent read was faster, and its state is newer.
                 return
             self.next_offset = pages.end
-            self.fresh_at = max(self.fresh_at, pages.started_at)
             # If this fails too, reading it again would not help.
             self._must_reload = False
             self._listener(pages.records(), True)
+            self.fresh_at = max(self.fresh_at, pages.started_at)
 
     def _record_answer(self, started: float) -> None:
         self.answered_at = self._clock.monotonic()
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -11,17 +11,20 @@
 from postvalve.clock import Clock
 from postvalve.core.admission.callers import Caller
 from postvalve.core.membership.engine_life import EngineLife
+from postvalve.core.membership.known_facts import VersionEvidence
 from postvalve.core.routing.stream_origins import MAX_TIME
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import (
     AttemptError,
     ClientGoneError,
     EngineNotListeningError,
+    EngineUnconfirmedError,
     GivenUpError,
     PostvalveError,
     PromptPartHeldError,
     RefusedError,
     RequestExpiredError,
+    StreamVersionUnknownError,
     Verdict,
 )
 from postvalve.gateway.engines.engine_answer import EngineAnswer
@@ -30,10 +33,16 @@
 from postvalve.gateway.engines.quarantine_guard import QuarantineGuard
 from postvalve.gateway.engines.quarantine_services import QuarantineServices
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
+from postvalve.gateway.fleet.listed_engines import CONFIRM_TIMEOUT
 from postvalve.gateway.fleet.load_reading import read_load
 from postvalve.gateway.fleet.placement import Placement
-from postvalve.gateway.fleet.stream_versions import StreamVersions, TakenUpStream
-from postvalve.gateway.interfaces import Dialect, Headers, Judgement, RequestTerms
+from postvalve.gateway.fleet.stream_versions import (
+    PROOF_TIMEOUT,
+    UNKNOWN_RETRY_AFTER,
+    StreamVersions,
+    TakenUpStream,
+)
+from postvalve.gateway.interfaces import Dialect, EngineEntry, Headers, Judgement, RequestTerms
 from postvalve.gateway.metrics import GatewayMetrics
 from postvalve.gateway.serving.admission_queue import AdmissionQueue
 from postvalve.gateway.serving.caller_accounts import RequestAccount
@@ -64,6 +73,8 @@
 OVERLOAD_RETRY_AFTER = 0.5
 """Retry-After in seconds when no engine takes a request."""
 
+UNCONFIRMED_PATIENCE = 0.25
+"""Seconds for which engines are tried whose version no read of the directory shows."""
 MAX_LOGGED_ID = 80
 """Most characters of the id of an earlier attempt in a log line."""
 
@@ -104,6 +115,10 @@
     events: int = 0
     version: str | None = None
     """Version of the engines that may go on with the stream; None while any may begin it."""
+    evidence: VersionEvidence | None = None
+    """What shows that an engine of this version began it; None if other nodes know it, too."""
+    unconfirmed_since: float | None = None
+    """Monotonic seconds since which no engine could be shown to be of this version."""
 
     @property
     def has_tries_left(self) -> bool:
@@ -155,6 +170,8 @@
         """What the request costs its tenant; None where tenants have no shares."""
         self._placement: Placement | None = None
         self._answer: EngineAnswer | None = None
+        self._evidence: VersionEvidence | None = None
+        """What shows which version the present answer is of."""
         self._client_disconnected = False
         self._finished = False
         self._pace = PaceObserver(
@@ -335,8 +352,10 @@
             request.terms.request_id,
             lambda: self._request_bytes(engine.engine_id),
             request.deadline,
-            still_usable=lambda: self._takes_work(engine.life),
-            new_connection=self._progress.broke_off,
+            still_usable=lambda: self._fleet.takes_work(engine.life),
+            check_connection=lambda answered_at: self._check_connection(engine, answered_at),
+            # A connection over which the engine has answered shows which version it is of.
+            new_connection=self._progress.broke_off and self._progress.unconfirmed_since is None,
             fail_over_early=self._progress.tries <= FAIL_OVER_EARLY_TRIES
             and self._has_untried_engines(),
             may_be_empty=self._progress.last_event_id is not None,
@@ -346,10 +365,9 @@
         self._check_headers(answer)
         return answer
 
-    def _takes_work(self, life: EngineLife) -> bool:
-        if self._progress.version is None:
-            return self._fleet.takes_work(life)
-        return self._fleet.may_continue(life)
+    def _check_connection(self, engine: EngineEntry, answered_at: float | None) -> None:
+        if self._progress.version is not None:
+            self._fleet.check_may_continue(engine, answered_at)
 
     def _request_bytes(self, engine_id: str) -> bytes:
         """Return the request for one engine, with the time that is left now."""
@@ -435,6 +453,7 @@
         if judgement is Judgement.FOREIGN:
             answer.reject()
             raise AttemptError("the engine answered another request", Verdict.MAY_HAVE_RUN)
+        self._check_version(answer)
         self._progress.runs += 1
         self._has_headers = True
         self._engine_failed = judgement in (Judgement.FAILED, Judgement.HOPELESS)
@@ -444,6 +463,25 @@
             self._guard.record_engine_failure()
             raise AttemptError(f"the engine failed: {answer.status}", Verdict.MAY_HAVE_RUN)
 
+    def _check_version(self, answer: EngineAnswer) -> None:
+        """Note which version answered; one that goes on with a stream must be of its version.
+
+        An engine may listen before it is listed, but is listed before it answers.
+
+        Raises:
+            EngineUnconfirmedError: It may be of another version.
+        """
+        if self._placement is None:
+            return
+        self._evidence = self._fleet.evidence(self._placement.engine, answer.answered_at)
+        if self._progress.version is None:
+            return
+        if not self._fleet.await_proof(self._evidence, CONFIRM_TIMEOUT):
+            raise EngineUnconfirmedError(
+                "the version that answered is not confirmed", Verdict.MAY_HAVE_RUN
+            )
+        self._progress.unconfirmed_since = None
+
     def _note_load(self, judgement: Judgement, answer: EngineAnswer) -> None:
         placement = self._placement
         if placement is not None:
@@ -472,13 +510,16 @@
             self._progress.runs += 1
             self._progress.broke_off = True
         judged = answer is not None and answer.status > 0 and error.verdict is Verdict.NOT_RUN
+        unconfirmed = isinstance(error, EngineUnconfirmedError)
+        if unconfirmed and self._progress.unconfirmed_since is None:
+            self._progress.unconfirmed_since = self._clock.monotonic()
         ended = self._client_disconnected or self._clock.monotonic() >= self._request.deadline
-        if judged:
+        if judged or (unconfirmed and error.verdict is Verdict.NOT_RUN):
             self._progress.tries -= 1
         not_listening = isinstance(error, EngineNotListeningError)
         self._progress.refused_connections += not_listening
         self._progress.any_listened |= not not_listening
-        if life is not None and not judged and not ended:
+        if life is not None and not judged and not unconfirmed and not ended:
             self._fleet.record_failure(life, error.message, not_listening=not_listening)
         self._guard.record_failure(error)
         self._services.events.emit(
@@ -504,6 +545,9 @@
             return False
         if not progress.has_tries_left or progress.runs >= route.max_attempts:
             return False
+        since = progress.unconfirmed_since
+        if since is not None and self._clock.monotonic() - since >= UNCONFIRMED_PATIENCE:
+            return False
         if verdict is Verdict.NOT_RUN:
             return self._may_wait_for_capacity() and not self._no_engine_listens()
         if route.repeat is RepeatPolicy.SAFE:
@@ -546,6 +590,11 @@
             return self._deadline_error()
         if self.may_have_run:
             return AttemptError(error.message, Verdict.MAY_HAVE_RUN)
+        if isinstance(error, EngineUnconfirmedError):
+            return StreamVersionUnknownError(
+                f"{error.message}: this node can't read the directory of engines",
+                retry_after=UNKNOWN_RETRY_AFTER,
+            )
         return RefusedError(error.message, retry_after=OVERLOAD_RETRY_AFTER)
 
     def events(self) -> Generator[bytes]:
@@ -619,6 +668,7 @@
             return
         request = self._request
         self._progress.version = version = self._placement.engine.version
+        self._progress.evidence = self._evidence
         if request.route.repeat is RepeatPolicy.RESUMABLE:
             self._services.stream_versions.record(
                 request.caller.name,
@@ -626,13 +676,34 @@
                 request.terms.request_id,
                 version,
                 self._client_seconds_left,
+                self._evidence,
             )
 
+    def _check_origin(self) -> None:
+        """Check that the version which began the stream is known, so that others may go on with it.
+
+        Raises:
+            StreamVersionUnknownError: It is not.
+        """
+        evidence = self._progress.evidence
+        if evidence is None or self._fleet.await_proof(evidence, PROOF_TIMEOUT):
+            return
+        self._services.events.emit(
+            Event.STREAM_ORIGIN_UNPROVEN,
+            request=self._request.terms.request_id,
+            service=self._request.service,
+            version=self._progress.version,
+            missing=evidence.missing,
+            directory_age=round(self._fleet.directory_age(), 3),
+        )
+        raise StreamVersionUnknownError("the engine version that began the stream is not known")
+
     def _resume(self, error: AttemptError) -> None:
         self._progress.runs -= 1  # counted when its response headers arrived
         self._fail_attempt(error)
         if not self._may_retry(error.verdict):
             raise self._final_error(error)
+        self._check_origin()
         self._client_has_headers = True
         self._attempt_until_answered()
         self._services.metrics.resumed.inc()
