404 and 401 are given only by a copy that was read after the call

Without a read within 0.25 s the call gets 503 that names what is missing. The status document (proofs_lacking) and a gauge tell which proofs a node lacks and since when. Results are listed from the board that a read of the whole topic has made.

--- a/postvalve/core/admission/callers.py
+++ b/postvalve/core/admission/callers.py
@@ -52,7 +52,6 @@
     *,
     needs_key: bool,
     age: float,
-    may_lack_changes: bool,
     policy: KeyPolicy,
 ) -> Caller:
     """Return the caller of a request.
@@ -62,8 +61,6 @@
         key: The API key sent with the request, if any.
         needs_key: Whether the route requires a key.
         age: Seconds for which this node may have missed changes of the configuration.
-        may_lack_changes: Whether a newer revision may contain the key. Clients treat a 401 as
-            final, so the answer is then a retryable error.
         policy: What to do when the configuration is out of date.
 
     Raises:
@@ -83,6 +80,4 @@
     tenant = table.tenant_of(key)
     if tenant is not None:
         return Caller(tenant, tenants_defined=True)
-    if may_lack_changes:
-        raise KeyUnknownError("this node may not know the API key yet", retry_after=KEY_RETRY_AFTER)
     raise AuthenticationError("the API key is not valid")
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -55,7 +55,7 @@
 from postvalve.gateway.jobs.job_log import JobLog
 from postvalve.gateway.jobs.job_service import JobService
 from postvalve.gateway.knowledge.configuration import ConfigurationHolder, Parser
-from postvalve.gateway.knowledge.read_barrier import ReadBarrier
+from postvalve.gateway.knowledge.proofs import Proofs
 from postvalve.gateway.knowledge.relayed_topics import RelayedTopics, RelayServer
 from postvalve.gateway.knowledge.revision_fetch import RevisionFetcher
 from postvalve.gateway.knowledge.state_age import StateAge
@@ -189,11 +189,18 @@
             EngineCrashes(clock, self._pool, self._fleet.ready_address),
         )
         history = VersionHistory(clock.monotonic())
-        directory_barrier = ReadBarrier(
-            lambda: self._directory.follower.read_current(), clock, lambda: self.peers.count() + 1
+        self._proofs = Proofs(
+            clock,
+            lambda: self.peers.count() + 1,
+            {
+                "directory": lambda: self._directory.follower,
+                "configuration": lambda: self._configuration_follower,
+                "jobs": lambda: self._log.follower,
+            },
         )
-        self._fleet.read_directory = directory_barrier.wait
-        self._stream_versions = StreamVersions(peer_services, history, directory_barrier)
+        self._fleet.read_directory = self._proofs["directory"].wait
+        self._log.await_current = self._proofs["jobs"].wait
+        self._stream_versions = StreamVersions(peer_services, history, self._proofs["directory"])
         self._version_records = VersionRecords(peer_services, topics, history)
         self._ends = EndWriter(self._log, events, settings.call_bytes, short_id)
         self._progress = ProgressLog(
@@ -314,6 +321,7 @@
         self._directory.on_listed = self._stream_versions.observe_entry
         self._directory.on_snapshot = self._stream_versions.observe_snapshot
         self.application.state_age = self._state_age
+        self.application.await_configuration = self._proofs["configuration"].wait
         self.application.key_policy = self._settings.key_policy
 
     def _refresh(self) -> None:
@@ -434,6 +442,9 @@
             "ready": self.ready,
             "configuration_revision": self.configuration.revision,
             "knowledge": self._state_age().fields(),
+            "proofs_lacking": {
+                name: round(seconds, 2) for name, seconds in self._proofs.lacking().items()
+            },
             "store": "by a peer" if self._topics.failing else "own",
             "store_away": self._directory.store_unreachable,
             "store_silence": round(min(MAX_REPORTED_SILENCE, self._log.silence()), 2),
@@ -461,6 +472,8 @@
         state_age = self._state_age()
         self._metrics.directory_age.set(state_age.directory_age)
         self._metrics.revision_age.set(state_age.revision_age)
+        for name, seconds in self._proofs.lacking().items():
+            self._metrics.proof_lacking.labels(name).set(seconds)
         self._metrics.connections.set(self._pool.opened)
         self._metrics.quarantined.set(len(self._quarantine))
         self._metrics.held_bytes.set(self.slow_clients.budget.held)
@@ -582,11 +595,14 @@
         while True:
             gevent.sleep(SWEEP_INTERVAL)
             sweeper = self.peers.successor(PROGRESS_TOPIC, include_self=True)
-            if sweeper != self._settings.node_id or self._draining or not self._log.is_fresh(5.0):
+            if sweeper != self._settings.node_id or self._draining:
                 continue
-            open_jobs = {job.job_id for job in self._log.board.open_jobs()}
             try:
-                self._progress.sweep(open_jobs)
+                saved = self._progress.saved_keys()
+                if any(saved.values()):
+                    self._log.follower.read_current()
+                    open_jobs = {job.job_id for job in self._log.board.open_jobs()}
+                    self._progress.sweep(open_jobs, saved)
             except StoreUnavailableError:
                 continue
 
--- a/postvalve/gateway/jobs/item_progress.py
+++ b/postvalve/gateway/jobs/item_progress.py
@@ -5,7 +5,7 @@
 import math
 import zlib
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -57,11 +57,6 @@
     failures: int
     chain: Chain
 
-    @property
-    def is_version_proven(self) -> bool:
-        """Whether the version of the engines that made its events is known for sure."""
-        ...
-
     def seconds_run(self, now: float) -> float:
         """Return the seconds that the item has run, at monotonic time `now`."""
         ...
@@ -172,7 +167,7 @@
     def _next_save(self, item: SavableItem) -> _Save | None:
         chain, last_id = item.chain, item.last_event_id
         new = item.events[chain.saved_events :]
-        if last_id is None or len(new) < MIN_EVENTS_TO_SAVE or not item.is_version_proven:
+        if last_id is None or len(new) < MIN_EVENTS_TO_SAVE:
             return None
         if not chain.name:
             chain.name = self._new_id()
@@ -231,19 +226,34 @@
             if not keys:
                 del self._obsolete_keys[partition]
 
-    def sweep(self, open_jobs: Collection[str]) -> None:
+    def saved_keys(self) -> dict[int, list[str]]:
+        """Return the keys of all saved segments and failure counts, by partition.
+
+        Raises:
+            StoreUnavailableError: They could not all be read.
+        """
+        return {
+            partition: [key for key, _ in self._records(partition, "")]
+            for partition in range(self._partitions)
+        }
+
+    def sweep(
+        self, open_jobs: Collection[str], saved: Mapping[int, Sequence[str]] | None = None
+    ) -> None:
         """Mark the segments that failed nodes left behind for deletion with the next save.
 
         Args:
             open_jobs: Ids of the jobs that still have items to run.
+            saved: Keys of the segments, read before the open jobs were: then each job of which one
+                was saved had been accepted. None to read them now.
 
         Raises:
             StoreUnavailableError: The next sweep continues.
         """
-        for partition in range(self._partitions):
-            found = self._records(partition, "")
-            left = [key for key, _ in found if job_of_key(key) not in open_jobs]
-            self._obsolete_keys[partition] += left
+        for partition, keys in (self.saved_keys() if saved is None else saved).items():
+            self._obsolete_keys[partition] += [
+                key for key in keys if job_of_key(key) not in open_jobs
+            ]
 
     # Restoring
 
--- a/postvalve/gateway/jobs/job_log.py
+++ b/postvalve/gateway/jobs/job_log.py
@@ -61,6 +61,9 @@
         self._weights: Mapping[str, float] = {}
         self.board = JobBoard()
         self.changed = GeventEvent()
+        self.await_current: Callable[[float], bool] = self._read_current
+        """Waits, for some seconds at most, until the board holds all that was acknowledged before
+        the call; returns whether it does."""
         self._listeners: list[ChangeListener] = []
         self.follower = TopicFollower(
             topics,
@@ -104,6 +107,13 @@
         for key in keys:
             self._events.emit(Event.LOG_RECORD_INVALID, topic=JOB_TOPIC, key=key)
 
+    def _read_current(self, timeout: float) -> bool:
+        try:
+            self.follower.read_current()
+        except StoreUnavailableError:
+            return False
+        return True
+
     def now(self) -> float:
         """Return the monotonic time, in seconds."""
         return self._clock.monotonic()
--- a/postvalve/gateway/jobs/job_service.py
+++ b/postvalve/gateway/jobs/job_service.py
@@ -41,6 +41,10 @@
 """Seconds for which a job's acceptance is tried."""
 END_TIMEOUT = 2.5
 """Seconds for which writing a job's end is tried."""
+DENIAL_TIMEOUT = 0.25
+"""Seconds that a read of the jobs may take before a caller is told that there is no such job."""
+READ_TIMEOUT = 1.5
+"""Seconds that a read of the jobs may take before results are told."""
 RETRY_DELAY = 0.15
 STORE_RETRY_AFTER = 0.6
 """Retry-After, in seconds, while the store is out of reach."""
@@ -318,6 +322,8 @@
             job = self._log.board.jobs.get(job_id, job)
         if position >= len(job.results):
             self._require_fresh()
+            # A read of the whole topic makes a new board.
+            job = self._log.board.jobs.get(job_id, job)
         ends = job.results[position:]
         texts = self._texts(ends)
         listed = tuple(_listed(job, *result) for result in zip(ends, texts, strict=False))
@@ -353,12 +359,11 @@
         job = self._log.board.jobs.get(job_id)
         if job is not None:
             return job
-        try:
-            self._log.follower.catch_up()
-        except StoreUnavailableError as error:
+        if not self._log.await_current(DENIAL_TIMEOUT):
             raise RefusedError(
-                "the store is out of reach", retry_after=STORE_RETRY_AFTER
-            ) from error
+                "this node may not know the job yet (missing: a read of the jobs)",
+                retry_after=STORE_RETRY_AFTER,
+            )
         job = self._log.board.jobs.get(job_id)
         if job is None:
             raise NotFoundError("there is no such job")
@@ -372,12 +377,11 @@
         """
         if self._log.is_fresh(self._settings.read_patience):
             return
-        try:
-            self._log.follower.catch_up()
-        except StoreUnavailableError as error:
+        if not self._log.await_current(READ_TIMEOUT):
             raise RefusedError(
-                "the store is out of reach", retry_after=STORE_RETRY_AFTER
-            ) from error
+                "the store is out of reach (missing: a read of the jobs)",
+                retry_after=STORE_RETRY_AFTER,
+            )
 
     def body(self, job_id: str, item_id: str) -> bytes:
         """Return the body of an item.
--- a/postvalve/gateway/jobs/own_items.py
+++ b/postvalve/gateway/jobs/own_items.py
@@ -58,9 +58,13 @@
         """Uncounts a placement at its engine."""
         self.on_job_added: Callable[[], None] = lambda: None
         """Called when a job was added."""
-        progress.unfinished = self.all
+        progress.unfinished = self._savable
         log.add_listener(self._jobs_changed)
 
+    def _savable(self) -> list[RunningItem]:
+        """Return the items whose progress others could continue."""
+        return [item for item in self.all() if item.is_version_proven]
+
     def all(self) -> list[RunningItem]:
         """Return all items that have not ended."""
         return [item for items in self.by_job.values() for item in items.values()]
--- a/postvalve/gateway/knowledge/read_barrier.py
+++ b/postvalve/gateway/knowledge/read_barrier.py
@@ -28,7 +28,11 @@
     """Waits for reads that began after the call."""
 
     def __init__(
-        self, read: Callable[[], None], clock: Clock, node_count: Callable[[], int]
+        self,
+        read: Callable[[], None],
+        clock: Clock,
+        node_count: Callable[[], int],
+        min_interval: float = 0.0,
     ) -> None:
         """Set up to read on demand.
 
@@ -37,10 +41,14 @@
                 if the store does not answer. Several may be under way at the same time.
             clock: Source of time.
             node_count: Returns the number of nodes that share the store.
+            min_interval: Least seconds between the starts of two reads, however few nodes share it.
         """
         self._read = read
         self._clock = clock
         self._node_count = node_count
+        self._min_interval = min_interval
+        self.lacking_since: float | None = None
+        """Monotonic seconds since which callers have got no proof; None if the last one got it."""
         self._next: AsyncResult | None = None
         """Result of the read that starts next; None while no caller waits for one."""
         self._started_at = float("-inf")
@@ -60,22 +68,32 @@
         if self._next is None:
             self._next = AsyncResult()
             gevent.spawn(self._run, self._next)
+        asked_at = self._clock.monotonic()
         try:
-            return bool(self._next.get(timeout=timeout))
+            is_proven = bool(self._next.get(timeout=timeout))
         except gevent.Timeout:
-            return False
+            is_proven = False
+        if not is_proven and self.lacking_since is None:
+            self.lacking_since = asked_at
+        return is_proven
+
+    def record_read(self, up_to: float) -> None:
+        """Record that all that was acknowledged until a moment has been read, by whatever read."""
+        if self.lacking_since is not None and self.lacking_since < up_to:
+            self.lacking_since = None
 
     def _run(self, result: AsyncResult) -> None:
         self._await_turn()
         # Whoever calls from here on needs the next read.
         self._next = None
-        self._started_at = self._clock.monotonic()
+        started_at = self._started_at = self._clock.monotonic()
         self._ended.clear()
         self._pending += 1
         is_answered = False
         try:
             self._read()
             is_answered = True
+            self.record_read(started_at)
         except PlatformError:
             # Logged by whoever follows the topic, and by the callers as what they do without.
             pass
@@ -86,7 +104,7 @@
 
     def _await_turn(self) -> None:
         """Wait until the next read may start: after the one before, unless that is overdue."""
-        interval = INTERVAL_PER_NODE * self._node_count()
+        interval = max(self._min_interval, INTERVAL_PER_NODE * self._node_count())
         gevent.sleep(max(0.0, self._started_at + interval - self._clock.monotonic()))
         if self._pending:
             self._ended.wait(OVERDUE_AFTER)
--- a/postvalve/gateway/metrics.py
+++ b/postvalve/gateway/metrics.py
@@ -67,6 +67,12 @@
             "Of which changes of the configuration are not known",
             registry=self.registry,
         )
+        self.proof_lacking = Gauge(
+            "postvalve_proof_lacking_seconds",
+            "Since requests that need a read of this topic have got none; 0 if they have",
+            ["topic"],
+            registry=self.registry,
+        )
         self.quarantined = Gauge(
             "postvalve_quarantine_requests",
             "Requests under which engines ended lately, as this node knows",
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -8,7 +8,12 @@
 from gevent.event import Event as GeventEvent
 
 from postvalve.clock import Clock
-from postvalve.core.admission.callers import Caller, KeyPolicy, identify_caller
+from postvalve.core.admission.callers import (
+    KEY_RETRY_AFTER,
+    Caller,
+    KeyPolicy,
+    identify_caller,
+)
 from postvalve.core.randomness import RandomSource
 from postvalve.core.routing.route_table import RouteTable, choose_target, target_fraction
 from postvalve.events import Event, EventLog
@@ -16,6 +21,7 @@
     AuthenticationError,
     DrainingError,
     HeadTooLargeError,
+    KeyUnknownError,
     NotFoundError,
     NotReadyError,
     PostvalveError,
@@ -59,6 +65,8 @@
 still reaches the client in time."""
 LATE_READ = 0.25
 """Seconds that a request must have waited to be read for a log line about it."""
+DENIAL_TIMEOUT = 0.25
+"""Seconds that a read of the configuration may take before a caller is denied a route or key."""
 MAX_LOGGED_PATH = 100
 """Most characters of a request's path in a log line."""
 HOP_BY_HOP_HEADERS = frozenset(
@@ -108,6 +116,9 @@
         self._runs: set[RoutedRun] = set()
         self.in_progress = 0
         self.state_age: Callable[[], StateAge] = StateAge
+        self.await_configuration: Callable[[float], bool] = lambda timeout: True
+        """Waits, for some seconds at most, for a read of the configuration that begins afterwards;
+        returns whether there was one."""
         self.key_policy = KeyPolicy()
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
@@ -143,12 +154,16 @@
                 raise DrainingError("this node is leaving", retry_after=DRAINING_RETRY_AFTER)
             table = self._wait_for_table(call)
             if self._jobs.matches(call):
-                caller = self._caller(call, table, needs_key=_needs_key(call, table))
+                caller = self._caller(call, table, _needs_key)
                 account.exclude()
                 yield from self._send(start_response, self._jobs.serve(call, caller))
                 return
-            route = self._route(call, table)
-            caller = self._caller(call, table, needs_key=not route.anonymous)
+            route, table = self._route(call, table)
+            caller = self._caller(
+                call,
+                table,
+                lambda call, table: not (table.match(call.host, call.path) or route).anonymous,
+            )
             account.identify(caller.name, route.target_latency)
             if route.batch is not None:
                 reply = self._jobs.submit(call, route, caller)
@@ -224,16 +239,22 @@
             )
         return table
 
-    def _route(self, call: HttpCall, table: RouteTable) -> RouteSpec:
+    def _route(self, call: HttpCall, table: RouteTable) -> tuple[RouteSpec, RouteTable]:
+        """Return a call's route, and the configuration that has it."""
+        route = table.match(call.host, call.path)
+        if route is not None:
+            return route, table
+        # Clients treat a 404 as final, and this node may not have read a newer revision yet.
+        table, missing = self._proven_table(table)
         route = table.match(call.host, call.path)
         if route is not None:
-            return route
+            return route, table
         state_age = self.state_age()
         error: PostvalveError = NotFoundError("no route leads there")
-        if state_age.may_lack_changes:
-            # Clients treat a 404 as final, and other nodes may have a newer revision.
+        if missing:
             error = RouteUnknownError(
-                "this node may not know the route yet", retry_after=ROUTE_RETRY_AFTER
+                f"this node may not know the route yet (missing: {missing})",
+                retry_after=ROUTE_RETRY_AFTER,
             )
         self._events.emit(
             Event.REQUEST_UNROUTED,
@@ -241,33 +262,84 @@
             status=error.http_status,
             host=call.host,
             path=call.path[:MAX_LOGGED_PATH],
+            missing=missing,
             **state_age.fields(),
         )
         raise error
 
-    def _caller(self, call: HttpCall, table: RouteTable, *, needs_key: bool) -> Caller:
-        state_age, key = self.state_age(), None
+    def _proven_table(self, table: RouteTable) -> tuple[RouteTable, str]:
+        """Read the configuration, as a caller is about to be denied something by a copy of it.
+
+        Returns:
+            The configuration in force after that, and what is missing for a proof that it is the
+            newest one; empty if nothing is.
+        """
+        is_read = self.await_configuration(DENIAL_TIMEOUT)
+        newest = self._table() or table
+        if not is_read:
+            return newest, "a read of the configuration"
+        state_age = self.state_age()
+        is_behind = state_age.reported_revision > state_age.revision
+        return newest, "a revision that a peer reports" if is_behind else ""
+
+    def _caller(
+        self,
+        call: HttpCall,
+        table: RouteTable,
+        needs_key: Callable[[HttpCall, RouteTable], bool],
+    ) -> Caller:
+        """Return the caller of a request.
+
+        Raises:
+            AuthenticationError: The newest configuration denies it.
+            KeyUnknownError: This node can't tell.
+        """
+        key = None
         try:
             key = self._services.dialect.api_key(call.headers)
-            return identify_caller(
-                table,
-                key,
-                needs_key=needs_key,
-                age=state_age.revision_age,
-                may_lack_changes=state_age.may_lack_changes,
-                policy=self.key_policy,
-            )
+            return self._known_caller(call, table, key, needs_key)
         except AuthenticationError as exc:
             self._events.emit(
                 Event.CALLER_UNKNOWN,
                 request=self._services.dialect.read_terms(call.headers).request_id,
                 status=exc.http_status,
                 key=key is not None,
-                **state_age.fields(),
+                **self.state_age().fields(),
                 error=exc.message,
             )
             raise
 
+    def _known_caller(
+        self,
+        call: HttpCall,
+        table: RouteTable,
+        key: str | None,
+        needs_key: Callable[[HttpCall, RouteTable], bool],
+    ) -> Caller:
+        try:
+            return self._identify(table, key, needs_key(call, table))
+        except AuthenticationError:
+            # Clients treat a 401 as final, too.
+            table, missing = self._proven_table(table)
+        try:
+            return self._identify(table, key, needs_key(call, table))
+        except AuthenticationError as exc:
+            if not missing:
+                raise
+            raise KeyUnknownError(
+                f"this node may not know the API key yet (missing: {missing})",
+                retry_after=KEY_RETRY_AFTER,
+            ) from exc
+
+    def _identify(self, table: RouteTable, key: str | None, needs_key: bool) -> Caller:
+        return identify_caller(
+            table,
+            key,
+            needs_key=needs_key,
+            age=self.state_age().revision_age,
+            policy=self.key_policy,
+        )
+
     def _wait_until_usable(self, call: HttpCall) -> None:
         """Wait until this node can serve, within the time that the client allows."""
         if self._usable.is_set():
