--- a/tests/test_proven_origins.py
+++ b/tests/test_proven_origins.py
@@ -18,7 +18,7 @@
 from postvalve.events import Event
 from postvalve.platform.fleet import DIRECTORY_TOPIC
 from tests.gateway_support import STREAM_PATH
-from tests.stand_in_engine import Behaviour
+from tests.stand_in_engine import Behaviour, StandInEngine
 from tests.test_engine_versions import TakenUpStreamCase
 from tests.test_stream_versions import LIFETIME, NAMES, RECENT, SERVICE, Model, Node
 from tests.waiting import WAIT_TIMEOUT, wait_until
@@ -194,6 +194,24 @@
         answer = self.fleet.request("n0", STREAM_PATH + "x", request_id="again")
         self.assertEqual((answer.status, answer.whole), (200, True))
 
+    def test_nothing_is_sent_to_the_next_life_without_the_store(self):
+        """The version that began the stream is proven, but not that of the engine now there."""
+        self.start("v1", nodes=1)
+        first = self.fleet.engines[0]
+        first.default_behaviour = Behaviour(events=400, pause=0.01)
+        connection, _ = self.begin("n0", "r")
+        self.addCleanup(connection.close)
+        node = self.fleet.nodes["n0"]
+        self.await_read("n0", node._clock.monotonic())
+        self.silence_directory("n0")
+        gevent.sleep(1.2)
+        first.end()
+        newer = StandInEngine(first.engine_id, first.port, 2, "v2")
+        self.addCleanup(newer.stop)
+        gevent.sleep(1.5)
+        self.assertEqual([run for run in newer.runs if run[1]], [])
+        self.assertEqual(self.fleet.events("n0", Event.STREAM_ORIGIN_UNPROVEN), [])
+
     def test_a_stream_whose_version_is_not_proven_is_cut_soon(self):
         self.start("v1", "v1", nodes=1)
         self.silence_directory("n0")
