--- a/postvalve/gateway/knowledge/state_age.py
+++ b/postvalve/gateway/knowledge/state_age.py
@@ -37,5 +37,4 @@
             "revision_age": round(self.revision_age, 3),
             "revision_source": self.revision_source,
             "reported_revision": self.reported_revision,
-            "behind": self.may_lack_changes,
         }
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -278,8 +278,7 @@
         newest = self._table() or table
         if not is_read:
             return newest, "a read of the configuration"
-        state_age = self.state_age()
-        is_behind = state_age.reported_revision > state_age.revision
+        is_behind = self.state_age().may_lack_changes
         return newest, "a revision that a peer reports" if is_behind else ""
 
     def _caller(
