--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,6 +62,7 @@
 from tests.soak.processes import Engine, Process
 from tests.soak.prompts import PromptRequest, PromptSoak
 from tests.soak.proxy import Proxy
+from tests.soak.restarting import RestartingSoak
 from tests.soak.surplus import SurplusSoak
 from tests.soak.tenants import TenantClients
 from tests.soak.versions import Attempt, Stream, VersionChecks, VersionSoak, read_events
@@ -71,6 +72,8 @@
 PACED_SECONDS = 12.0
 JOINING_SEED, JOINING_SECONDS = 128, 32.0
 """Seed of which four of the first five rounds cut a node off just before a version joins."""
+RESTARTING_SEED, RESTARTING_SECONDS = 300, 24.0
+"""Seed with which dea81ad mixed 7 of 376 streams."""
 STALLING_SEED = 470
 """Seed of which all periods of the first 48 s are such that streams stall."""
 SHORT_KINDS = (
@@ -1037,6 +1040,13 @@
             nodes=4, engines=2,
         )  # fmt: skip
 
+    def test_a_short_run_with_engines_that_start_again_in_place_passes(self):
+        check = "a client's attempts hold one version"
+        self.check_short_run(
+            RestartingSoak, ["", "store_cut"], check, 100, seed=RESTARTING_SEED,
+            seconds=RESTARTING_SECONDS, nodes=4, engines=2,
+        )  # fmt: skip
+
 
 if __name__ == "__main__":
     unittest.main()
