--- a/tests/test_proof_walks.py
+++ b/tests/test_proof_walks.py
@@ -167,6 +167,33 @@
             self.assertGreater(outcomes[expected], WALKS // 10, outcomes)
         self.assertGreater(outcomes["counted to another"], 3, outcomes)
 
+    def test_a_change_that_is_first_seen_in_a_snapshot_proves_nothing_before_it(self):
+        def run(loop):
+            walk = Walk(loop, 1, Counter())
+            walk.list_next_life("e0", "v1")
+            gevent.sleep(2.0)
+            walk.node.own.outage_verdict = CUT
+            walk.node.network.frozen = set(walk.node.network.names)
+            gevent.sleep(2.0)
+            walk.list_next_life("e0", "v2")
+            (entry,) = walk.node.fleet.listed_engines()
+            evidence = walk.node.fleet.evidence(entry, walk.clock.monotonic())
+            partition = walk.node.store.partition(DIRECTORY_TOPIC, 0)
+            partition.first_offset = len(partition.log)
+            gevent.sleep(1.0)
+            walk.node.own.outage_verdict = None
+            gevent.sleep(2.0)
+            return (
+                entry.version,
+                [one.version for one in walk.node.fleet.listed_engines()],
+                evidence,
+            )
+
+        before, after, evidence = run_virtual(run)
+        self.assertEqual((before, after), ("v1", ["v2"]))
+        self.assertFalse(evidence.is_proven)
+        self.assertTrue(evidence.is_refuted)
+
 
 if __name__ == "__main__":
     counts = Counter()
