--- a/postvalve/gateway/fleet/directory_reader.py
+++ b/postvalve/gateway/fleet/directory_reader.py
@@ -56,6 +56,8 @@
         self._entries: EngineDirectory[EngineEntry] = EngineDirectory(self._shared)
         self._lives = NewestLives()
         self._is_catching_up = False
+        self._in_snapshot = False
+        """Whether a snapshot is being processed."""
         self.on_change: Callable[[], None] = lambda: None
         """Called after the fleet has been updated."""
         self.on_listed: Callable[[EngineEntry], None] = lambda entry: None
@@ -69,7 +71,7 @@
         self.follower.on_regained = self._store_regained
         fleet.directory_unsettled = lambda: self._entries.unsettled(clock.monotonic())
         fleet.directory_age = lambda: self.follower.age
-        fleet.versions.read_up_to = lambda: self.follower.fresh_at
+        fleet.versions.read_up_to = self._read_up_to
 
     def run(self) -> None:
         """Follow the directory; never returns."""
@@ -132,7 +134,11 @@
     def _observe(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         if is_snapshot:
             self.on_snapshot()
-        changes = self._entries_of(records, is_snapshot)
+        self._in_snapshot = is_snapshot
+        try:
+            changes = self._entries_of(records, is_snapshot)
+        finally:
+            self._in_snapshot = False
         missing = self._entries.observe(changes, is_snapshot, self._clock.monotonic())
         if missing:
             self._events.emit(
@@ -144,6 +150,11 @@
             gevent.spawn(self._drop_lapsed)
         self._update_fleet()
 
+    def _read_up_to(self) -> float:
+        """Return the moment up to which all entries are known, without the read being processed."""
+        follower = self.follower
+        return follower.fresh_before_snapshot if self._in_snapshot else follower.fresh_at
+
     def _entries_of(
         self, records: Sequence[KeyedRecord], is_snapshot: bool
     ) -> list[tuple[str, EngineEntry | None]]:
--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -92,6 +92,8 @@
         """Monotonic seconds of the store's last answer."""
         self.fresh_at = float("-inf")
         """Monotonic seconds up to which all acknowledged records are known."""
+        self.fresh_before_snapshot = float("-inf")
+        """What `fresh_at` was before the latest snapshot was processed."""
 
     @property
     def loaded(self) -> bool:
@@ -229,10 +231,11 @@
                 # A concurrent read was faster, and its state is newer.
                 return
             self.next_offset = pages.end
+            self.fresh_before_snapshot = self.fresh_at
+            self.fresh_at = max(self.fresh_at, pages.started_at)
             # If this fails too, reading it again would not help.
             self._must_reload = False
             self._listener(pages.records(), True)
-            self.fresh_at = max(self.fresh_at, pages.started_at)
 
     def _record_answer(self, started: float) -> None:
         self.answered_at = self._clock.monotonic()
