A job's acceptance is refuted only by the record at the offset that its append named

Cause: an append without an answer counted as failed once the topic had grown past its offset. The acceptance itself makes it grow, and at the deadline nobody looked at the board again. Ruled out: another node's claim, the client's own retry (the refusing node itself had started the items). Related paths: conditional appends of values (stored_values) repeat the whole value where an offset is taken, which is harmless; cancels answer 504 whatever failed; ends, claims and saved progress compare no offsets; the product's own interface (node/batch) compares an offset only to skip a read. The submission's data and the acceptance leave job_service for modules of their own.

--- a/postvalve/gateway/jobs/job_log.py
+++ b/postvalve/gateway/jobs/job_log.py
@@ -158,14 +158,18 @@
             Whether the records were appended; if not, the board must catch up first.
 
         Raises:
-            StoreUnavailableError: With the verdict of the attempt.
+            StoreUnavailableError: With the verdict of the append; if only the read after it fails,
+                the verdict is MAY_HAVE_RUN.
         """
         try:
             offset = self._topics.append(JOB_TOPIC, 0, records, at=self.follower.next_offset)
         except PositionTakenError:
             return False
         if not self.follower.record_own_write(records, offset):
-            self.follower.catch_up()
+            try:
+                self.follower.catch_up()
+            except StoreUnavailableError as error:
+                raise StoreUnavailableError(error.message, Verdict.MAY_HAVE_RUN) from error
         return True
 
     # Requests of items
--- a/postvalve/gateway/jobs/job_service.py
+++ b/postvalve/gateway/jobs/job_service.py
@@ -17,23 +17,20 @@
 from postvalve.exceptions import (
     NotFoundError,
     PostvalveError,
-    RateLimitedError,
     RefusedError,
     RequestTooLargeError,
-    StoreUnreachableError,
-    Verdict,
 )
-from postvalve.gateway.interfaces import (
-    GatewaySettings,
-    Headers,
-    KeyedRecord,
-    StoreUnavailableError,
+from postvalve.gateway.interfaces import GatewaySettings, KeyedRecord, StoreUnavailableError
+from postvalve.gateway.jobs.job_acceptance import (
+    STORE_RETRY_AFTER,
+    JobAcceptance,
+    UndecidedError,
 )
 from postvalve.gateway.jobs.job_log import JobLog
+from postvalve.gateway.jobs.submission import Submission, SubmittedItem
 from postvalve.gateway.knowledge.stored_values import ValueRef
 from postvalve.messages.framing import FrameError, parse_message
 from postvalve.messages.generated import gateway
-from postvalve.settings.routes import RouteSpec
 
 MAX_ITEMS = 10_000
 """Maximum number of items of one job."""
@@ -45,11 +42,6 @@
 """Seconds that a read of the jobs may take before a caller is told that there is no such job."""
 READ_TIMEOUT = 1.5
 """Seconds that a read of the jobs may take before results are told."""
-RETRY_DELAY = 0.15
-STORE_RETRY_AFTER = 0.6
-"""Retry-After, in seconds, while the store is out of reach."""
-FULL_RETRY_AFTER = 1.0
-"""Retry-After, in seconds, for a job that exceeds the route's limit of queued tokens."""
 MAX_FETCHED_BYTES = 8 * 1024 * 1024
 """Limit up to which a job's requests are fetched at once; those of larger jobs are read one by
 one."""
@@ -57,50 +49,10 @@
 """Compressed text bytes of one page of results; a page holds at least one result."""
 
 
-class UndecidedError(PostvalveError):
-    """Raised if the store did not answer, so that the job may be accepted or the end recorded."""
-
-    code = "undecided"
-    http_status = 504
-    verdict = Verdict.MAY_HAVE_RUN
-
-
 class UnreadableRequestError(PostvalveError):
     """Raised for a stored request that can't be parsed."""
 
 
-@dataclass(frozen=True, slots=True)
-class SubmittedItem:
-    """An item as submitted by a client."""
-
-    item_id: str
-    target: str
-    headers: Headers
-    body: bytes
-    tokens: int
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    """The most tokens that the item may generate."""
-
-
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A job as submitted by a client."""
-
-    job_id: str
-    host: str
-    route: RouteSpec
-    service: str
-    items: tuple[SubmittedItem, ...]
-    tenant: str = ""
-    """Tenant that submitted it; empty if the route needs no key."""
-
-    @property
-    def tokens(self) -> int:
-        """Total tokens of all items."""
-        return sum(item.tokens for item in self.items)
-
-
 @dataclass(frozen=True, slots=True)
 class ListedResult:
     """Result of one item, as listed for clients."""
@@ -137,6 +89,7 @@
         self._events = events
         self._log = log
         self._new_id = new_id
+        self._acceptance = JobAcceptance(clock, events, log)
         self.requests: dict[str, list[gateway.ItemRequest]] = {}
         """Requests of items by job, for open jobs that were submitted to this node or run here."""
         self._in_progress: set[str] = set()
@@ -176,45 +129,21 @@
         try:
             if not self._log.follower.loaded:
                 self._log.follower.catch_up()
-            self._check_quota(submission)
+            self._acceptance.check_limit(submission)
             refs = self._log.store_requests(
                 submission.job_id, nonce, partition, [bytes(request) for request in requests]
             )
         except StoreUnavailableError as error:
-            raise self._refusal(submission, error) from error
+            raise self._acceptance.refusal(submission, error.message) from error
         accepted = self._record(submission, nonce, refs)
         self.requests[submission.job_id] = requests
         try:
-            self._accept(submission, accepted, deadline)
+            self._acceptance.accept(submission, accepted, deadline)
         except PostvalveError:
             if submission.job_id not in self._log.board.jobs:
                 self.requests.pop(submission.job_id, None)
             raise
 
-    def _refusal(self, submission: Submission, error: StoreUnavailableError) -> PostvalveError:
-        self._events.emit(
-            Event.ROUTED_JOB_REFUSED, job=submission.job_id, reason=error.message, waiting=-1
-        )
-        return StoreUnreachableError("the store is out of reach", retry_after=STORE_RETRY_AFTER)
-
-    def _check_quota(self, submission: Submission) -> None:
-        batch = submission.route.batch
-        limit = batch.max_queued_tokens if batch else 0
-        waiting = self._log.board.waiting_tokens(submission.route.name, submission.tenant)
-        if limit and waiting + submission.tokens > limit:
-            self._events.emit(
-                Event.ROUTED_JOB_REFUSED,
-                job=submission.job_id,
-                reason="waiting tokens",
-                waiting=waiting,
-                tenant=submission.tenant,
-                tokens=submission.tokens,
-                limit=limit,
-            )
-            raise RateLimitedError(
-                f"{waiting} tokens wait of {limit}", retry_after=FULL_RETRY_AFTER
-            )
-
     def _record(
         self, submission: Submission, nonce: str, refs: list[ValueRef]
     ) -> gateway.JobAccepted:
@@ -251,54 +180,6 @@
             share_clock=self._log.board.shares.clock,
         )
 
-    def _accept(
-        self, submission: Submission, accepted: gateway.JobAccepted, deadline: float
-    ) -> None:
-        """Append the acceptance at the known end of the topic, unless the job is already accepted.
-
-        An append whose answer was lost may still take effect, but only while the topic's end is
-        where the append expects it. Repeating it at the same offset settles this; until then the
-        client gets no answer.
-        """
-        key = record_key(RecordKind.ACCEPT, submission.job_id, accepted.claim_id)
-        record = KeyedRecord(key, bytes(accepted))
-        follower = self._log.follower
-        tried_at = -1
-        while submission.job_id not in self._log.board.jobs:
-            # If the topic has grown since, the earlier attempt has either taken effect or never
-            # will.
-            undecided = tried_at == follower.next_offset
-            if not undecided:
-                self._check_quota(submission)
-            offset = follower.next_offset
-            try:
-                if not self._log.append_at_end([record]):
-                    follower.catch_up()
-            except StoreUnavailableError as error:
-                if error.verdict is not Verdict.NOT_RUN:
-                    tried_at = offset
-                if self._clock.monotonic() + RETRY_DELAY >= deadline:
-                    raise self._acceptance_error(submission, tried_at, error) from error
-                gevent.sleep(RETRY_DELAY)
-        self._log_accepted(submission)
-
-    def _acceptance_error(
-        self, submission: Submission, tried_at: int, error: StoreUnavailableError
-    ) -> PostvalveError:
-        if tried_at != self._log.follower.next_offset:
-            return self._refusal(submission, error)
-        self._events.emit(Event.ROUTED_JOB_UNDECIDED, job=submission.job_id, error=error.message)
-        return UndecidedError("the store does not answer")
-
-    def _log_accepted(self, submission: Submission) -> None:
-        self._events.emit(
-            Event.ROUTED_JOB_ACCEPTED,
-            job=submission.job_id,
-            items=len(submission.items),
-            tokens=submission.tokens,
-            offset=self._log.follower.next_offset,
-        )
-
     def _forget_requests(self, changed_jobs: set[str]) -> None:
         for job_id in changed_jobs & self.requests.keys():
             job = self._log.board.jobs.get(job_id)
--- a/postvalve/gateway/knowledge/topic_follower.py
+++ b/postvalve/gateway/knowledge/topic_follower.py
@@ -86,6 +86,9 @@
         """Called when the store answers again, before the answer is processed."""
         self.next_offset = -1
         """Offset of the next read; -1 before the snapshot was read."""
+        self.applied_offset = -1
+        """Offset up to which the listener has processed all records. It is behind `next_offset`
+        while the listener processes some, and if it failed on them."""
         self.answered_start = float("-inf")
         """Monotonic seconds at which the latest of the reads that were answered began."""
         self.answered_at = float("-inf")
@@ -216,6 +219,8 @@
             except BaseException:  # also if this greenlet is killed
                 self._must_reload = True
                 raise
+        if not self._must_reload:
+            self.applied_offset = self.next_offset
 
     def _load(self, started: float) -> None:
         # A concurrent read must not share these pages.
@@ -236,6 +241,7 @@
             # If this fails too, reading it again would not help.
             self._must_reload = False
             self._listener(pages.records(), True)
+            self.applied_offset = pages.end
 
     def _record_answer(self, started: float) -> None:
         self.answered_at = self._clock.monotonic()
--- a/postvalve/platform/lots.py
+++ b/postvalve/platform/lots.py
@@ -12,7 +12,8 @@
 from postvalve.core.admission.callers import Caller
 from postvalve.core.batch.identity import job_id_of
 from postvalve.exceptions import InvalidRequestError, MalformedJsonError, MethodNotAllowedError
-from postvalve.gateway.jobs.job_service import JobService, ResultPage, Submission, SubmittedItem
+from postvalve.gateway.jobs.job_service import JobService, ResultPage
+from postvalve.gateway.jobs.submission import Submission, SubmittedItem
 from postvalve.gateway.serving.http_calls import HttpCall, HttpReply
 from postvalve.json_input import check_json
 from postvalve.platform.dialect import REQUEST_ID, PlatformDialect, strip_caller_headers
