A copy of an accepted job meets no limit; the limit refuses only after a read of the jobs

Callers saw: 429, "none of it runs", for a copy of a job that was accepted and runs. Jobs that ended meanwhile make room, too.

--- a/postvalve/gateway/jobs/job_acceptance.py
+++ b/postvalve/gateway/jobs/job_acceptance.py
@@ -23,6 +23,8 @@
 """Seconds before a failed append is tried again."""
 SETTLE_TIMEOUT = 0.25
 """Seconds that a last read may take which may show that a job was accepted."""
+LIMIT_READ_TIMEOUT = 0.25
+"""Seconds that a read of the jobs may take before a job is refused by the limit."""
 STORE_RETRY_AFTER = 0.6
 """Retry-After, in seconds, while the store is out of reach."""
 FULL_RETRY_AFTER = 1.0
@@ -49,28 +51,58 @@
         """Whether the acceptance of a job has been read."""
         return job_id in self._log.board.jobs
 
-    def check_limit(self, submission: Submission) -> None:
-        """Check the limit of waiting tokens.
+    def prepare(self, submission: Submission) -> bool:
+        """Check that a job may be accepted, before its requests are stored.
+
+        Returns:
+            Whether it has been accepted before, so that nothing is left to do.
 
         Raises:
-            RateLimitedError: The job exceeds it.
+            RateLimitedError: It exceeds the route's limit; nothing of it will run.
+            StoreUnreachableError: This node can't read the jobs; nothing of it will run.
+        """
+        if not self._log.follower.loaded:
+            try:
+                self._log.follower.catch_up()
+            except StoreUnavailableError as error:
+                raise self.refusal(submission, error.message) from error
+        return self.is_accepted(submission.job_id) or self._is_accepted_over_limit(submission)
+
+    def _is_accepted_over_limit(self, submission: Submission) -> bool:
+        """Check the limit of waiting tokens; returns whether the job turns out to be accepted.
+
+        A copy of an accepted job is within the limit, and other jobs may have ended, so only a read
+        that began after the call refuses one.
         """
-        batch = submission.route.batch
-        limit = batch.max_queued_tokens if batch else 0
+        if self._exceeds_limit(submission) is None:
+            return False
+        if not self._log.await_current(LIMIT_READ_TIMEOUT):
+            raise self.refusal(submission, "no read of the jobs shows that the limit is reached")
+        if self.is_accepted(submission.job_id):
+            return True
+        waiting = self._exceeds_limit(submission)
+        if waiting is not None:
+            raise self._over_limit(submission, waiting)
+        return False
+
+    def _exceeds_limit(self, submission: Submission) -> int | None:
+        """Return the waiting tokens if the job doesn't fit beside them; None if it does."""
         waiting = self._log.board.waiting_tokens(submission.route.name, submission.tenant)
-        if limit and waiting + submission.tokens > limit:
-            self._events.emit(
-                Event.ROUTED_JOB_REFUSED,
-                job=submission.job_id,
-                reason="waiting tokens",
-                waiting=waiting,
-                tenant=submission.tenant,
-                tokens=submission.tokens,
-                limit=limit,
-            )
-            raise RateLimitedError(
-                f"{waiting} tokens wait of {limit}", retry_after=FULL_RETRY_AFTER
-            )
+        limit = _limit(submission)
+        return waiting if limit and waiting + submission.tokens > limit else None
+
+    def _over_limit(self, submission: Submission, waiting: int) -> RateLimitedError:
+        limit = _limit(submission)
+        self._events.emit(
+            Event.ROUTED_JOB_REFUSED,
+            job=submission.job_id,
+            reason="waiting tokens",
+            waiting=waiting,
+            tenant=submission.tenant,
+            tokens=submission.tokens,
+            limit=limit,
+        )
+        return RateLimitedError(f"{waiting} tokens wait of {limit}", retry_after=FULL_RETRY_AFTER)
 
     def refusal(self, submission: Submission, reason: str) -> PostvalveError:
         """Log that a job is refused, and return the error for its client."""
@@ -101,8 +133,8 @@
         record = KeyedRecord(key, bytes(accepted))
         attempts = AcceptanceAttempts(submission.job_id)
         while (state := self._state(attempts)) is not AcceptanceState.ACCEPTED:
-            if state is AcceptanceState.NOT_ACCEPTED:
-                self.check_limit(submission)
+            if state is AcceptanceState.NOT_ACCEPTED and self._is_accepted_over_limit(submission):
+                break
             error = self._try_append(attempts, record)
             if error is None:
                 continue
@@ -167,3 +199,9 @@
             tokens=submission.tokens,
             offset=self._log.follower.next_offset,
         )
+
+
+def _limit(submission: Submission) -> int:
+    """Return the tokens that may wait on the job's route; 0 for any number."""
+    batch = submission.route.batch
+    return batch.max_queued_tokens if batch else 0
--- a/postvalve/gateway/jobs/job_service.py
+++ b/postvalve/gateway/jobs/job_service.py
@@ -121,15 +121,14 @@
             gevent.sleep(0.02)
 
     def _submit_new(self, submission: Submission, deadline: float) -> None:
+        if self._acceptance.prepare(submission):
+            return
         nonce = self._new_id()
         requests = [_item_request(item) for item in submission.items]
         partition = (
             xxhash.xxh32_intdigest(submission.job_id.encode()) % self._settings.body_partitions
         )
         try:
-            if not self._log.follower.loaded:
-                self._log.follower.catch_up()
-            self._acceptance.check_limit(submission)
             refs = self._log.store_requests(
                 submission.job_id, nonce, partition, [bytes(request) for request in requests]
             )
