A silent run is given up only if its engine is lost, or has lost the run

Request: its run paused at 1.55 s, was ended by its node at 2.59 s, refused once elsewhere, and cut at 2.60 s of 4 s. Cause: a second without a byte was taken for the end of the engine, whether or not another one would take the request. Silence can't tell a lost engine from a run that waits there for memory or a slot. Ruled out: the drain (the cuts come without a stop, too), an engine that broke off (the runs had no end). Change: before a silent run is given up its engine is asked for its runs over a new connection (0.4 s, one call at a time for each engine). Given up: no answer, not listed and nothing waiting, or events that are made and don't arrive. Waited for: listed, possibly among those waiting, or an engine that tells nothing of its runs. A request whose answer has not begun moves as before if another engine has room. An engine that doesn't answer is given up after the same second (two before the first event). The kernel probes connections to engines, so that dead ones end where the engine tells nothing. Items likewise.

--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -83,6 +83,7 @@
     LINE_GRANTED = (242, "debug", "slots granted to requests queued at a node")
     REQUEST_READ_LATE = (243, "info", "request waited in its connection before it was read")
     VERSION_AWAITED = (244, "info", "engines of a version waited for its record in the store")
+    RUN_SILENT = (246, "info", "silent engine was asked for a run")
     STREAM_ORIGIN_UNPROVEN = (
         245,
         "warning",
--- a/postvalve/exceptions.py
+++ b/postvalve/exceptions.py
@@ -222,6 +222,10 @@
     """The connection to an engine ended before the response; the engine itself may have ended."""
 
 
+class EngineSilentError(AttemptError):
+    """Nothing came of an answer for some time; it may still be read on."""
+
+
 class EngineUnconfirmedError(AttemptError):
     """No read of the directory shows that an engine has the version it is listed with.
 
--- a/postvalve/gateway/engines/engine_answer.py
+++ b/postvalve/gateway/engines/engine_answer.py
@@ -13,6 +13,7 @@
     AnswerTooLargeError,
     AttemptError,
     EngineDisconnectedError,
+    EngineSilentError,
     Verdict,
 )
 from postvalve.gateway.engines.event_stream import ends_inside_event, has_field
@@ -122,9 +123,10 @@
         """Read until the status line and all headers have been received.
 
         Args:
-            read_timeout: Seconds without them after which the engine counts as failed.
+            read_timeout: Seconds without them after which the engine is silent.
 
         Raises:
+            EngineSilentError: It is; reading may go on.
             AttemptError: The connection failed or timed out, the head is too large, or it names
                 another transfer coding than chunks; the verdict is MAY_HAVE_RUN.
         """
@@ -145,10 +147,11 @@
         What follows the last complete event, such as a comment, is returned like an event.
 
         Args:
-            read_timeout: Seconds without an event after which the engine counts as failed.
+            read_timeout: Seconds without an event after which the engine is silent.
 
         Raises:
-            AttemptError: The stream was truncated, the read timed out, or the event is too large;
+            EngineSilentError: It is; reading may go on.
+            AttemptError: The stream was truncated, the deadline passed, or the event is too large;
                 the verdict is MAY_HAVE_RUN.
         """
         ends_at = self._pool.clock.monotonic() + read_timeout
@@ -179,11 +182,12 @@
         """Read the body to its end.
 
         Args:
-            read_timeout: Seconds without a byte after which the engine counts as failed.
+            read_timeout: Seconds without a byte after which the engine is silent.
 
         Raises:
-            AttemptError: The body was truncated or is too large, or the read timed out; the verdict
-                is MAY_HAVE_RUN.
+            EngineSilentError: It is; reading may go on.
+            AttemptError: The body was truncated or is too large, or the deadline passed; the
+                verdict is MAY_HAVE_RUN.
         """
         while not self._parser.message_complete:
             self._receive(self._pool.clock.monotonic() + read_timeout)
@@ -272,7 +276,10 @@
             self._connection.settimeout(timeout)
             data: bytes = self._connection.recv(READ_SIZE)
         except TimeoutError as error:
-            raise AttemptError(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
+            # The kernel names an error if what it sent, such as a probe, is not acknowledged.
+            is_over = error.errno is not None or self._pool.clock.monotonic() >= self._deadline
+            kind = AttemptError if is_over else EngineSilentError
+            raise kind(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
         except OSError as error:
             kind = AttemptError if self.aborted else EngineDisconnectedError
             raise kind(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
--- a/postvalve/gateway/engines/engine_connections.py
+++ b/postvalve/gateway/engines/engine_connections.py
@@ -40,6 +40,9 @@
 """Least time-out of one `send` call in seconds, even if the deadline is closer."""
 SEND_TIMEOUT_MS = 1_500
 """TCP_USER_TIMEOUT: milliseconds for which sent bytes may stay unacknowledged."""
+PROBE_INTERVAL = 1
+"""Seconds without a byte after which the kernel probes a connection, and between its probes; it
+fails once one is unanswered for `SEND_TIMEOUT_MS`."""
 KEEP_ALIVE_MARGIN = 1.0
 """Seconds before the end of an engine's keep-alive time-out at which an idle connection expires."""
 PROXY_CLOSE_TIME = 0.1
@@ -194,6 +197,9 @@
         try:
             disable_nagle(connection)
             connection.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, SEND_TIMEOUT_MS)
+            connection.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
+            connection.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPIDLE, PROBE_INTERVAL)
+            connection.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_KEEPINTVL, PROBE_INTERVAL)
             connection.settimeout(timeout)
             connection.connect((host, int(port)))
         except OSError as error:
--- a/postvalve/gateway/fleet/engine_fleet.py
+++ b/postvalve/gateway/fleet/engine_fleet.py
@@ -148,12 +148,23 @@
         capacity_model = self._capacity_of(service)
         return [capacity_model.occupancy(entry, self.use.total(entry.life)) for entry in entries]
 
-    def has_capacity(self, service: str, version: str | None = None) -> bool:
+    def has_capacity(
+        self, service: str, version: str | None = None, besides: EngineLife | None = None
+    ) -> bool:
         """Whether a healthy engine has a slot without online work, or no engine is listed.
 
         Agrees with `occupancies`, but stops at the first such engine.
+
+        Args:
+            service: The service.
+            version: Version that the engine must have; None for any.
+            besides: An engine that does not count, and neither does its absence.
         """
         entries = self.engines(service, version)
+        if besides is not None:
+            entries = [one for one in entries if one.life != besides]
+            if not entries:
+                return False
         capacity_model = self._capacity_of(service)
         any_healthy = False
         for one in entries:
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -29,6 +29,7 @@
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.engines.engine_crashes import EngineCrashes
 from postvalve.gateway.engines.quarantine_services import QuarantineServices
+from postvalve.gateway.engines.run_watch import EngineReports
 from postvalve.gateway.fleet.directory_reader import DirectoryParser, DirectoryReader
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.feature_status import FeatureStatus
@@ -38,20 +39,12 @@
 from postvalve.gateway.fleet.quarantine_gossip import QuarantineGossip
 from postvalve.gateway.fleet.stream_versions import StreamVersions
 from postvalve.gateway.fleet.version_records import VersionRecords
-from postvalve.gateway.interfaces import (
-    Dialect,
-    GatewaySettings,
-    KeyedTopics,
-    StoreUnavailableError,
-)
+from postvalve.gateway.interfaces import Dialect, GatewaySettings, KeyedTopics
 from postvalve.gateway.jobs.end_writer import EndWriter
-from postvalve.gateway.jobs.item_progress import (
-    PROGRESS_TOPIC,
-    SWEEP_INTERVAL,
-    ProgressLog,
-)
+from postvalve.gateway.jobs.item_progress import ProgressLog
 from postvalve.gateway.jobs.item_runner import ItemRunner
 from postvalve.gateway.jobs.job_claims import JobClaims
+from postvalve.gateway.jobs.job_cleanup import JobCleanup
 from postvalve.gateway.jobs.job_log import JobLog
 from postvalve.gateway.jobs.job_service import JobService
 from postvalve.gateway.knowledge.configuration import ConfigurationHolder, Parser
@@ -85,7 +78,6 @@
 HOUSEKEEPING_INTERVAL = 1.0
 STATUS_PATH = "/status"
 """Path of the status document on the metrics server."""
-PURGE_INTERVAL = 10.0
 DRAIN_POLL_INTERVAL = 0.05
 DRAIN_RESERVE = 0.8
 """Seconds before the process is killed at which a drain stops waiting for requests under way."""
@@ -212,6 +204,9 @@
             events,
             short_id,
         )
+        self._cleanup = JobCleanup(
+            clock, events, self._log, self._progress, self.peers, platform.status_time
+        )
         self._claims = JobClaims(self._identity, clock, events, self._log, self.peers, short_id)
         self._runner = ItemRunner(
             self._identity,
@@ -247,6 +242,8 @@
         self._shares.first_waiting = admission_queue.first_waiting
         self._admission_queue = admission_queue
         self._zone_queue = admission_queue.zone_queue = SharedZoneQueue(peer_services)
+        engine_reports = EngineReports(clock, events, self._pool, platform.dialect)
+        self._runner.ask_silent_engines(engine_reports)
         budget = MemoryBudget(settings.slow_client_bytes)
         self._arrivals = Arrivals(clock)
         self.slow_clients = SlowClients(budget, clock, events, self._metrics)
@@ -262,6 +259,7 @@
                 quarantine,
                 self._limits,
                 self._stream_versions,
+                engine_reports,
             ),
             platform.job_calls(self._jobs),
             lambda: self.configuration.table,
@@ -390,8 +388,8 @@
             self._version_records.run,
             self._follow_jobs,
             self._housekeeping,
-            self._purge_jobs,
-            self._sweep_progress,
+            self._cleanup.purge_jobs,
+            self._cleanup.sweep_progress,
             self._await_drain,
         ):
             self._spawn(task)
@@ -571,41 +569,6 @@
             self._pool.expire()
             self._accounts.log_summary()
 
-    def _purge_jobs(self) -> None:
-        """Delete jobs from the store that can no longer be queried."""
-        while True:
-            gevent.sleep(PURGE_INTERVAL)
-            now_ms = milliseconds(self._clock.wall())
-            status_ms = milliseconds(self._platform.status_time)
-            expired = [
-                job
-                for job in self._log.board.expired(now_ms, status_ms)
-                if self.peers.successor(job.job_id, include_self=True) == self._settings.node_id
-            ]
-            if not expired or self._draining:
-                continue
-            try:
-                self._log.drop_jobs(expired)
-            except StoreUnavailableError:
-                continue
-            self._events.emit(Event.ROUTED_JOBS_PURGED, jobs=len(expired))
-
-    def _sweep_progress(self) -> None:
-        """Delete saved progress of items whose jobs have ended."""
-        while True:
-            gevent.sleep(SWEEP_INTERVAL)
-            sweeper = self.peers.successor(PROGRESS_TOPIC, include_self=True)
-            if sweeper != self._settings.node_id or self._draining:
-                continue
-            try:
-                saved = self._progress.saved_keys()
-                if any(saved.values()):
-                    self._log.follower.read_current()
-                    open_jobs = {job.job_id for job in self._log.board.open_jobs()}
-                    self._progress.sweep(open_jobs, saved)
-            except StoreUnavailableError:
-                continue
-
     # Shutdown
 
     def request_drain(self) -> None:
@@ -619,6 +582,7 @@
         self.application.draining = True
         self._runner.draining = True
         self._claims.draining = True
+        self._cleanup.draining = True
         self._reports.leaving = True
         self._limits.leaving = True
         self._zone_queue.leaving = True
--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -12,6 +12,7 @@
 from postvalve.core.admission.request_identity import RequestIdentity
 from postvalve.core.membership.engine_life import EngineLife
 from postvalve.core.routing.engine_load import EngineLoad
+from postvalve.core.routing.silent_run import RunReport
 from postvalve.core.serving.client_buffer import slow_client_bytes
 from postvalve.exceptions import PlatformError, Verdict
 
@@ -122,6 +123,13 @@
         """
         ...
 
+    run_report_target: str
+    """Path at which an engine tells of its runs."""
+
+    def read_run_report(self, body: bytes) -> RunReport | None:
+        """Parse what an engine tells of its runs; None if it tells nothing that can be read."""
+        ...
+
     def retry_headers(self, seconds: float) -> list[tuple[str, str]]:
         """Return headers that tell a client after how many seconds to retry."""
         ...
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from typing import Protocol, TypeVar
 
 import gevent
 import xxhash
@@ -33,6 +34,7 @@
 from postvalve.gateway.engines.event_stream import event_data, event_id_of
 from postvalve.gateway.engines.quarantine_guard import QuarantineGuard
 from postvalve.gateway.engines.quarantine_services import QuarantineServices
+from postvalve.gateway.engines.run_watch import EngineReports, RunWatch
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.listed_engines import CONFIRM_TIMEOUT
 from postvalve.gateway.fleet.load_reading import read_load
@@ -46,7 +48,7 @@
 from postvalve.messages.generated import gateway
 
 EVENT_TIMEOUT = 2.0
-"""Seconds without a byte after which an engine counts as failed."""
+"""Seconds without a byte after which an engine is asked for the run."""
 READ_INTERVAL = 0.08
 """Seconds between reads of one stream, during which events accumulate."""
 RETRY_DELAY = 0.3
@@ -71,6 +73,16 @@
 ATTEMPT_TIMEOUT = 120.0
 """Seconds that one attempt may take."""
 
+Result = TypeVar("Result")
+
+
+class Reader(Protocol):
+    """Reads a part of an answer with the method of `EngineAnswer` that is passed."""
+
+    def __call__(self, read: Callable[[float], Result], /) -> Result:
+        """Return what the method returns."""
+        ...
+
 
 class ItemAttempts:
     """Runs an item at an engine until it ends, is preempted or fails."""
@@ -105,6 +117,8 @@
         self._wake = wake
         self.restart: Callable[[RunningItem], None] = RunningItem.restart
         """Called to let an item begin again, as nobody knows which version made its events."""
+        self.engine_reports: EngineReports | None = None
+        """What engines tell of their runs; None if a silent one isn't asked."""
         self._active: dict[int, RunningItem] = {}
         """Items of attempts that have not ended, by object id."""
 
@@ -206,7 +220,8 @@
             answer.abort()
             raise AttemptError("attempt aborted: item cancelled or preempted", Verdict.MAY_HAVE_RUN)
         item.times = AttemptTimes(self._clock.monotonic())
-        answer.read_head(EVENT_TIMEOUT)
+        read = self._reader(placement, item_id, answer)
+        read(answer.read_head)
         self._judge(item, placement, item_id, answer)
         evidence = self._fleet.evidence(engine, answer.answered_at)
         if item.last_event_id is None:
@@ -216,7 +231,7 @@
                 "the version that answered is not confirmed", Verdict.MAY_HAVE_RUN
             )
         if not item.cancelled and answer.status == 200:
-            self._read_stream(item, answer)
+            self._read_stream(item, answer, read)
             self._fleet.paces.record_end(placement, item.times)
             self._fleet.record_success(engine.life)
             guard.record_answer()
@@ -294,10 +309,19 @@
         verdict = Verdict.MAY_HAVE_RUN if judgement is Judgement.FOREIGN else Verdict.NOT_RUN
         raise AttemptError(f"engine did not accept the item: status {answer.status}", verdict)
 
-    def _read_stream(self, item: RunningItem, answer: EngineAnswer) -> None:
+    def _reader(self, placement: Placement, item_id: str, answer: EngineAnswer) -> Reader:
+        """Return what reads a part of the answer, for as long as its engine has the run."""
+        if self.engine_reports is None:
+            return lambda read: read(EVENT_TIMEOUT)
+        engine = placement.engine
+        # An item that has not begun waits here rather than at an engine.
+        watch = RunWatch(self.engine_reports, engine.life, engine.address, item_id, lambda: True)
+        return lambda read: watch.read(read, EVENT_TIMEOUT, has_begun=answer.received)
+
+    def _read_stream(self, item: RunningItem, answer: EngineAnswer, read: Reader) -> None:
         left = self._pool.limits.body
         while True:
-            event = answer.read_event(EVENT_TIMEOUT)
+            event = read(answer.read_event)
             if not event:
                 return
             left -= len(event)
--- a/postvalve/gateway/jobs/item_runner.py
+++ b/postvalve/gateway/jobs/item_runner.py
@@ -18,6 +18,7 @@
 from postvalve.events import Event, EventLog
 from postvalve.gateway.engines.engine_connections import ConnectionPool
 from postvalve.gateway.engines.quarantine_services import QuarantineServices
+from postvalve.gateway.engines.run_watch import EngineReports
 from postvalve.gateway.fleet.engine_fleet import BatchRoom, EngineFleet
 from postvalve.gateway.fleet.load_reports import LoadReports
 from postvalve.gateway.interfaces import Dialect
@@ -134,6 +135,10 @@
         reports.watch.on_preempt = self._preemption.preempt_one
         reports.watch.own_urgencies = self._preemption.urgencies_at
 
+    def ask_silent_engines(self, reports: EngineReports) -> None:
+        """Let silent engines be asked for their runs before an attempt there is given up."""
+        self._attempts.engine_reports = reports
+
     @property
     def draining(self) -> bool:
         """Whether this node is shutting down, and starts nothing any more."""
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator, Iterator
+from collections.abc import Callable, Generator, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from typing import TypeVar
 
 import gevent
 
@@ -32,6 +33,7 @@
 from postvalve.gateway.engines.event_stream import event_id_of
 from postvalve.gateway.engines.quarantine_guard import QuarantineGuard
 from postvalve.gateway.engines.quarantine_services import QuarantineServices
+from postvalve.gateway.engines.run_watch import EngineReports, RunWatch
 from postvalve.gateway.fleet.engine_fleet import EngineFleet
 from postvalve.gateway.fleet.listed_engines import CONFIRM_TIMEOUT
 from postvalve.gateway.fleet.load_reading import read_load
@@ -47,34 +49,27 @@
 from postvalve.gateway.serving.admission_queue import AdmissionQueue
 from postvalve.gateway.serving.caller_accounts import RequestAccount
 from postvalve.gateway.serving.fair_shares import RequestShare
-from postvalve.gateway.serving.pace_observer import Attempts, PaceObserver
+from postvalve.gateway.serving.pace_observer import PaceObserver
+from postvalve.gateway.serving.retry_policy import (
+    FAIL_OVER_EARLY_TRIES,
+    REFUSAL_BACKOFF,
+    AttemptProgress,
+    RetryPolicy,
+)
 from postvalve.gateway.serving.tenant_credit import TenantCredit
 from postvalve.settings.routes import RepeatPolicy, RouteSpec
 
+Result = TypeVar("Result")
+
 FIRST_EVENT_TIMEOUT = 2.0
-"""Seconds without a byte before the first event after which an engine counts as failed."""
+"""Seconds without a byte before the first event after which an engine is asked for the run."""
 EVENT_TIMEOUT = 1.0
-"""Seconds without a byte between events after which an engine counts as failed."""
-MAX_TRIES = 4
-"""Engines that one request may be sent to; those that refused it, or the connection, are not
-counted."""
+"""Seconds without a byte between events after which an engine is asked for the run."""
 MAX_REFUSED_CONNECTIONS = 32
 """Refused connections of one request after which it pauses before the next ones. Where very many
 engines are gone at once, requests must not take all of a node's time."""
-FAIL_OVER_EARLY_TRIES = 2
-"""Number of attempts, the first ones, in which connecting is given up early. The later ones get all
-their time: if no connection comes up, it is rather this node that is slow."""
-REFUSAL_BACKOFF = 0.04
-"""Seconds before the engines are asked again after all have refused, doubled for each round."""
-MAX_REFUSAL_BACKOFF = 0.32
-MAX_WAIT_SHARE = 0.5
-"""Fraction of a request's time that it may wait for an engine to be listed, or be offered again
-after refusals; the rest is left for the client to be served by another node."""
 OVERLOAD_RETRY_AFTER = 0.5
 """Retry-After in seconds when no engine takes a request."""
-
-UNCONFIRMED_PATIENCE = 0.25
-"""Seconds for which engines are tried whose version no read of the directory shows."""
 MAX_LOGGED_ID = 80
 """Most characters of the id of an earlier attempt in a log line."""
 
@@ -100,32 +95,6 @@
     account: RequestAccount
 
 
-@dataclass(slots=True)
-class _Progress(Attempts):
-    runs: int = 0
-    """Number of engines that may have run the request."""
-    refused_connections: int = 0
-    """Number of tries at which nothing listened at the engine's address."""
-    any_listened: bool = False
-    """Whether an engine has accepted a connection."""
-    broke_off: bool = False
-    """Whether an attempt broke off, so that the next ones open new connections."""
-    tried: set[EngineLife] = field(default_factory=set)
-    last_event_id: int | None = None
-    events: int = 0
-    version: str | None = None
-    """Version of the engines that may go on with the stream; None while any may begin it."""
-    evidence: VersionEvidence | None = None
-    """What shows that an engine of this version began it; None if other nodes know it, too."""
-    unconfirmed_since: float | None = None
-    """Monotonic seconds since which no engine could be shown to be of this version."""
-
-    @property
-    def has_tries_left(self) -> bool:
-        """Whether the request may be sent to a further engine."""
-        return self.tries - self.refused_connections < MAX_TRIES
-
-
 @dataclass(frozen=True, slots=True)
 class RunServices:
     """The parts of the node that a run uses."""
@@ -140,6 +109,7 @@
     quarantine: QuarantineServices
     limits: TenantCredit
     stream_versions: StreamVersions
+    reports: EngineReports
 
 
 class RoutedRun:
@@ -150,7 +120,8 @@
         self._request = request
         self._clock = services.clock
         self._fleet = services.fleet
-        self._progress = _Progress(last_event_id=request.terms.last_event_id)
+        self._progress = AttemptProgress(last_event_id=request.terms.last_event_id)
+        self._policy = RetryPolicy(request.route, request.arrived_at, request.deadline)
         self._guard = QuarantineGuard(
             services.quarantine,
             request.terms.request_id,
@@ -307,10 +278,7 @@
             if progress.refused_connections >= MAX_REFUSED_CONNECTIONS:
                 gevent.sleep(REFUSAL_BACKOFF)
             return
-        pause = min(MAX_REFUSAL_BACKOFF, REFUSAL_BACKOFF * 2**progress.refused_rounds)
-        progress.refused_rounds += 1
-        progress.tried.clear()
-        gevent.sleep(pause)
+        gevent.sleep(progress.next_backoff())
 
     def _has_untried_engines(self) -> bool:
         """Whether there are engines for the request that were not tried in this round."""
@@ -361,7 +329,7 @@
             may_be_empty=self._progress.last_event_id is not None,
         )
         self._answer = answer
-        answer.read_head(self._read_timeout(FIRST_EVENT_TIMEOUT))
+        self._read(answer.read_head, FIRST_EVENT_TIMEOUT)
         self._check_headers(answer)
         return answer
 
@@ -422,7 +390,7 @@
     def _await_engines(self) -> None:
         """Wait if no engine is listed at the moment and there is time for it."""
         request = self._request
-        latest = request.arrived_at + (request.deadline - request.arrived_at) * MAX_WAIT_SHARE
+        latest = self._policy.latest_wait()
         version = self._progress.version
         if self._fleet.engines(request.service, version):
             return
@@ -540,48 +508,33 @@
         self._release()
 
     def _may_retry(self, verdict: Verdict) -> bool:
-        progress, route = self._progress, self._request.route
-        if self._client_disconnected or self._clock.monotonic() >= self._request.deadline:
-            return False
-        if not progress.has_tries_left or progress.runs >= route.max_attempts:
-            return False
-        since = progress.unconfirmed_since
-        if since is not None and self._clock.monotonic() - since >= UNCONFIRMED_PATIENCE:
-            return False
-        if verdict is Verdict.NOT_RUN:
-            return self._may_wait_for_capacity() and not self._no_engine_listens()
-        if route.repeat is RepeatPolicy.SAFE:
-            return progress.events == 0
-        return route.repeat is RepeatPolicy.RESUMABLE
-
-    def _no_engine_listens(self) -> bool:
-        """Whether every engine refused its connection, so that none has capacity to wait for."""
-        progress = self._progress
-        tried_enough = progress.refused_connections >= MAX_TRIES
-        return tried_enough and not progress.any_listened and not self._has_untried_engines()
-
-    def _may_wait_for_capacity(self) -> bool:
-        """Whether there is time to offer the request again after a refusal.
-
-        Enough time must be left for the client to retry and be served by another node.
-        """
-        request = self._request
-        allowed = (request.deadline - request.arrived_at) * MAX_WAIT_SHARE
-        return self._clock.monotonic() - request.arrived_at < allowed
+        return not self._client_disconnected and self._policy.may_retry(
+            self._progress,
+            verdict,
+            self._clock.monotonic(),
+            has_untried_engines=self._has_untried_engines(),
+        )
 
-    def _read_timeout(self, timeout: float) -> float:
-        """Return the seconds without a byte after which an engine is given up.
+    def _read(self, read: Callable[[float], Result], timeout: float) -> Result:
+        """Read a part of the answer.
 
-        A request that no other engine may run waits for as long as its client does.
+        A request that no other engine may run waits for as long as its client does. Any other one
+        goes on elsewhere once its engine is lost, or has lost the run.
         """
-        route, progress = self._request.route, self._progress
-        runs_after_this = progress.runs + (0 if self._has_headers else 1)
-        repeatable = route.repeat is RepeatPolicy.RESUMABLE or (
-            route.repeat is RepeatPolicy.SAFE and progress.events == 0
+        placement, answer, progress = self._placement, self._answer, self._progress
+        assert placement is not None
+        assert answer is not None
+        if not self._policy.may_run_elsewhere(progress, is_counted=self._has_headers):
+            return read(max(timeout, self._request.deadline - self._clock.monotonic()))
+        engine, service = placement.engine, self._request.service
+        watch = RunWatch(
+            self._services.reports,
+            engine.life,
+            engine.address,
+            self._request.terms.request_id,
+            lambda: self._fleet.has_capacity(service, progress.version, besides=engine.life),
         )
-        if repeatable and progress.has_tries_left and runs_after_this < route.max_attempts:
-            return timeout
-        return max(timeout, self._request.deadline - self._clock.monotonic())
+        return watch.read(read, timeout, has_begun=answer.received)
 
     def _final_error(self, error: AttemptError) -> PostvalveError:
         if self._client_disconnected:
@@ -630,7 +583,7 @@
         while True:
             timeout = EVENT_TIMEOUT if self._progress.events else FIRST_EVENT_TIMEOUT
             self._pace.record_read_started()
-            event = answer.read_event(self._read_timeout(timeout))
+            event = self._read(answer.read_event, timeout)
             if not event:
                 self._pace.record_end(self._placement)
                 self._record_completion()
@@ -724,7 +677,7 @@
         answer = self._answer
         assert answer is not None
         try:
-            body = answer.read_body(self._read_timeout(FIRST_EVENT_TIMEOUT))
+            body = self._read(answer.read_body, FIRST_EVENT_TIMEOUT)
         except AttemptError as error:
             self._progress.runs -= 1
             self._fail_attempt(error)
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from typing import Any
+
+from pydantic import BaseModel, Field
 
 from postvalve.core.admission.part_quarantine import MAX_PARTS
 from postvalve.core.admission.request_identity import (
@@ -11,8 +14,10 @@
     identify_parts,
 )
 from postvalve.core.routing.engine_load import EngineLoad, EngineLoadError
-from postvalve.exceptions import AuthenticationError
+from postvalve.core.routing.silent_run import RunReport
+from postvalve.exceptions import AuthenticationError, MalformedJsonError
 from postvalve.gateway.interfaces import Headers, Judgement, RequestTerms
+from postvalve.json_input import parse_json
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
@@ -40,6 +45,11 @@
 MAX_DIGITS = 18
 """Maximum number of digits of a number in a header. A longer number counts as missing, since
 arithmetic with it may raise an exception."""
+RUN_REPORT_PATH = "/api/report"
+MAX_REPORT_BYTES = 1_048_576
+"""Maximum size of an engine's report in bytes; a larger one is invalid."""
+MAX_EVENTS = 2**32
+"""Number of events of a run from which on an engine's report is invalid."""
 MISDIRECTED = 421
 """HTTP status of an engine whose id differs from the one expected."""
 UNPROCESSABLE = 422
@@ -55,6 +65,27 @@
 )  # fmt: skip
 
 
+class _RunReport(BaseModel):
+    """An engine's report, as far as it is used."""
+
+    waiting: int = Field(ge=0, le=MAX_REQUESTS)
+    runs: list[list[Any]] = Field(max_length=MAX_REQUESTS)
+    """Request id, tokens in memory, events made and priority of each run."""
+
+    def events_made(self) -> dict[str, int]:
+        """Return the events made by each run, by request id.
+
+        Raises:
+            ValueError: A row has another form.
+        """
+        found = {}
+        for request_id, _, made, *_ in self.runs:
+            if not isinstance(request_id, str) or made not in range(MAX_EVENTS):
+                raise ValueError("a run without an id or a number of events")
+            found[request_id] = made
+        return found
+
+
 class PlatformDialect:
     """Implementation of `Dialect` for the platform's headers."""
 
@@ -165,6 +196,16 @@
         pace = percent / 100 if percent is not None else None
         return EngineLoad(now, running, waiting, slots, pace)
 
+    run_report_target = RUN_REPORT_PATH
+
+    def read_run_report(self, body: bytes) -> RunReport | None:
+        """See `Dialect`."""
+        try:
+            told = _RunReport.model_validate(parse_json(body, MAX_REPORT_BYTES))
+            return RunReport(told.waiting, told.events_made())
+        except (MalformedJsonError, ValueError):  # pydantic's errors are ValueErrors
+            return None
+
     def retry_headers(self, seconds: float) -> list[tuple[str, str]]:
         """See `Dialect`."""
         return [(RETRY_AFTER, f"{seconds:.3f}")]
--- a/tests/stand_in_engine.py
+++ b/tests/stand_in_engine.py
@@ -1,6 +1,7 @@
 """HTTP engines for tests, at loopback addresses."""
 
 import contextlib
+import json
 import socket as sockets
 
 import gevent
@@ -116,6 +117,12 @@
         self.reads = True
         """Whether the engine reads from its connections."""
         self.on_end = lambda engine: None
+        self.made = {}
+        """Events made by each run under way, by request id."""
+        self.waiting = 0
+        """Requests that wait, according to its report."""
+        self.report = self.usual_report
+        """Returns the bytes that answer a question about its runs; None for no answer."""
         self._open = set()
         self._server = StreamServer(("127.0.0.1", self.port), self._serve)
         self._server.start()
@@ -150,6 +157,18 @@
             connection.shutdown(sockets.SHUT_RDWR)
         self.on_end(self)
 
+    def usual_report(self):
+        runs = [[request_id, 100, made, 0] for request_id, made in self.made.items()]
+        return json.dumps({"waiting": self.waiting, "running": len(runs), "runs": runs}).encode()
+
+    def _tell_report(self, connection):
+        body = self.report()
+        if body is None:
+            gevent.sleep(30)
+            return False
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        return True
+
     def _serve(self, connection, address):
         self.connections += 1
         self._open.add(connection)
@@ -177,6 +196,8 @@
         while len(body) < int(headers.get("content-length", 0)):
             gevent.sleep(self.read_pause)
             body += connection.recv(65536)
+        if lines[0].startswith("GET "):
+            return self._tell_report(connection)
         self.heads.append((lines[0], headers))
         request_id = headers["request-id"]
         if headers.get("expect-instance") != self.expected_id:
@@ -210,6 +231,7 @@
             return self._answer(connection, behaviour, request_id, headers)
         finally:
             self.running -= 1
+            self.made.pop(request_id, None)
 
     def event(self, request_id, number, padding):
         """Build one event of an answer."""
@@ -251,6 +273,7 @@
             if behaviour.cut_after is not None and sent >= behaviour.cut_after:
                 connection.sendall(b"9\r\nid: 9")
                 return False
+            self.made[request_id] = number
             event = self.event(request_id, number, behaviour.padding)
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             for piece in (chunk[:9], chunk[9:]) if behaviour.piecewise else (chunk,):
--- a/tests/test_requests_that_end_engines.py
+++ b/tests/test_requests_that_end_engines.py
@@ -162,6 +162,7 @@
             quarantine=quarantine_services(clock, events, quarantine),
             limits=mock.Mock(),
             stream_versions=mock.Mock(),
+            reports=mock.Mock(),
         )
         route = mock.Mock(target_latency=0.2, max_attempts=2)
         request = mock.Mock(
