A stream that has begun is offered to engines until its time is over

Callers saw: streams cut after their engine had broken off, once half of their time was over and all other engines were full for a moment. Cause: after a refusal a request is offered again for half of its time only, so that its client can be served by another node in the rest. A client that has begun to receive an answer can't go elsewhere.

--- a/postvalve/gateway/serving/retry_policy.py
+++ b/postvalve/gateway/serving/retry_policy.py
@@ -93,6 +93,7 @@
         now: float,
         *,
         has_untried_engines: bool,
+        client_has_headers: bool,
     ) -> bool:
         """Whether the request may be offered again after an attempt that failed.
 
@@ -101,6 +102,7 @@
             verdict: Whether the attempt may have run.
             now: The present time.
             has_untried_engines: Whether there are engines that were not tried in this round.
+            client_has_headers: Whether the client has the head of an answer.
         """
         route = self._route
         if now >= self._deadline:
@@ -111,17 +113,20 @@
         if since is not None and now - since >= UNCONFIRMED_PATIENCE:
             return False
         if verdict is Verdict.NOT_RUN:
-            may_wait = now < self.latest_wait()
+            may_wait = now < self.latest_wait(client_has_headers=client_has_headers)
             return may_wait and not self._no_engine_listens(progress, has_untried_engines)
         if route.repeat is RepeatPolicy.SAFE:
             return progress.events == 0
         return route.repeat is RepeatPolicy.RESUMABLE
 
-    def latest_wait(self) -> float:
+    def latest_wait(self, *, client_has_headers: bool) -> float:
         """Return until when the request may wait for an engine that takes it.
 
-        Enough time must be left for the client to retry and be served by another node.
+        Enough time must be left for the client to retry and be served by another node. One that has
+        begun to receive an answer has nowhere else to go.
         """
+        if client_has_headers:
+            return self._deadline
         return self._arrived_at + (self._deadline - self._arrived_at) * MAX_WAIT_SHARE
 
     @staticmethod
--- a/tests/test_paused_runs.py
+++ b/tests/test_paused_runs.py
@@ -8,6 +8,8 @@
 import unittest
 from unittest import mock
 
+import gevent
+
 from postvalve.core.routing.silent_run import LifeSign, RunReport, RunState, SilentRun
 from postvalve.events import Event
 from postvalve.gateway.engines import run_watch
@@ -180,6 +182,19 @@
         self.assertEqual(len(self.runs()), 1)
 
 
+class BrokenStreamTest(PausedRunCase):
+    def test_a_stream_that_has_begun_is_offered_until_its_end(self):
+        """It was cut once half of its time was over, though its client can't go elsewhere."""
+        self.plan(Behaviour(cut_after=1), Behaviour(refuse=True))
+        asked = gevent.spawn(
+            self.fleet.request, "n0", STREAM_PATH, headers=[("Deadline-Ms", "3000")]
+        )
+        gevent.sleep(2.2)
+        for engine in self.fleet.engines:
+            engine.next_behaviours = []
+        self.assert_whole(asked.get(timeout=5.0))
+
+
 class PausedItemTest(JobCase):
     nodes = 1
 
