A node that has not read which nodes there are lends no credit

Cause: "no addresses read yet" and "no other node" were one value, an empty mapping. Ruled out: full buckets at the moment of the read (a lender begins with an empty one; unit), the nodes that run (their share is right: they lend what is theirs). Change: the announced nodes are unknown until a read that shows the node's own address. Until then it lends nothing, says so in its reports and digests (extension 6), asks the lenders that it hears of, refuses at once with 503 if there are none, and isn't ready where a tenant has a limit, so that clients meet nodes that know. The others count it among those that they reach, so that its share is lent by them. Announcements are tried every 0.6 s at most, up to three beside each other, as calls may hang after the store is back.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -9,6 +9,9 @@
 - A lender's rate and capacity are scaled by the share of the fleet that it reaches. The sides of a
   network partition together stay within the whole limit, and a node that has just started or is
   isolated grants almost nothing.
+- A node that has not read which nodes there are is no lender: no share of the limit is safe without
+  the size of the fleet. Nodes that it reports to count it among those that they reach, so that its
+  share is lent by them.
 - Until it is certain that the primary lender is gone, a secondary one grants a little. There is one
   in each zone, for requests that arrive there, with a share in proportion to the zone's size. A
   zone that is cut off therefore has a lender at once, and all secondary lenders together grant no
@@ -57,10 +60,10 @@
 MAX_RETRY_AFTER = 5.0
 """Longest retry time, in seconds, sent to a refused client."""
 SETTLE_TIME = 1.5
-"""Seconds after its start until a node has reports of all others. Nodes of other zones are
-announced a second after the nodes of their own zone have started, at the earliest. Until then this
-node grants almost nothing, and refused clients are told to retry when this time is over instead of
-when a bucket of that small share has refilled."""
+"""Seconds after a node has read which nodes there are until it has reports of all of them. Nodes of
+other zones are announced a second after the nodes of their own zone have started, at the earliest.
+Until then this node grants almost nothing, and refused clients are told to retry when this time is
+over instead of when a bucket of that small share has refilled."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,11 +170,13 @@
         self._node_id = node_id
         self._bounds = bounds
         self._started_at = now
+        self._known_at: float | None = None
+        """Time since which the size of the fleet is known; None before."""
         self._updated_at = now
         self._views: deque[_View] = deque(
             [_View(now, frozenset((node_id,)), frozenset((node_id,)))]
         )
-        self._recently_seen = frozenset((node_id,))
+        self._recently_seen = self._near_seen = frozenset((node_id,))
         self._share_history: deque[_ShareRecord] = deque([_ShareRecord(now, 0.0, 0.0)])
         """Shares over the time for which views are kept, since a bucket also refills while it is
         unused."""
@@ -179,36 +184,44 @@
         """Fleet sizes seen, as time and number of nodes, the largest first."""
         self._primary: dict[str, _Account] = {}
         self._secondary: dict[str, _Account] = {}
-        self.fleet_size = 1
-        """Number of nodes in the fleet, as far as this node knows."""
+        self.fleet_size: int | None = None
+        """Number of nodes in the fleet, as far as this node knows; None if it can't tell."""
 
     @property
     def live_nodes(self) -> int:
         """Number of live nodes that this node knows, including itself."""
         return len(self._views[-1].live)
 
+    @property
+    def _settled_at(self) -> float:
+        """Time at which this node has reports of all others."""
+        return max(self._started_at, self._known_at or 0.0) + SETTLE_TIME
+
     def is_starting(self, now: float) -> bool:
         """Return whether this node started so recently that it may lack reports of some others."""
-        return now < self._started_at + SETTLE_TIME
+        return now < self._settled_at
 
     @property
     def share(self) -> float:
         """Share of the fleet whose reports reached this node recently."""
-        return min(1.0, len(self._recently_seen) / max(1, self.fleet_size))
+        return self._share_of(self._recently_seen)
 
     @property
     def zone_share(self) -> float:
         """Share of the fleet in this node's zone whose reports reached this node recently."""
-        near = self._views[-1].near & self._recently_seen
-        return min(1.0, len(near) / max(1, self.fleet_size))
+        return self._share_of(self._near_seen)
+
+    def _share_of(self, nodes: frozenset[str]) -> float:
+        return min(1.0, len(nodes) / max(1, self.fleet_size)) if self.fleet_size else 0.0
 
     def update_view(
         self,
         live: Iterable[str],
-        announced: int,
+        announced: int | None,
         now: float,
         neighbours: Iterable[str] | None = None,
         certain: Iterable[str] | None = None,
+        unread: Iterable[str] = (),
     ) -> bool:
         """Take in which nodes are alive. Called several times a second and before each decision.
 
@@ -219,26 +232,35 @@
             live: Ids of the nodes that take work, as far as this one knows, including its own
                 unless it is leaving.
             announced: Number of nodes registered in the store; used while this node has just
-                started.
+                started. None if they have not been read: then this node is no lender.
             now: Monotonic seconds.
             neighbours: Those of the live nodes that are in this node's zone; None if all are.
             certain: Those that reported so recently that no node lends in their place yet; None if
                 all were. Of the two sides of a partition, one detects it up to a report interval
                 before the other: its lender starts only after the other side's share has ended.
+            unread: Those of the live nodes, besides this one, that have not read which nodes there
+                are, and lend nothing.
         """
         suspended = now - self._updated_at > STALL_THRESHOLD
         if suspended:
             self._drop_all(now)
         self._updated_at = now
-        nodes, view = frozenset(live), self._views[-1]
-        near = nodes if neighbours is None else frozenset(neighbours)
+        if announced is not None and self._known_at is None:
+            self._known_at = now
+        reached = frozenset(live)
+        near_reached = reached if neighbours is None else frozenset(neighbours)
+        no_lenders = frozenset(unread) - {self._node_id}
+        if self._known_at is None:
+            no_lenders |= {self._node_id}
+        view, nodes, near = self._views[-1], reached - no_lenders, near_reached - no_lenders
         if nodes != view.live or near != view.near:
             self._views.append(_View(now, nodes, near))
             self._drop_lost()
         while len(self._views) > 1 and self._views[1].since < now - VIEW_RETENTION:
             self._views.popleft()
-        self._recently_seen = nodes if certain is None else nodes.intersection(certain)
-        self._record_size(len(nodes), announced, now)
+        self._recently_seen = reached if certain is None else reached.intersection(certain)
+        self._near_seen = self._recently_seen & near_reached
+        self._record_size(len(reached), announced or 0, now)
         self._record_shares(now)
         return suspended
 
@@ -255,8 +277,10 @@
         while self._sizes and self._sizes[-1][1] <= reachable:
             self._sizes.pop()
         self._sizes.append((now, reachable))
-        started_recently = now - self._started_at < FLEET_SIZE_RETENTION
-        self.fleet_size = max(self._sizes[0][1], announced if started_recently else 0)
+        if self._known_at is None:
+            return
+        is_recent = now - self._known_at < FLEET_SIZE_RETENTION
+        self.fleet_size = max(self._sizes[0][1], announced if is_recent else 0)
 
     def _drop_all(self, now: float) -> None:
         """Drop all buckets after a suspension, during which other nodes have lent."""
@@ -336,10 +360,9 @@
         """Return the seconds until a refused client may retry; successive clients are spaced
         out."""
         gap, earliest = 1.0 / account.bucket.rate, now + wait
-        settled_at = self._started_at + SETTLE_TIME
         if self.is_starting(now):
             gap = 1.0 / max(account.terms.rate, 1e-6)
-            earliest = min(earliest, settled_at + gap)
+            earliest = min(earliest, self._settled_at + gap)
         account.next_retry = min(max(account.next_retry + gap, earliest), now + MAX_RETRY_AFTER)
         return account.next_retry - now
 
--- a/postvalve/core/membership/extensions.py
+++ b/postvalve/core/membership/extensions.py
@@ -9,11 +9,12 @@
 
 import enum
 import struct
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 _PART = struct.Struct("!BH")
 """Number and length of a part."""
 MAX_PART_BYTES = 0xFFFF
+_ID_SEPARATOR = b"\0"
 
 
 class Extension(enum.IntEnum):
@@ -27,6 +28,9 @@
     """Engines that differ in speed from others of their service: see `core/routing/engine_pace`."""
     ITEM_PACE = 5
     """Durations of batch items: see `core/batch/item_order`."""
+    UNREAD_NODES = 6
+    """Ids of nodes that have not read which nodes there are, so that they lend no credit: the
+    sender's own in its reports, those of a zone in its digests."""
 
 
 class Feature(enum.IntFlag):
@@ -89,3 +93,13 @@
     """
     known = int.from_bytes(parts.get(Extension.FEATURES, b""), "big")
     return Feature(known & sum(Feature))
+
+
+def pack_ids(ids: Iterable[str]) -> bytes:
+    """Pack ids of nodes for a message."""
+    return _ID_SEPARATOR.join(one.encode() for one in ids)
+
+
+def unpack_ids(data: bytes) -> frozenset[str]:
+    """Unpack ids of nodes; what is no text is left as nobody's id."""
+    return frozenset(one.decode("utf-8", "replace") for one in data.split(_ID_SEPARATOR) if one)
--- a/postvalve/core/routing/route_table.py
+++ b/postvalve/core/routing/route_table.py
@@ -66,6 +66,11 @@
         """Whether requests need an API key, except on routes that allow anonymous ones."""
         return self.configuration.tenants is not None
 
+    @property
+    def has_tenant_limits(self) -> bool:
+        """Whether any tenant has a limit of requests a second."""
+        return any(tenant.rate for tenant in self.configuration.tenants or ())
+
     def tenant_of(self, key: str) -> RoutedTenant | None:
         """Return the tenant to which an API key belongs, or None."""
         return find_by_key(key, self._by_key)
--- a/postvalve/events.py
+++ b/postvalve/events.py
@@ -24,6 +24,7 @@
     DRAIN_TIMED_OUT = (104, "error", "drain timed out with work in progress")
     BACKGROUND_TASK_FAILED = (105, "error", "background task failed; it will be run again")
     SETTINGS_CHANGED = (106, "info", "settings file changed; restart the process to apply it")
+    NODES_READ = (108, "info", "announced nodes were read")
     LISTENER_FAILED = (107, "error", "listener of a change failed")
     REQUEST_FAILED = (200, "warning", "request failed")
     REQUEST_ERROR = (201, "error", "request failed with an unexpected error")
--- a/postvalve/gateway/fleet/node_directory.py
+++ b/postvalve/gateway/fleet/node_directory.py
@@ -12,16 +12,20 @@
 from ipaddress import IPv4Address
 
 import gevent
+from gevent.event import Event as GeventEvent
 
 from postvalve.events import Event, EventLog
+from postvalve.exceptions import Verdict
 from postvalve.gateway.interfaces import KeyedRecord, KeyedTopics, StoreUnavailableError
 from postvalve.messages.framing import parse_message
 from postvalve.messages.generated import gateway
 
 NODE_TOPIC = "nodes"
 ANNOUNCE_RETRY_DELAY = 0.3
-"""Seconds before a failed announcement is retried, doubled after each further failure."""
-MAX_ANNOUNCE_RETRY_DELAY = 2.0
+"""Seconds after which a further announcement begins if there was no answer, doubled each time."""
+MAX_ANNOUNCE_RETRY_DELAY = 0.6
+MAX_PENDING = 3
+"""Most announcements under way: calls to a part of the store may hang after it is back."""
 
 
 class NodeDirectory:
@@ -33,38 +37,76 @@
         self._identity = identity
         self._events = events
         self._topics = topics
-        self._addresses: dict[str, tuple[str, str]] = {}
+        self._addresses: dict[str, tuple[str, str]] | None = None
+        self._ended = GeventEvent()
+        """Set when an announcement ends, until the next one begins."""
+        self._pending = 0
+        self.tries = 0
+        """Announcements that have begun."""
         self.on_change: Callable[[], None] = lambda: None
         """Called after the addresses were read."""
 
-    def addresses(self) -> dict[str, tuple[str, str]]:
-        """Return peer address and zone of the announced nodes, by node id."""
+    @property
+    def is_known(self) -> bool:
+        """Whether the announced nodes were read."""
+        return self._addresses is not None
+
+    def addresses(self) -> dict[str, tuple[str, str]] | None:
+        """Return peer address and zone of the announced nodes, by node id.
+
+        None before they were read: there may be any number of them.
+        """
         return self._addresses
 
     def announce(self) -> None:
-        """Append this node's address and read those of the others; retries until that succeeds."""
+        """Append this node's address and read those of the others; returns once that succeeded."""
         delay = ANNOUNCE_RETRY_DELAY
-        while True:
-            try:
-                record = KeyedRecord(self._identity.node_id, bytes(self._identity))
-                self._topics.append(NODE_TOPIC, 0, [record])
-                self._addresses = self._read()
-                self.on_change()
-                return
-            except StoreUnavailableError as exc:
-                self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, topic=NODE_TOPIC)
+        while not self.is_known:
+            self._ended.clear()
+            self._pending += 1
+            gevent.spawn(self._announce_once)
+            if self._ended.wait(delay) and not self.is_known:
                 gevent.sleep(delay)
-                delay = min(MAX_ANNOUNCE_RETRY_DELAY, delay * 2)
+            delay = min(MAX_ANNOUNCE_RETRY_DELAY, delay * 2)
+            while self._pending >= MAX_PENDING and not self.is_known:
+                self._ended.clear()
+                self._ended.wait()
+
+    def _announce_once(self) -> None:
+        self.tries += 1
+        record = KeyedRecord(self._identity.node_id, bytes(self._identity))
+        try:
+            self._topics.append(NODE_TOPIC, 0, [record])
+            addresses = self._read()
+        except StoreUnavailableError as exc:
+            self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, topic=NODE_TOPIC)
+        else:
+            if not self.is_known:
+                self._addresses = addresses
+                self.on_change()
+        finally:
+            self._pending -= 1
+            self._ended.set()
 
     def _read(self) -> dict[str, tuple[str, str]]:
+        """Read the announced nodes.
+
+        Raises:
+            StoreUnavailableError: They can't be read, or what is read is older than this node.
+        """
         found: dict[str, tuple[str, str]] = {}
-        after, more = "", True
+        after, more, has_own = "", True, False
         while more:
             part, more = self._topics.newest(NODE_TOPIC, 0, after)
             for record in part.records:
                 found[record.key] = self._address(record)
                 after = record.key
+                has_own |= record.value == bytes(self._identity)
             more = more and bool(part.records)
+        if not has_own:
+            raise StoreUnavailableError(
+                "this node's own address is missing among those read", Verdict.MAY_HAVE_RUN
+            )
         return {node_id: one for node_id, one in found.items() if one[0]}
 
     def _address(self, record: KeyedRecord) -> tuple[str, str]:
--- a/postvalve/gateway/fleet/peer_services.py
+++ b/postvalve/gateway/fleet/peer_services.py
@@ -25,13 +25,17 @@
     transport: Transport
     fleet: EngineFleet
     peers: PeerView
-    announced_nodes: Callable[[], dict[str, tuple[str, str]]]
-    """Returns peer address and zone of all nodes that have announced themselves, by id."""
+    announced_nodes: Callable[[], dict[str, tuple[str, str]] | None]
+    """Returns peer address and zone of all nodes that have announced themselves, by id; None before
+    they were read."""
     generator: RandomSource
 
     def known_nodes(self) -> dict[str, tuple[str, str]]:
-        """Return peer address and zone, by id, of all other nodes announced or heard from."""
-        nodes = dict(self.announced_nodes())
+        """Return peer address and zone, by id, of all other nodes announced or heard from.
+
+        Before the announced ones were read, others may be missing.
+        """
+        nodes = dict(self.announced_nodes() or {})
         for peer in self.peers.all():
             nodes[peer.node_id] = (peer.report.peer_address, peer.report.zone)
         nodes.pop(self.identity.node_id, None)
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -302,6 +302,7 @@
         self._zone_queue.own_report = self._reports.next_report
         self._zone_queue.on_granted = self._admission_queue.reevaluate
         self._reports.extensions[Extension.SHARE_CLOCK] = self._shares.pack
+        self._reports.extensions[Extension.UNREAD_NODES] = self._limits.pack_unread
         self._reports.enable_pace_reports()
         self._reports.on_quarantine_update = self._quarantine_gossip.receive
         self._reports.on_origins = self._stream_versions.receive
@@ -332,6 +333,10 @@
         self._feature_status.update()
 
     def _nodes_changed(self) -> None:
+        self._events.emit(
+            Event.NODES_READ, nodes=len(self._nodes.addresses() or {}), tries=self._nodes.tries
+        )
+        self._limits.update_view()
         self._reports.refresh_targets()
         self._quarantine_gossip.on_peers_known()
 
@@ -351,7 +356,16 @@
     @property
     def ready(self) -> bool:
         """Whether the platform should send clients to this node."""
-        return not self._draining and self._can_serve
+        return not self._draining and self._can_serve and self._can_limit
+
+    @property
+    def _can_limit(self) -> bool:
+        """Whether this node can tell what tenants may send, or none has a limit.
+
+        Other nodes may serve clients that this one would refuse.
+        """
+        table = self.configuration.table
+        return self._limits.knows_fleet or table is None or not table.has_tenant_limits
 
     @property
     def _can_serve(self) -> bool:
--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -21,6 +21,7 @@
     LimitBounds,
     LimitTerms,
 )
+from postvalve.core.membership.extensions import Extension, pack_ids, unpack_ids
 from postvalve.core.membership.store_reachability import RECENT_REPORT_AGE
 from postvalve.core.membership.zone_reporting import MAX_DIGEST_INTERVAL
 from postvalve.core.scheduling.fair_share import Work
@@ -114,10 +115,22 @@
         certain = [
             one.node_id for one in reporting if now - one.last_seen_at <= LENDER_SUSPECT_AFTER
         ] + own
-        announced = len(self._services.announced_nodes())
-        if self.limits.update_view(live, announced, now, near, certain):
+        announced = self._services.announced_nodes()
+        size = None if announced is None else len(announced)
+        parts = self._peers.extension_parts(Extension.UNREAD_NODES)
+        unread = frozenset().union(*map(unpack_ids, parts))
+        if self.limits.update_view(live, size, now, near, certain, unread):
             self.shares.reset()
 
+    @property
+    def knows_fleet(self) -> bool:
+        """Whether this node can tell which share of the limits it may lend."""
+        return self.limits.fleet_size is not None
+
+    def pack_unread(self) -> bytes:
+        """Return a part of this node's reports: its id while it lends nothing."""
+        return pack_ids((self._node_id,)) if self._services.announced_nodes() is None else b""
+
     def admit(
         self, caller: Caller, request_id: str, work: Work, deadline: float = math.inf
     ) -> float:
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -25,19 +25,42 @@
         self.heard = {}
         self.suspended = False
         self.down = False
+        self.addresses = None
+        """Names of the nodes that it sends reports to; None before it has read them."""
         self.start(now)
 
     def start(self, now):
         self.limits = FleetLimits(self.name, now, self.bounds)
         self.heard = {}
+        self.heard_unread = {}
+        """Whether each node heard had not read which nodes there are, by its last report."""
 
     @property
-    def is_running(self):
-        return not (self.suspended or self.down)
+    def knows_nodes(self):
+        return self.addresses is not None
+
+    def facts(self):
+        """Return the number of nodes that it has read, and those heard that have read none."""
+        unread = [name for name in self.heard if self.heard_unread[name]]
+        return len(self.addresses) if self.knows_nodes else None, unread
 
-    def update_view(self, announced, now):
+    def update_view(self, now):
         live = [name for name, at in self.heard.items() if now - at <= SILENT_AFTER]
-        self.limits.update_view([*live, self.name], announced, now)
+        announced, unread = self.facts()
+        self.limits.update_view([*live, self.name], announced, now, unread=unread)
+
+    def hear(self, other, now):
+        self.heard[other.name] = now
+        self.heard_unread[other.name] = not other.knows_nodes
+
+    def sends_to(self, other, now):
+        """Whether it has the address of another node, by the store or by its reports."""
+        heard_at = self.heard.get(other.name, -SILENT_AFTER)
+        return other.name in (self.addresses or ()) or now - heard_at <= SILENT_AFTER
+
+    @property
+    def is_running(self):
+        return not (self.suspended or self.down)
 
 
 class LimitModel:
@@ -45,21 +68,35 @@
 
     def __init__(self, seed, nodes, terms, bounds=BOUNDS):
         self.random = random.Random(seed)
+        self.topic_is_down = False
+        """Whether nodes can't read which nodes there are."""
         self.now = 100.0
         self.terms = terms
         self.bounds = bounds
         names = [f"n{number}" for number in range(nodes)]
-        self.nodes = {name: ModelNode(name, 100.0, bounds) for name in names}
-        self.announced = nodes
+        self.nodes = {name: self.new_node(name) for name in names}
         self.side = dict.fromkeys(self.nodes, 0)
         self.admitted = deque()
         self.total = 0
         self.asked = 0
         self.max_in_window = 0
         self.scheduled = []
+        self.announced = set()
+        """Names of the nodes that have announced themselves."""
+        for name in self.random.sample(names, len(names)):
+            self.read_nodes(name)
+
+    def read_nodes(self, name):
+        """Let a node announce itself, and read which nodes there are."""
+        self.announced.add(name)
+        self.nodes[name].addresses = set(self.announced)
+
+    def new_node(self, name):
+        return ModelNode(name, self.now, self.bounds)
 
     def can_reach(self, first, second):
-        both = self.nodes[first].is_running and self.nodes[second].is_running
+        nodes = self.nodes[first], self.nodes[second]
+        both = all(one.is_running for one in nodes)
         return both and self.side[first] == self.side[second]
 
     def step(self, arrivals, at=None):
@@ -73,7 +110,7 @@
         working = [self.nodes[one] for one in at or self.nodes if self.nodes[one].is_running]
         for _ in range(arrivals if working else 0):
             node = self.random.choice(working)
-            node.update_view(self.announced, self.now)
+            node.update_view(self.now)
             self.asked += 1
             if self.try_admit(node):
                 self.total += 1
@@ -87,16 +124,18 @@
             if not first.is_running:
                 continue
             for second in self.nodes.values():
+                if not first.sends_to(second, self.now):
+                    continue
                 if first is not second and self.can_reach(first.name, second.name):
-                    second.heard[first.name] = self.now
-            first.update_view(self.announced, self.now)
+                    second.hear(first, self.now)
+            first.update_view(self.now)
 
     def try_admit(self, node):
         for name in node.limits.choices("t"):
             if name != node.name and not self.can_reach(node.name, name):
                 continue
             other = self.nodes[name]
-            other.update_view(self.announced, self.now)
+            other.update_view(self.now)
             decision = other.limits.try_acquire("t", self.terms, self.now)
             if decision.outcome is CreditOutcome.GRANTED:
                 return True
@@ -134,7 +173,12 @@
 
     def freeze_lender(self, seconds):
         """Suspend the primary lender."""
-        primary = next(iter(self.nodes.values())).limits.choices("t")[0]
+        lenders = [
+            choices[0] for node in self.nodes.values() if (choices := node.limits.choices("t"))
+        ]
+        if not lenders:
+            return
+        primary = lenders[0]
         self.nodes[primary].suspended = True
         self.after(seconds, lambda: setattr(self.nodes[primary], "suspended", False))
 
@@ -147,9 +191,33 @@
             for name in chosen:
                 self.nodes[name].down = False
                 self.nodes[name].start(self.now)
+                self.nodes[name].addresses = None
+                if not self.topic_is_down:
+                    self.read_nodes(name)
 
         self.after(seconds, start)
 
+    def end_topic(self, seconds):
+        """Keep nodes that start from reading which nodes there are."""
+        self.topic_is_down = True
+
+        def restore():
+            self.topic_is_down = False
+            for name, node in self.nodes.items():
+                if not node.down and not node.knows_nodes:
+                    self.read_nodes(name)
+
+        self.after(seconds, restore)
+
+    def add(self, count):
+        """Start further nodes, which announce themselves once they can."""
+        for _ in range(count):
+            name = f"n{len(self.nodes)}"
+            self.nodes[name] = self.new_node(name)
+            self.side[name] = 0
+            if not self.topic_is_down:
+                self.read_nodes(name)
+
 
 class ShareModel(LimitModel):
     """The alternative policy: each node enforces a part of the limit, by the number of nodes it
--- a/tests/zoned_limit_model.py
+++ b/tests/zoned_limit_model.py
@@ -13,12 +13,13 @@
         """Zone of each node."""
         super().__init__(name, now, bounds)
 
-    def update_view(self, announced, now):
+    def update_view(self, now):
         live = [one for one, at in self.heard.items() if now - at <= LENDER_TIMEOUT]
         near = [one for one in live if self.zones[one] == self.zones[self.name]]
         certain = [one for one in live if now - self.heard[one] <= LENDER_SUSPECT_AFTER]
         own = [self.name]
-        self.limits.update_view(live + own, announced, now, near + own, certain + own)
+        announced, unread = self.facts()
+        self.limits.update_view(live + own, announced, now, near + own, certain + own, unread)
 
 
 class ZonedLimitModel(LimitModel):
@@ -28,7 +29,8 @@
         super().__init__(seed, zones * nodes, terms, **options)
         self.zones = {name: number % zones for number, name in enumerate(self.nodes)}
         for name in self.nodes:
-            self.nodes[name] = ZonedNode(name, self.now, self.bounds, self.zones)
+            node = self.nodes[name] = ZonedNode(name, self.now, self.bounds, self.zones)
+            node.addresses = set(self.announced)
 
     def report(self):
         far = round(self.now / STEP) % round(FAR_REPORT_EVERY / STEP) < REPORT_EVERY / STEP
@@ -37,9 +39,9 @@
             for second in working:
                 heard = far or self.zones[first.name] == self.zones[second.name]
                 if first is not second and heard and self.can_reach(first.name, second.name):
-                    second.heard[first.name] = self.now
+                    second.hear(first, self.now)
         for node in working:
-            node.update_view(self.announced, self.now)
+            node.update_view(self.now)
 
     def cut_zone(self, zone, seconds):
         """Cut one zone off from all others."""
