A node claims no jobs of others before it has read which nodes there are

Callers saw: items that ran again, and ended later, after nodes had started beside an outage of the topic of addresses: a node that hears nobody claimed all open jobs of the fleet, and others claimed them back. Cause: the same as of the lent limits: no addresses read was taken for no other node. The time in which a starting node listens ran from its start, not from when others could report to it. Evidence: the test fails before (a claim 1.5 s after the start, beside the running owner) and passes after. Change: the time runs from that read. Jobs of a former life of the same node are claimed at once, as before. Left: owners of streams and the intervals of reads by the number of nodes still go by those that are heard.

--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -170,8 +170,8 @@
         self._node_id = node_id
         self._bounds = bounds
         self._started_at = now
-        self._known_at: float | None = None
-        """Time since which the size of the fleet is known; None before."""
+        self.known_at: float | None = None
+        """Time since which it is known which nodes there are; None before."""
         self._updated_at = now
         self._views: deque[_View] = deque(
             [_View(now, frozenset((node_id,)), frozenset((node_id,)))]
@@ -195,7 +195,7 @@
     @property
     def _settled_at(self) -> float:
         """Time at which this node has reports of all others."""
-        return max(self._started_at, self._known_at or 0.0) + SETTLE_TIME
+        return max(self._started_at, self.known_at or 0.0) + SETTLE_TIME
 
     def is_starting(self, now: float) -> bool:
         """Return whether this node started so recently that it may lack reports of some others."""
@@ -245,12 +245,12 @@
         if suspended:
             self._drop_all(now)
         self._updated_at = now
-        if announced is not None and self._known_at is None:
-            self._known_at = now
+        if announced is not None and self.known_at is None:
+            self.known_at = now
         reached = frozenset(live)
         near_reached = reached if neighbours is None else frozenset(neighbours)
         no_lenders = frozenset(unread) - {self._node_id}
-        if self._known_at is None:
+        if self.known_at is None:
             no_lenders |= {self._node_id}
         view, nodes, near = self._views[-1], reached - no_lenders, near_reached - no_lenders
         if nodes != view.live or near != view.near:
@@ -277,9 +277,9 @@
         while self._sizes and self._sizes[-1][1] <= reachable:
             self._sizes.pop()
         self._sizes.append((now, reachable))
-        if self._known_at is None:
+        if self.known_at is None:
             return
-        is_recent = now - self._known_at < FLEET_SIZE_RETENTION
+        is_recent = now - self.known_at < FLEET_SIZE_RETENTION
         self.fleet_size = max(self._sizes[0][1], announced if is_recent else 0)
 
     def _drop_all(self, now: float) -> None:
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -290,6 +290,7 @@
         self._fleet.find_service = self._service_named
         self._fleet.pause_aim = self._pause_aim
         self._claims.all_zones_known = self._reports.zones.all_zones_known
+        self._claims.nodes_known_at = lambda: self._limits.limits.known_at
         self._reports.revision = lambda: self.configuration.revision
         self._reports.log_silence = self._log.silence
         self._reports.on_report = self._peer_reported
--- a/postvalve/gateway/jobs/job_claims.py
+++ b/postvalve/gateway/jobs/job_claims.py
@@ -17,11 +17,11 @@
 CLAIM_INTERVAL = 0.4
 """Seconds between checks for jobs that no node works on."""
 CLAIM_AFTER_START = 1.5
-"""Seconds after its start before a node claims jobs of others, since it must first hear from
-them."""
+"""Seconds after it has read which nodes there are before a starting node claims jobs of others,
+since it must first hear from them."""
 ZONE_DISCOVERY_TIMEOUT = 4.0
-"""Seconds after its start from which a node treats zones that it has not heard from as gone. A
-zone's digest lists the members only from time to time."""
+"""Seconds after that from which a node treats zones that it has not heard from as gone. A zone's
+digest lists the members only from time to time."""
 MAX_STORE_SILENCE = 3.0
 """Seconds without contact to the store after which a node claims nothing."""
 
@@ -46,6 +46,9 @@
         self._new_id = new_id
         self._started_at = clock.monotonic()
         self.draining = False
+        self.nodes_known_at: Callable[[], float | None] = lambda: self._started_at
+        """Returns the monotonic seconds since which this node knows which nodes there are; None
+        before."""
         self.all_zones_known: Callable[[], bool] = lambda: True
         """Returns whether the members of every zone are known."""
 
@@ -77,7 +80,10 @@
         return self._peers.successor(job.job_id, include_self=True) == identity.node_id
 
     def _membership_known(self) -> bool:
-        age = self._clock.monotonic() - self._started_at
+        known_at = self.nodes_known_at()
+        if known_at is None:
+            return False
+        age = self._clock.monotonic() - known_at
         return age >= ZONE_DISCOVERY_TIMEOUT or (
             age >= CLAIM_AFTER_START and self.all_zones_known()
         )
--- a/tests/test_unknown_fleet.py
+++ b/tests/test_unknown_fleet.py
@@ -16,10 +16,13 @@
 from postvalve.exceptions import Verdict
 from postvalve.gateway.fleet.node_directory import NODE_TOPIC, NodeDirectory
 from postvalve.gateway.interfaces import StoreUnavailableError, TopicSlice
+from postvalve.gateway.jobs.job_claims import CLAIM_AFTER_START
 from postvalve.messages.generated import gateway
-from tests.gateway_support import STREAM_PATH, GatewayFleet, RecordingEventLog
+from tests.gateway_support import BATCH_PATH, STREAM_PATH, GatewayFleet, RecordingEventLog
 from tests.limit_model import LimitModel, allowed
+from tests.stand_in_engine import Behaviour
 from tests.test_fleet_limits import LARGE, flood, settle
+from tests.test_gateway_jobs import job_body
 from tests.waiting import wait_until
 
 TENANTS = [{"name": "ann", "apiKeys": ["ann-key"], "ratePerS": 40.0, "burst": 40.0}]
@@ -236,3 +239,19 @@
         node = self.fleet.start_node("n2")
         wait_until(lambda: node.ready)
         self.assertEqual(self.ask("n2", "r1").status, 200)
+
+    def test_it_claims_no_jobs_of_nodes_that_it_can_not_know(self):
+        for engine in self.fleet.engines:
+            engine.default_behaviour = Behaviour(pause=0.1, events=200)
+        self.fleet.configure()
+        body = job_body("j")
+        self.assertEqual(
+            self.fleet.request("n0", BATCH_PATH + "x", body=body, request_id="j").status, 202
+        )
+        self.fleet.start_node("n2")
+        gevent.sleep(CLAIM_AFTER_START + 1.5)
+        self.assertEqual(self.fleet.events("n2", Event.ROUTED_JOB_CLAIMED), [])
+        self.fleet.topics.fault = None
+        wait_until(lambda: len(self.fleet.nodes["n2"].peers.all()) == 2)
+        gevent.sleep(CLAIM_AFTER_START + 1.0)
+        self.assertEqual(self.fleet.events("n2", Event.ROUTED_JOB_CLAIMED), [])
