Bytes that trickle without end are no pause of a run

Cause: mine: an engine that answers a question about its runs was waited for, also where bytes came that amount to no event. Change: only what sends nothing at all is asked for; what sends bytes without an event, head or body within the time-out is given up as before.

--- a/postvalve/gateway/engines/engine_answer.py
+++ b/postvalve/gateway/engines/engine_answer.py
@@ -82,8 +82,8 @@
         self._in_turn = 0
         """Bytes read since other connections could last be served."""
         self.aborted = False
-        self.received = False
-        """Whether any byte of the response has been received."""
+        self.received_bytes = 0
+        """Bytes of the response that have been received."""
         self._answered_at = answered_at
 
     @property
@@ -283,9 +283,8 @@
         except OSError as error:
             kind = AttemptError if self.aborted else EngineDisconnectedError
             raise kind(f"the engine failed: {error!r}", Verdict.MAY_HAVE_RUN) from error
-        if data:
-            self.received = True
-        elif not self._parser.has_final_head:
+        self.received_bytes += len(data)
+        if not data and not self._parser.has_final_head:
             raise EngineDisconnectedError(
                 "the engine failed: closed before an answer", Verdict.MAY_HAVE_RUN
             )
--- a/postvalve/gateway/engines/run_watch.py
+++ b/postvalve/gateway/engines/run_watch.py
@@ -13,6 +13,7 @@
 from postvalve.core.routing.silent_run import LifeSign, RunState, SilentRun
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, EngineDisconnectedError, EngineSilentError
+from postvalve.gateway.engines.engine_answer import EngineAnswer
 from postvalve.gateway.engines.engine_connections import ConnectionPool, request_bytes
 from postvalve.gateway.interfaces import Dialect
 
@@ -102,19 +103,22 @@
         self._request_id = request_id
         self._may_move = may_move
 
-    def read(self, read: Callable[[float], Result], timeout: float, *, has_begun: bool) -> Result:
+    def read(self, answer: EngineAnswer, read: Callable[[float], Result], timeout: float) -> Result:
         """Return what `read` returns, for as long as the run may still answer.
 
+        Bytes that don't amount to what is read are no pause: they may trickle without end.
+
         Args:
-            read: Reads a part of the answer; called with the seconds that it may wait.
+            answer: The answer.
+            read: Reads a part of it; called with the seconds that it may wait.
             timeout: Seconds without it after which the run is given up unless the engine holds it.
-            has_begun: Whether a part of the answer has been received.
 
         Raises:
             EngineSilentError: Nothing came, and nothing more will.
             AttemptError: The answer was cut, or the deadline passed.
         """
         silence = SilentRun(self._request_id)
+        bytes_before = answer.received_bytes
         silent_since = self._reports.clock.monotonic()
         wait = max(timeout - REPORT_TIMEOUT, timeout / 2)
         state: RunState | None = None
@@ -127,6 +131,9 @@
                 # What comes meanwhile must not wait for the report.
                 return read(REPORT_TIMEOUT)
             except EngineSilentError:
+                if answer.received_bytes > bytes_before:
+                    raise
+                has_begun = bytes_before > 0
                 before, state = state, silence.judge(asked.value or LifeSign(answered=False))
                 keeps = state.may_still_answer and (has_begun or not self._may_move())
                 if not keeps or state is not before:
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -316,7 +316,7 @@
         engine = placement.engine
         # An item that has not begun waits here rather than at an engine.
         watch = RunWatch(self.engine_reports, engine.life, engine.address, item_id, lambda: True)
-        return lambda read: watch.read(read, EVENT_TIMEOUT, has_begun=answer.received)
+        return lambda read: watch.read(answer, read, EVENT_TIMEOUT)
 
     def _read_stream(self, item: RunningItem, answer: EngineAnswer, read: Reader) -> None:
         left = self._pool.limits.body
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -540,7 +540,7 @@
             self._request.terms.request_id,
             lambda: self._fleet.has_capacity(service, progress.version, besides=engine.life),
         )
-        return watch.read(read, timeout, has_begun=answer.received)
+        return watch.read(answer, read, timeout)
 
     def _final_error(self, error: AttemptError) -> PostvalveError:
         if self._client_disconnected:
