A status that HTTP doesn't have is no answer, and nothing that follows it is one

Callers saw: 600 and 999 as they came; where a 000 or 099 came before an answer, that answer, though the engine had sent it in the place of nothing; and 500, "unexpected error", for a 204 or 304 with a length as JSON. Cause: every status from 200 up was final, and every one below interim, so that reading went on after a 000. The head of a 204 or 304 was sent on with its length, which the server of WSGI refuses with an exception. Change: core/serving/http_status says what is interim, final and without a body; the parser of engines' answers (requests, items, reports of runs) asks it when a head is complete. Such an answer is a failure of our own, 502 without the engine's seal, or goes on elsewhere where it may. The readers of the store, of logs and the product's own engines take 200 and named refusals only; peers speak frames.

--- a/postvalve/gateway/engines/response_parser.py
+++ b/postvalve/gateway/engines/response_parser.py
@@ -4,11 +4,9 @@
 
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from postvalve.core.serving.http_status import is_final, is_interim
 from postvalve.gateway.engines.event_stream import MAX_EMPTY_LINE, event_end
 
-FINAL_STATUS = 200
-"""Lowest status code of a final response; those below are interim."""
-
 KNOWN_CODINGS = frozenset(("chunked", "identity"))
 """Transfer codings that the parser decodes; the second is a former name for none."""
 
@@ -28,11 +26,20 @@
         """Bytes at the start of the buffer in which no event ends."""
 
     def _on_message_begin(self) -> None:
-        if self.message_complete and self.get_code() >= FINAL_STATUS:
+        if self.message_complete and is_final(self.get_code()):
             self.has_trailing_data = True
             raise HTTPParseError("bytes after the end of the response")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        skips_body = super()._on_headers_complete()
+        status = self.get_code()
+        if not (is_interim(status) or is_final(status)):
+            # What follows is no answer either, however valid it looks.
+            self.headers_complete = False
+            raise HTTPParseError(f"there is no status {status}")
+        return skips_body
+
     def _on_header_field(self, string: str) -> None:
         # A trailer's fields don't say how the response is to be judged: they may not have come yet.
         if not self.headers_complete:
@@ -60,7 +67,7 @@
     @property
     def has_final_head(self) -> bool:
         """Whether status line and headers of the final response have been parsed."""
-        return bool(self.headers_complete) and self.get_code() >= FINAL_STATUS
+        return bool(self.headers_complete) and is_final(self.get_code())
 
     @property
     def has_known_coding(self) -> bool:
--- a/postvalve/gateway/serving/application.py
+++ b/postvalve/gateway/serving/application.py
@@ -16,6 +16,7 @@
 )
 from postvalve.core.randomness import RandomSource
 from postvalve.core.routing.route_table import RouteTable, choose_target, target_fraction
+from postvalve.core.serving.http_status import WITHOUT_BODY
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import (
     AuthenticationError,
@@ -442,8 +443,8 @@
 
     def _answer_headers(self, answer: EngineAnswer) -> list[tuple[str, str]]:
         # Another engine may go on with a stream, and its bytes need not be as many.
-        length = {"content-length"} if _is_stream(answer) else set()
-        left_out = HOP_BY_HOP_HEADERS | length
+        has_length = not _is_stream(answer) and answer.status not in WITHOUT_BODY
+        left_out = HOP_BY_HOP_HEADERS | (set() if has_length else {"content-length"})
         headers = [(name, value) for name, value in answer.headers if name.lower() not in left_out]
         return [*headers, *self._connection_headers()]
 
