--- a/postvalve/gateway/fleet/stream_versions.py
+++ b/postvalve/gateway/fleet/stream_versions.py
@@ -13,7 +13,6 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -35,11 +34,17 @@
 from postvalve.core.routing.version_history import VersionHistory
 from postvalve.events import Event
 from postvalve.exceptions import PeerUnavailableError, StreamVersionUnknownError
+from postvalve.gateway.fleet.origin_lookup import (
+    DirectoryRead,
+    LookupReply,
+    OriginKnowledge,
+    OriginLookup,
+    TakenUpStream,
+)
 from postvalve.gateway.fleet.peer_services import PeerServices
 from postvalve.gateway.fleet.stream_owners import OwnerRing
 from postvalve.gateway.interfaces import EngineEntry, EngineState
 from postvalve.gateway.knowledge.read_barrier import ReadBarrier
-from postvalve.gateway.knowledge.topic_follower import MAX_REPORTED_AGE
 from postvalve.messages.framing import encode_frame
 from postvalve.messages.generated import gateway
 from postvalve.node.peer_link import Channel
@@ -60,8 +65,6 @@
 node has begun. A client, or a peer on its behalf, waits for it."""
 PROOF_INTERVAL = 0.1
 """Least seconds between two reads of the directory for streams of which owners are to be told."""
-AGE_PRECISION = 0.001
-"""Seconds by which a peer's copy of the directory may be older than it says."""
 MAX_LOOKUPS = 64
 """Streams that one node asks its peers for at the same time; half of them for one tenant."""
 FRESH_AGE = 1.5
@@ -75,120 +78,6 @@
 """Seconds between removals of streams that no client can take up any more."""
 
 
-@dataclass(frozen=True, slots=True)
-class TakenUpStream:
-    """A stream that a client takes up at this node."""
-
-    tenant: str
-    service: str
-    begun_as: str
-    """Id of the attempt that brought its first event; empty if the client does not name it."""
-    request_id: str
-    """Id of the present attempt, for the log."""
-    seconds_left: float
-    """Until the client's deadline."""
-
-    @property
-    def key(self) -> bytes:
-        """Key by which nodes know the stream; empty if the client does not name it."""
-        return stream_key(self.tenant, self.service, self.begun_as) if self.begun_as else b""
-
-
-@dataclass(frozen=True, slots=True)
-class _Knowledge:
-    """What this node and its peers know about the version that began a stream."""
-
-    version: int | None
-    source: str
-    versions: frozenset[int] = frozenset()
-    answers: int = 0
-    asked: int = 0
-    is_current: bool = False
-    """Whether this node has read the directory since the client came."""
-    is_complete: bool = False
-    """Whether no version listed earlier can be missing."""
-
-    @property
-    def missing(self) -> str:
-        """What is missing for a proof, for log lines; empty if nothing is."""
-        if self.version is not None:
-            return ""
-        if self.source != "none":
-            return self.source
-        if not self.is_current:
-            return "a read of the directory"
-        return "a peer that knows the stream" if self.is_complete else "the records of versions"
-
-
-@dataclass(frozen=True, slots=True)
-class _DirectoryRead:
-    """The end of a read of the directory that began after the client came."""
-
-    is_answered: bool
-
-
-_Reply = gateway.OriginReply | _DirectoryRead | None
-"""What a lookup waits for; None for each peer that did not answer."""
-
-
-class _Lookup:
-    """What has been learned in one lookup about the versions of a service."""
-
-    def __init__(self, service: str, asked: int, history: VersionHistory, started: float) -> None:
-        self._service = service
-        self._history = history
-        self._started = started
-        self._versions: set[int] = set()
-        """Versions that peers have listed."""
-        self._known_until = float("-inf")
-        """Up to when some peer knows all versions."""
-        self._is_current = False
-        self._answers = 0
-        self._asked = asked
-        self.pending = asked + 1
-        """Peers that have not answered yet, and the read of the directory."""
-
-    def record(self, reply: _Reply) -> None:
-        """Record an answer of a peer, or the end of the read."""
-        self.pending -= 1
-        if isinstance(reply, _DirectoryRead):
-            self._is_current = reply.is_answered
-        elif reply is not None:
-            self._answers += 1
-            self._versions |= set(reply.versions)
-            age = reply.directory_age_ms / 1000
-            if reply.complete and age < MAX_REPORTED_AGE:
-                known_until = self._started - age - AGE_PRECISION
-                self._known_until = max(self._known_until, known_until)
-
-    def _is_complete(self, now: float) -> bool:
-        """Whether this node, or a peer, knows what was listed before it followed the directory.
-
-        The read of the directory may find that its history is gone.
-        """
-        followed_since = self._history.followed_since
-        return self._history.is_complete(now) or self._known_until >= followed_since
-
-    def knowledge(self, now: float, reply: gateway.OriginReply | None = None) -> _Knowledge:
-        """Return what is known now, including the reply of a peer that knows the stream."""
-        versions = self._history.possible(self._service, now) | self._versions
-        is_complete = self._is_complete(now)
-        version, source = None, "none"
-        if reply is not None:
-            version, source = reply.version, "peer"
-        elif len(versions) == 1 and is_complete and self._is_current:
-            version, source = next(iter(versions)), "only version"
-        return _Knowledge(
-            version,
-            source,
-            versions,
-            self._answers,
-            self._asked,
-            self._is_current,
-            is_complete,
-        )
-
-
 class StreamVersions:
     """One node's knowledge of the versions that began streams, and its exchange with peers."""
 
@@ -421,11 +310,11 @@
         is_settled = self._prove(stream, min(PROOF_TIMEOUT, taken_up.seconds_left * LOOKUP_SHARE))
         version = self._find_here(stream, started)
         if not is_settled:
-            known = _Knowledge(None, "a read of the directory")
+            known = OriginKnowledge(None, "a read of the directory")
         elif self._is_contradicted(stream, started):
-            known = _Knowledge(None, "contradicting reports")
+            known = OriginKnowledge(None, "contradicting reports")
         elif version is not None:
-            known = _Knowledge(version, "own")
+            known = OriginKnowledge(version, "own")
         else:
             known = self._look_up(stream, taken_up)
         self._log(taken_up, known, started)
@@ -446,13 +335,13 @@
                 return entry.version
         return None
 
-    def _look_up(self, stream: bytes, taken_up: TakenUpStream) -> _Knowledge:
+    def _look_up(self, stream: bytes, taken_up: TakenUpStream) -> OriginKnowledge:
         """Ask peers for a stream."""
         tenant = taken_up.tenant
         if self._lookups.total() >= MAX_LOOKUPS or (
             tenant and self._lookups[tenant] >= MAX_LOOKUPS // 2
         ):
-            return _Knowledge(None, "too many lookups")
+            return OriginKnowledge(None, "too many lookups")
         self._lookups[tenant] += 1
         try:
             return self._ask_peers(stream, taken_up)
@@ -461,22 +350,22 @@
             if not self._lookups[tenant]:
                 del self._lookups[tenant]
 
-    def _ask_peers(self, stream: bytes, taken_up: TakenUpStream) -> _Knowledge:
+    def _ask_peers(self, stream: bytes, taken_up: TakenUpStream) -> OriginKnowledge:
         addresses = self._ring.of(stream).asked
         ask = gateway.OriginAsk(stream=stream, service=taken_up.service)
         timeout = min(LOOKUP_TIMEOUT, taken_up.seconds_left * LOOKUP_SHARE)
-        replies: Queue[_Reply] = Queue()
+        replies: Queue[LookupReply] = Queue()
         gevent.spawn(self._read_directory, timeout, replies)
         for address in addresses:
             gevent.spawn(self._ask, address, ask, timeout, replies)
         return self._collect(replies, len(addresses), taken_up.service, timeout)
 
     def _collect(
-        self, replies: Queue[_Reply], asked: int, service: str, timeout: float
-    ) -> _Knowledge:
+        self, replies: Queue[LookupReply], asked: int, service: str, timeout: float
+    ) -> OriginKnowledge:
         """Read replies until one knows the stream, all have come, or the time is over."""
         started = self._clock.monotonic()
-        lookup = _Lookup(service, asked, self._history, started)
+        lookup = OriginLookup(service, asked, self._history, started)
         while lookup.pending:
             now = self._clock.monotonic()
             known = lookup.knowledge(now)
@@ -493,15 +382,15 @@
                 return lookup.knowledge(self._clock.monotonic(), reply)
         return lookup.knowledge(self._clock.monotonic())
 
-    def _read_directory(self, timeout: float, replies: Queue[_Reply]) -> None:
-        replies.put(_DirectoryRead(self._directory.wait(timeout)))
+    def _read_directory(self, timeout: float, replies: Queue[LookupReply]) -> None:
+        replies.put(DirectoryRead(self._directory.wait(timeout)))
 
     def _ask(
         self,
         address: str,
         ask: gateway.OriginAsk,
         timeout: float,
-        replies: Queue[_Reply],
+        replies: Queue[LookupReply],
     ) -> None:
         try:
             reply = self._services.transport.call(address, Channel.ADMISSION, ask, timeout)
@@ -511,7 +400,7 @@
             return
         replies.put(reply if isinstance(reply, gateway.OriginReply) else None)
 
-    def _log(self, taken_up: TakenUpStream, known: _Knowledge, started: float) -> None:
+    def _log(self, taken_up: TakenUpStream, known: OriginKnowledge, started: float) -> None:
         now = self._clock.monotonic()
         self._events.emit(
             Event.STREAM_VERSION_FOUND if known.version is not None else Event.STREAM_UNKNOWN,
