--- a/tests/endless_engine.py
+++ b/tests/endless_engine.py
@@ -70,6 +70,10 @@
                     return
                 head += part
             lines = head.decode().split("\r\n")
+            if lines[0].startswith("GET "):
+                # It tells nothing of its runs.
+                conn.sendall(b"HTTP/1.1 404 -\r\nContent-Length: 0\r\n\r\n")
+                return
             request_id = next(line for line in lines if line.lower().startswith("request-id:"))
             self._answer(conn, request_id)
 
