--- a/tests/earlier_build.py
+++ b/tests/earlier_build.py
@@ -14,9 +14,9 @@
 ROOT = Path(__file__).resolve().parents[1]
 SAMPLES = ROOT / "tests" / "version_samples.py"
 RECENT_RELEASES = (
-    "3cb8870a953ff89c1c6393685c4fa0d1e2d6562e",
     "1ec7aca87a57611ede3425120f9e8d62f2ebb9a8",
     "dea81adb106f5392bb17d89311ef96dd3a00d9e1",
+    "f77c01eb2c4e396c959100e73522b5d7ca5a81dd",
 )
 """The last three commits that were released, oldest first. Manual soaks cover all of them."""
 FEATURE_FILES = {
