Announcements go on side by side until one succeeds, whatever the others do

A failure was waited for before the next try, and an unexpected error left no line of the log; a success noticed by one try was seen by the loop only after its pause.

--- a/postvalve/gateway/fleet/node_directory.py
+++ b/postvalve/gateway/fleet/node_directory.py
@@ -22,7 +22,7 @@
 
 NODE_TOPIC = "nodes"
 ANNOUNCE_RETRY_DELAY = 0.3
-"""Seconds after which a further announcement begins if there was no answer, doubled each time."""
+"""Seconds after which a further announcement begins if none has succeeded, doubled each time."""
 MAX_ANNOUNCE_RETRY_DELAY = 0.6
 MAX_PENDING = 3
 """Most announcements under way: calls to a part of the store may hang after it is back."""
@@ -38,8 +38,8 @@
         self._events = events
         self._topics = topics
         self._addresses: dict[str, tuple[str, str]] | None = None
-        self._ended = GeventEvent()
-        """Set when an announcement ends, until the next one begins."""
+        self._known = GeventEvent()
+        """Set once the announced nodes were read."""
         self._pending = 0
         self.tries = 0
         """Announcements that have begun."""
@@ -62,31 +62,26 @@
         """Append this node's address and read those of the others; returns once that succeeded."""
         delay = ANNOUNCE_RETRY_DELAY
         while not self.is_known:
-            self._ended.clear()
-            self._pending += 1
-            gevent.spawn(self._announce_once)
-            if self._ended.wait(delay) and not self.is_known:
-                gevent.sleep(delay)
+            if self._pending < MAX_PENDING:
+                self._pending += 1
+                self.tries += 1
+                gevent.spawn(self._announce_once)
+            self._known.wait(delay)
             delay = min(MAX_ANNOUNCE_RETRY_DELAY, delay * 2)
-            while self._pending >= MAX_PENDING and not self.is_known:
-                self._ended.clear()
-                self._ended.wait()
+        self.on_change()
 
     def _announce_once(self) -> None:
-        self.tries += 1
         record = KeyedRecord(self._identity.node_id, bytes(self._identity))
         try:
             self._topics.append(NODE_TOPIC, 0, [record])
-            addresses = self._read()
+            self._addresses = self._read()
+            self._known.set()
         except StoreUnavailableError as exc:
             self._events.emit(Event.LOG_UNAVAILABLE, error=exc.message, topic=NODE_TOPIC)
-        else:
-            if not self.is_known:
-                self._addresses = addresses
-                self.on_change()
+        except Exception as exc:  # it is tried again, whatever it is
+            self._events.emit(Event.LOG_UNAVAILABLE, error=repr(exc), topic=NODE_TOPIC)
         finally:
             self._pending -= 1
-            self._ended.set()
 
     def _read(self) -> dict[str, tuple[str, str]]:
         """Read the announced nodes.
