--- a/postvalve/core/admission/fleet_limits.py
+++ b/postvalve/core/admission/fleet_limits.py
@@ -221,7 +221,7 @@
         now: float,
         neighbours: Iterable[str] | None = None,
         certain: Iterable[str] | None = None,
-        unread: Iterable[str] = (),
+        unsynced: Iterable[str] = (),
     ) -> bool:
         """Take in which nodes are alive. Called several times a second and before each decision.
 
@@ -238,8 +238,8 @@
             certain: Those that reported so recently that no node lends in their place yet; None if
                 all were. Of the two sides of a partition, one detects it up to a report interval
                 before the other: its lender starts only after the other side's share has ended.
-            unread: Those of the live nodes, besides this one, that have not read which nodes there
-                are, and lend nothing.
+            unsynced: Those of the live nodes, besides this one, that have not read which nodes
+                there are, and lend nothing.
         """
         suspended = now - self._updated_at > STALL_THRESHOLD
         if suspended:
@@ -249,7 +249,7 @@
             self.known_at = now
         reached = frozenset(live)
         near_reached = reached if neighbours is None else frozenset(neighbours)
-        no_lenders = frozenset(unread) - {self._node_id}
+        no_lenders = frozenset(unsynced) - {self._node_id}
         if self.known_at is None:
             no_lenders |= {self._node_id}
         view, nodes, near = self._views[-1], reached - no_lenders, near_reached - no_lenders
--- a/postvalve/core/membership/extensions.py
+++ b/postvalve/core/membership/extensions.py
@@ -28,7 +28,7 @@
     """Engines that differ in speed from others of their service: see `core/routing/engine_pace`."""
     ITEM_PACE = 5
     """Durations of batch items: see `core/batch/item_order`."""
-    UNREAD_NODES = 6
+    UNSYNCED_NODES = 6
     """Ids of nodes that have not read which nodes there are, so that they lend no credit: the
     sender's own in its reports, those of a zone in its digests."""
 
--- a/postvalve/core/membership/zone_reporting.py
+++ b/postvalve/core/membership/zone_reporting.py
@@ -160,9 +160,9 @@
     token_times = [one.extensions.get(Extension.ITEM_PACE, b"") for one in reports]
     if merged_times := merge_token_times(token_times):
         parts[Extension.ITEM_PACE] = merged_times
-    unread = [one.extensions.get(Extension.UNREAD_NODES, b"") for one in reports]
-    if unread_ids := frozenset().union(*map(unpack_ids, unread)):
-        parts[Extension.UNREAD_NODES] = pack_ids(sorted(unread_ids))
+    unsynced = [one.extensions.get(Extension.UNSYNCED_NODES, b"") for one in reports]
+    if unsynced_ids := frozenset().union(*map(unpack_ids, unsynced)):
+        parts[Extension.UNSYNCED_NODES] = pack_ids(sorted(unsynced_ids))
     shares = merge_share_updates(one.extensions.get(Extension.SHARE_CLOCK, b"") for one in reports)
     if shares:
         parts[Extension.SHARE_CLOCK] = shares
--- a/postvalve/core/routing/silent_run.py
+++ b/postvalve/core/routing/silent_run.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LifeSign:
+class ProbeResult:
     """What came of asking an engine for its report."""
 
     answered: bool
@@ -61,15 +61,15 @@
         self._made: int | None = None
         """Events made according to the first report."""
 
-    def judge(self, sign: LifeSign) -> RunState:
+    def judge(self, probe: ProbeResult) -> RunState:
         """Return what became of the run, by the newest answer of its engine."""
-        if not sign.answered:
+        if not probe.answered:
             return RunState.ENGINE_SILENT
-        if sign.report is None:
+        if probe.report is None:
             return RunState.UNKNOWN
-        made = sign.report.runs.get(self._request_id)
+        made = probe.report.runs.get(self._request_id)
         if made is None:
-            return RunState.HELD if sign.report.waiting else RunState.LOST
+            return RunState.HELD if probe.report.waiting else RunState.LOST
         if self._made is None:
             self._made = made
         # Both reports were made during the silence.
--- a/postvalve/gateway/engines/run_watch.py
+++ b/postvalve/gateway/engines/run_watch.py
@@ -1,4 +1,4 @@
-"""Reads answers with patience: asks a silent engine what became of a run before it is given up."""
+"""Reads answers of engines, and asks a silent one what became of a run before it is given up."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from postvalve.clock import Clock
 from postvalve.core.membership.engine_life import EngineLife
-from postvalve.core.routing.silent_run import LifeSign, RunState, SilentRun
+from postvalve.core.routing.silent_run import ProbeResult, RunState, SilentRun
 from postvalve.events import Event, EventLog
 from postvalve.exceptions import AttemptError, EngineDisconnectedError, EngineSilentError
 from postvalve.gateway.engines.engine_answer import EngineAnswer
@@ -39,7 +39,7 @@
         self._pending: dict[str, AsyncResult] = {}
 
     def ask(self, address: str) -> AsyncResult:
-        """Ask the engine at an address; returns the result, a `LifeSign` once there is one."""
+        """Ask the engine at an address; returns the result, a `ProbeResult` once there is one."""
         pending = self._pending.get(address)
         if pending is None:
             pending = self._pending[address] = AsyncResult()
@@ -52,7 +52,7 @@
         finally:
             del self._pending[address]
 
-    def _fetch(self, address: str) -> LifeSign:
+    def _fetch(self, address: str) -> ProbeResult:
         headers = [("Host", address)]
         try:
             answer = self._pool.send_request(
@@ -70,10 +70,10 @@
             answer.close()
         except EngineDisconnectedError:
             # At its limit of connections an engine resets further ones.
-            return LifeSign(answered=True)
+            return ProbeResult(answered=True)
         except AttemptError:
-            return LifeSign(answered=False)
-        return LifeSign(True, self._dialect.read_run_report(body) if status == 200 else None)
+            return ProbeResult(answered=False)
+        return ProbeResult(True, self._dialect.read_run_report(body) if status == 200 else None)
 
 
 class RunWatch:
@@ -134,7 +134,7 @@
                 if answer.received_bytes > bytes_before:
                     raise
                 has_begun = bytes_before > 0
-                before, state = state, silence.judge(asked.value or LifeSign(answered=False))
+                before, state = state, silence.judge(asked.value or ProbeResult(answered=False))
                 keeps = state.may_still_answer and (has_begun or not self._may_move())
                 if not keeps or state is not before:
                     self._log(state, asked.value, silent_since, has_begun=has_begun, keeps=keeps)
@@ -145,13 +145,13 @@
     def _log(
         self,
         state: RunState,
-        sign: LifeSign | None,
+        probe: ProbeResult | None,
         silent_since: float,
         *,
         has_begun: bool,
         keeps: bool,
     ) -> None:
-        report = sign.report if sign else None
+        report = probe.report if probe else None
         self._reports.events.emit(
             Event.RUN_SILENT,
             request=self._request_id,
--- a/postvalve/gateway/gateway.py
+++ b/postvalve/gateway/gateway.py
@@ -303,7 +303,7 @@
         self._zone_queue.own_report = self._reports.next_report
         self._zone_queue.on_granted = self._admission_queue.reevaluate
         self._reports.extensions[Extension.SHARE_CLOCK] = self._shares.pack
-        self._reports.extensions[Extension.UNREAD_NODES] = self._limits.pack_unread
+        self._reports.extensions[Extension.UNSYNCED_NODES] = self._limits.pack_unsynced
         self._reports.enable_pace_reports()
         self._reports.on_quarantine_update = self._quarantine_gossip.receive
         self._reports.on_origins = self._stream_versions.receive
--- a/postvalve/gateway/jobs/job_acceptance.py
+++ b/postvalve/gateway/jobs/job_acceptance.py
@@ -66,9 +66,9 @@
                 self._log.follower.catch_up()
             except StoreUnavailableError as error:
                 raise self.refusal(submission, error.message) from error
-        return self.is_accepted(submission.job_id) or self._is_accepted_over_limit(submission)
+        return self.is_accepted(submission.job_id) or self._check_limit(submission)
 
-    def _is_accepted_over_limit(self, submission: Submission) -> bool:
+    def _check_limit(self, submission: Submission) -> bool:
         """Check the limit of waiting tokens; returns whether the job turns out to be accepted.
 
         A copy of an accepted job is within the limit, and other jobs may have ended, so only a read
@@ -133,7 +133,7 @@
         record = KeyedRecord(key, bytes(accepted))
         attempts = AcceptanceAttempts(submission.job_id)
         while (state := self._state(attempts)) is not AcceptanceState.ACCEPTED:
-            if state is AcceptanceState.NOT_ACCEPTED and self._is_accepted_over_limit(submission):
+            if state is AcceptanceState.NOT_ACCEPTED and self._check_limit(submission):
                 break
             error = self._try_append(attempts, record)
             if error is None:
--- a/postvalve/gateway/serving/routed_run.py
+++ b/postvalve/gateway/serving/routed_run.py
@@ -390,7 +390,7 @@
     def _await_engines(self) -> None:
         """Wait if no engine is listed at the moment and there is time for it."""
         request = self._request
-        latest = self._policy.latest_wait(client_has_headers=self._has_client_begun)
+        latest = self._policy.latest_wait(client_has_headers=self._client_is_receiving)
         version = self._progress.version
         if self._fleet.engines(request.service, version):
             return
@@ -513,11 +513,11 @@
             verdict,
             self._clock.monotonic(),
             has_untried_engines=self._has_untried_engines(),
-            client_has_headers=self._has_client_begun,
+            client_has_headers=self._client_is_receiving,
         )
 
     @property
-    def _has_client_begun(self) -> bool:
+    def _client_is_receiving(self) -> bool:
         """Whether the client has received a part of an answer."""
         return self._client_has_headers or self._progress.events > 0
 
--- a/postvalve/gateway/serving/tenant_credit.py
+++ b/postvalve/gateway/serving/tenant_credit.py
@@ -117,9 +117,9 @@
         ] + own
         announced = self._services.announced_nodes()
         size = None if announced is None else len(announced)
-        parts = self._peers.extension_parts(Extension.UNREAD_NODES)
-        unread = frozenset().union(*map(unpack_ids, parts))
-        if self.limits.update_view(live, size, now, near, certain, unread):
+        parts = self._peers.extension_parts(Extension.UNSYNCED_NODES)
+        unsynced = frozenset().union(*map(unpack_ids, parts))
+        if self.limits.update_view(live, size, now, near, certain, unsynced):
             self.shares.reset()
 
     @property
@@ -127,7 +127,7 @@
         """Whether this node can tell which share of the limits it may lend."""
         return self.limits.fleet_size is not None
 
-    def pack_unread(self) -> bytes:
+    def pack_unsynced(self) -> bytes:
         """Return a part of this node's reports: its id while it lends nothing."""
         return pack_ids((self._node_id,)) if self._services.announced_nodes() is None else b""
 
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -32,7 +32,7 @@
     def start(self, now):
         self.limits = FleetLimits(self.name, now, self.bounds)
         self.heard = {}
-        self.heard_unread = {}
+        self.heard_unsynced = {}
         """Whether each node heard had not read which nodes there are, by its last report."""
 
     @property
@@ -41,17 +41,17 @@
 
     def facts(self):
         """Return the number of nodes that it has read, and those heard that have read none."""
-        unread = [name for name in self.heard if self.heard_unread[name]]
-        return len(self.addresses) if self.knows_nodes else None, unread
+        unsynced = [name for name in self.heard if self.heard_unsynced[name]]
+        return len(self.addresses) if self.knows_nodes else None, unsynced
 
     def update_view(self, now):
         live = [name for name, at in self.heard.items() if now - at <= SILENT_AFTER]
-        announced, unread = self.facts()
-        self.limits.update_view([*live, self.name], announced, now, unread=unread)
+        announced, unsynced = self.facts()
+        self.limits.update_view([*live, self.name], announced, now, unsynced=unsynced)
 
     def hear(self, other, now):
         self.heard[other.name] = now
-        self.heard_unread[other.name] = not other.knows_nodes
+        self.heard_unsynced[other.name] = not other.knows_nodes
 
     def sends_to(self, other, now):
         """Whether it has the address of another node, by the store or by its reports."""
--- a/tests/test_paused_runs.py
+++ b/tests/test_paused_runs.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from postvalve.core.routing.silent_run import LifeSign, RunReport, RunState, SilentRun
+from postvalve.core.routing.silent_run import ProbeResult, RunReport, RunState, SilentRun
 from postvalve.events import Event
 from postvalve.gateway.engines import run_watch
 from postvalve.gateway.jobs import item_attempts
@@ -33,13 +33,13 @@
         self.run = SilentRun("r")
 
     def state(self, waiting=0, **runs):
-        return self.run.judge(LifeSign(True, RunReport(waiting, runs)))
+        return self.run.judge(ProbeResult(True, RunReport(waiting, runs)))
 
     def test_an_engine_that_does_not_answer_is_silent(self):
-        self.assertIs(self.run.judge(LifeSign(False)), RunState.ENGINE_SILENT)
+        self.assertIs(self.run.judge(ProbeResult(False)), RunState.ENGINE_SILENT)
 
     def test_an_engine_that_tells_nothing_of_its_runs_leaves_it_unknown(self):
-        self.assertIs(self.run.judge(LifeSign(True)), RunState.UNKNOWN)
+        self.assertIs(self.run.judge(ProbeResult(True)), RunState.UNKNOWN)
 
     def test_a_run_in_the_report_is_held(self):
         for _ in range(3):
--- a/tests/test_unknown_fleet.py
+++ b/tests/test_unknown_fleet.py
@@ -30,7 +30,7 @@
 SEEDS = 6
 
 
-class UnreadTopics(MemoryTopics):
+class FaultyNodeTopics(MemoryTopics):
     """A store of which one topic is down, silent or behind."""
 
     def __init__(self):
@@ -86,7 +86,7 @@
 
     def test_others_lend_its_share_and_do_not_ask_it(self):
         limits = FleetLimits("n0", 0.0)
-        limits.update_view(["n0", "n1", "n2", "n3"], 4, 1.0, unread=["n1", "n2", "n3"])
+        limits.update_view(["n0", "n1", "n2", "n3"], 4, 1.0, unsynced=["n1", "n2", "n3"])
         self.assertEqual((limits.fleet_size, limits.share, limits.zone_share), (4, 1.0, 1.0))
         self.assertEqual({tuple(limits.choices(f"t{number}")) for number in range(20)}, {("n0",)})
 
@@ -181,7 +181,7 @@
         """Let a node announce itself during a fault; return when it knew the nodes after it."""
 
         def run(loop):
-            topics = UnreadTopics()
+            topics = FaultyNodeTopics()
             identity = gateway.NodeStarted(node_id="one", peer_address="10.0.0.1:1", zone="z")
             nodes = NodeDirectory(identity, topics, RecordingEventLog())
             topics.fault = fault
@@ -210,7 +210,7 @@
     def setUp(self):
         self.fleet = GatewayFleet(nodes=2, engines=1, tenants=TENANTS)
         self.addCleanup(self.fleet.stop)
-        self.fleet.topics.__class__ = UnreadTopics
+        self.fleet.topics.__class__ = FaultyNodeTopics
         self.fleet.topics.fault = "down"
 
     def ask(self, node, request_id):
--- a/tests/zoned_limit_model.py
+++ b/tests/zoned_limit_model.py
@@ -18,8 +18,8 @@
         near = [one for one in live if self.zones[one] == self.zones[self.name]]
         certain = [one for one in live if now - self.heard[one] <= LENDER_SUSPECT_AFTER]
         own = [self.name]
-        announced, unread = self.facts()
-        self.limits.update_view(live + own, announced, now, near + own, certain + own, unread)
+        announced, unsynced = self.facts()
+        self.limits.update_view(live + own, announced, now, near + own, certain + own, unsynced)
 
 
 class ZonedLimitModel(LimitModel):
