--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -438,7 +438,7 @@
                 f"{job.job_id}: {sorted(job.texts.keys() - listed.keys())} missing, {listed}",
             )
             wrong = [
-                item
+                f"{item} {state}, {len(text or '')} characters of {len(job.texts.get(item) or '')}"
                 for item, state, text in job.positions.values()
                 if (state, text) != ("completed", job.texts.get(item))
             ]
