The end of an answer without a frame isn't taken for whole if its attempt is ended meanwhile

Cause: whether the end of a connection is the end of an answer without a frame is told by whether its engine still listens; an engine that has exited counts only if it was expected to take work. For an item that includes not being preempted, so an item that is preempted while the engine is asked was completed with what it had. Change: an attempt that was ended, at an engine that doesn't listen any more, ends with an error.

--- a/postvalve/gateway/engines/engine_answer.py
+++ b/postvalve/gateway/engines/engine_answer.py
@@ -218,12 +218,16 @@
 
         Raises:
             EngineDisconnectedError: The engine has exited, and has not announced it.
+            AttemptError: The attempt was ended, which leaves it unknown.
         """
         if not self._ended_by_close or self._is_end_checked:
             return
         self._is_end_checked = True
         self._connection.close()
-        if not self._pool.is_listening(self._address, self._deadline) and self._still_usable():
+        is_listening = self._pool.is_listening(self._address, self._deadline)
+        if not is_listening and self.aborted:
+            raise AttemptError("the attempt was ended", Verdict.MAY_HAVE_RUN)
+        if not is_listening and self._still_usable():
             raise EngineDisconnectedError(
                 "the engine exited at the end of its answer", Verdict.MAY_HAVE_RUN
             )
