Only an answer of 500 counts as a failed attempt of an item

Cause: every failure of an engine was counted as a failed attempt. Change: the dialect says which status is a failed attempt; any other failure puts the item off, later each time up to 10 s, and blames neither its engine nor its request.

--- a/postvalve/gateway/interfaces.py
+++ b/postvalve/gateway/interfaces.py
@@ -123,6 +123,10 @@
         """
         ...
 
+    def is_failed_attempt(self, status: int) -> bool:
+        """Whether an engine's failure counts as one of the attempts that an item may fail."""
+        ...
+
     run_report_target: str
     """Path at which an engine tells of its runs."""
 
--- a/postvalve/gateway/jobs/item_attempts.py
+++ b/postvalve/gateway/jobs/item_attempts.py
@@ -60,8 +60,8 @@
 """Largest further delay, in seconds, if engines have disconnected several times in a row as the
 item began; it doubles from one second on."""
 MAX_RETRY_DELAY = 10.0
-"""Largest delay, in seconds, before an item is tried again whose failures are not due to an
-engine."""
+"""Largest delay, in seconds, before an item is tried again whose failures can't be told to be due
+to an engine."""
 QUARANTINE_RECHECK_INTERVAL = 5.0
 """Seconds after which a quarantined item is checked again, since its quarantine may have been
 cleared."""
@@ -76,6 +76,16 @@
 Result = TypeVar("Result")
 
 
+class UnexpectedStatusError(AttemptError):
+    """An engine answered an item with a failure that is neither a failed attempt nor hopeless.
+
+    It may be due to the engine or to the item, so neither is blamed.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"item failed with status {status}", Verdict.RAN)
+
+
 class Reader(Protocol):
     """Reads a part of an answer with the method of `EngineAnswer` that is passed."""
 
@@ -297,6 +307,8 @@
         if judgement is Judgement.HOPELESS:
             self._ends.end(item, ItemState.DEAD)
             return
+        if judgement is Judgement.FAILED and not self._dialect.is_failed_attempt(answer.status):
+            raise UnexpectedStatusError(answer.status)
         if judgement is Judgement.FAILED:
             self._failures.record(item)
             if item.cancelled:
@@ -366,7 +378,7 @@
                 error.seconds, QUARANTINE_RECHECK_INTERVAL
             )
             return
-        if isinstance(error, (NotFoundError, UnreadableRequestError)):
+        if isinstance(error, (NotFoundError, UnreadableRequestError, UnexpectedStatusError)):
             self._put_off(item)
             self._log_failure(item, placement, error)
             return
@@ -415,7 +427,7 @@
         return longer + (0.0 if times.events else CRASH_RETRY_SPREAD * _spread(item))
 
     def _put_off(self, item: RunningItem) -> None:
-        """Try an item again later, and later each time: its failures are not due to an engine."""
+        """Try an item again later, and later each time: no engine may be to blame."""
         item.quarantined = False
         item.retry_delay = min(MAX_RETRY_DELAY, max(RETRY_DELAY, item.retry_delay * 2))
         item.not_before = self._clock.monotonic() + item.retry_delay
--- a/postvalve/platform/dialect.py
+++ b/postvalve/platform/dialect.py
@@ -52,6 +52,8 @@
 """Number of events of a run from which on an engine's report is invalid."""
 MISDIRECTED = 421
 """HTTP status of an engine whose id differs from the one expected."""
+FAILED_ATTEMPT = 500
+"""HTTP status of an engine at which an attempt of an item has failed."""
 UNPROCESSABLE = 422
 """HTTP status of an engine that cannot serve the request; no other engine could either."""
 
@@ -198,6 +200,10 @@
         pace = percent / 100 if percent is not None else None
         return EngineLoad(now, running, waiting, slots, pace)
 
+    def is_failed_attempt(self, status: int) -> bool:
+        """See `Dialect`."""
+        return status == FAILED_ATTEMPT
+
     run_report_target = RUN_REPORT_PATH
 
     def read_run_report(self, body: bytes) -> RunReport | None:
